--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for platform, engines and services; for tests only."""
--- /dev/null
+++ b/fakes/site.py
@@ -0,0 +1,268 @@
+"""A small site on loopback: real daemons and stand-ins as processes."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+_STARTING = 20.0
+_STOPPING = 10.0
+_PAUSE = 0.02
+
+
+class VmPlan(NamedTuple):
+    """One VM of the site."""
+
+    name: str
+    data_centre: str
+    role: str
+    """``entry`` or ``endpoint``."""
+
+    cold_limit: int = 1000
+    """What a stand-in engine bears when cold."""
+
+
+class Answer(NamedTuple):
+    """An HTTP answer as a caller sees it."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """The claim: from the header, or from the end event of a stream."""
+        outcome = self.headers.get("Mintsaddle-Outcome", "")
+        if outcome != "see-end":
+            return outcome
+        end = self.end
+        return str(end["outcome"]) if end else "cut"
+
+    @property
+    def end(self) -> dict[str, Any] | None:
+        """The end event of a stream; None if it was cut."""
+        _, marker, rest = self.body.rpartition(b"event: end\ndata: ")
+        return json.loads(rest) if marker else None
+
+    @property
+    def events(self) -> list[str]:
+        """The data of each event before the end."""
+        parts = self.body.decode().split("\n\n")
+        return [part[6:] for part in parts if part.startswith("data: ")]
+
+
+class Site:
+    """The processes of one site, each known by its process id."""
+
+    def __init__(self, plans: Sequence[VmPlan], services: str) -> None:
+        self._plans = {plan.name: plan for plan in plans}
+        self._services = services
+        self._folder = tempfile.TemporaryDirectory(prefix="mintsaddle-")
+        self._processes: dict[str, subprocess.Popen[str]] = {}
+        entries = [plan.name for plan in plans if plan.role == "entry"]
+        places = iter(free_addresses(len(plans) + len(entries) + 1))
+        self._addresses = {plan.name: next(places) for plan in plans}
+        self._http = {name: next(places) for name in entries}
+        self._engines: dict[str, str] = {}
+        self._platform = next(places)
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        """Where each daemon is reached by others."""
+        return self._addresses
+
+    @property
+    def platform(self) -> str:
+        """Where the platform stand-in is reached."""
+        return self._platform
+
+    @property
+    def engines(self) -> Mapping[str, str]:
+        """Where each endpoint's engine is reached."""
+        return self._engines
+
+    @property
+    def http(self) -> Mapping[str, str]:
+        """Where each entry serves callers."""
+        return self._http
+
+    def start(self) -> None:
+        """Start the platform, the engines and the daemons."""
+        self.start_platform()
+        for plan in self._plans.values():
+            if plan.role == "endpoint":
+                self.start_engine(plan.name)
+        for name in self._plans:
+            self.start_daemon(name)
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in, with nothing published."""
+        port = self._platform.rpartition(":")[2]
+        self._start_stand_in("platform", "fakes.platform", "--port", port)
+
+    def start_engine(self, endpoint: str) -> None:
+        """Start an endpoint's engine; a second start is a cold restart."""
+        address = self._engines.get(endpoint, "127.0.0.1:0")
+        port = address.rpartition(":")[2]
+        cold = str(self._plans[endpoint].cold_limit)
+        name = f"{endpoint} engine"
+        port = self._start_stand_in(
+            name, "fakes.engine", "--port", port, "--cold-limit", cold
+        )
+        self._engines[endpoint] = f"127.0.0.1:{port}"
+
+    def start_daemon(self, name: str, peers: str = "") -> None:
+        """Start a daemon from settings written for it."""
+        plan = self._plans[name]
+        lines = [
+            "[daemon]",
+            f"role = {plan.role}",
+            f"vm = {name}",
+            f"data centre = {plan.data_centre}",
+            f"address = {self._addresses[name]}",
+            f"platform = {self._platform}",
+            f"peers = {peers}",
+            "log level = INFO",
+        ]
+        if plan.role == "entry":
+            lines += [f"http = {self._http[name]}", "grace = 0.5"]
+        else:
+            lines += [f"engine = {self._engines[name]}"]
+        settings = Path(self._folder.name, f"{name}.ini")
+        settings.write_text("\n".join(lines) + "\n")
+        program = "import sys; from mintsaddle.daemon import main; sys.exit(main())"
+        command = [sys.executable, "-c", program, "--settings", str(settings)]
+        with Path(self._folder.name, f"{name}.log").open("a") as log:
+            process = subprocess.Popen(command, stderr=log, text=True)
+        self._processes[name] = process
+
+    def fleet_text(self, extra: str = "") -> str:
+        """Return the fleet text of the site."""
+        parts = ["[fleet]\nname = site\nclock bound = 0.05\n"]
+        for centre in dict.fromkeys(p.data_centre for p in self._plans.values()):
+            parts.append(f"[data centre {centre}]\nregion = loopback\n")
+        for plan in self._plans.values():
+            parts.append(
+                f"[{plan.role} {plan.name}]\ndata centre = {plan.data_centre}\n"
+                f"address = {self._addresses[plan.name]}\n"
+            )
+        return "\n".join([*parts, self._services, extra])
+
+    def publish(self, name: str, revision: int, value: str) -> None:
+        """Publish a value as an operator does."""
+        connection = http.client.HTTPConnection(self._platform, timeout=5)
+        connection.request("PUT", f"/operator/{name}?revision={revision}", value)
+        connection.getresponse().read()
+        connection.close()
+
+    def wait_until_serving(self) -> None:
+        """Return once every entry passes its health check."""
+        for name in self._http:
+            self.wait_for_health(name, 200)
+
+    def wait_for_health(self, name: str, status: int) -> float:
+        """Return the seconds until an entry's health check shows a status."""
+        started = time.monotonic()
+        while time.monotonic() - started < _STARTING:
+            try:
+                if self.call(name, "GET", "/health").status == status:
+                    return time.monotonic() - started
+            except OSError:
+                pass
+            time.sleep(_PAUSE)
+        log = Path(self._folder.name, f"{name}.log").read_text()
+        raise TimeoutError(f"{name} shows no status {status}\n{log}")
+
+    def call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: object = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Call an entry as a caller does."""
+        connection = http.client.HTTPConnection(self._http[entry], timeout=40)
+        try:
+            data = json.dumps(body).encode() if body is not None else None
+            connection.request(method, path, data, dict(headers or {}))
+            response = connection.getresponse()
+            content = response.read()
+            return Answer(response.status, dict(response.headers), content)
+        finally:
+            connection.close()
+
+    def executions(self, endpoint: str) -> dict[str, Any]:
+        """Return what an endpoint's engine has run."""
+        connection = http.client.HTTPConnection(self._engines[endpoint], timeout=5)
+        connection.request("GET", "/executions")
+        answer: dict[str, Any] = json.loads(connection.getresponse().read())
+        connection.close()
+        return answer
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process that this site has started."""
+        self._processes[name].send_signal(number)
+
+    def wait_for_exit(self, name: str) -> int:
+        """Return the exit code of a process that was told to stop."""
+        return self._processes[name].wait(_STARTING)
+
+    def pid(self, name: str) -> int:
+        """Return a process id."""
+        return self._processes[name].pid
+
+    def log(self, name: str) -> str:
+        """Return what a daemon has logged."""
+        return Path(self._folder.name, f"{name}.log").read_text()
+
+    def stop(self) -> None:
+        """Stop everything that was started, by process id."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + _STOPPING
+        for process in self._processes.values():
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._folder.cleanup()
+
+    def _start_stand_in(self, name: str, module: str, *arguments: str) -> str:
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        self._processes[name] = process
+        assert process.stdout is not None
+        port = process.stdout.readline().strip()
+        process.stdout.close()
+        return port
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses whose ports the system has chosen as free.
+
+    All are held until the last one is chosen, so that no port comes twice.
+    """
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    for probe in probes:
+        probe.close()
+    return addresses
--- /dev/null
+++ b/mintsaddle/cli/_output.py
@@ -0,0 +1,57 @@
+"""What a command prints: a table for a person, or JSON for a program."""
+
+import json
+from typing import NamedTuple
+
+Cell = str | int | float | bool
+
+
+class Table(NamedTuple):
+    """Rows under a heading; all rows have as many cells as the heading."""
+
+    title: str
+    heading: tuple[str, ...]
+    rows: tuple[tuple[Cell, ...], ...]
+
+    def to_text(self) -> str:
+        """Return the table with aligned columns."""
+        lines = [self.heading, *(tuple(map(_show, row)) for row in self.rows)]
+        widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+        texts = [
+            "  ".join(
+                cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+            )
+            for line in lines
+        ]
+        body = "\n".join(text.rstrip() for text in texts)
+        return f"{self.title}\n{body}" if self.title else body
+
+
+class Output(NamedTuple):
+    """The answer of one command."""
+
+    tables: tuple[Table, ...]
+    is_bad_news: bool = False
+
+    def to_text(self) -> str:
+        """Return the tables, those with rows only."""
+        texts = [table.to_text() for table in self.tables if table.rows]
+        return "\n\n".join(texts) if texts else "nothing to show"
+
+    def to_json(self) -> str:
+        """Return the tables as JSON, a list of objects for each."""
+        parts = {
+            table.title: [
+                dict(zip(table.heading, row, strict=True)) for row in table.rows
+            ]
+            for table in self.tables
+        }
+        return json.dumps(parts, indent=2)
+
+
+def _show(cell: Cell) -> str:
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    if isinstance(cell, float):
+        return f"{cell:.3f}"
+    return str(cell)
--- /dev/null
+++ b/mintsaddle/cli/_remote.py
@@ -0,0 +1,120 @@
+"""Commands that ask running daemons."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from returns.result import Failure, Result, Success
+
+from mintsaddle.cli._output import Output, Table
+from mintsaddle.observe import HistogramName, Measure, Summary, merge_encoded
+from mintsaddle.transport.proto import peer_pb2 as pb
+from mintsaddle.transport.proto.peer_grpc import PeerStub
+
+_TIMEOUT = 5.0
+_MEGABYTE = 1_000_000
+_Reply = TypeVar("_Reply")
+
+
+def show_status(address: str) -> Result[Output, str]:
+    """Show what a daemon does and why."""
+    result = _ask(address, lambda stub: stub.ShowStatus(pb.StatusRequest()))
+    return result.map(_tabulate_status)
+
+
+def show_histograms(addresses: tuple[str, ...]) -> Result[Output, str]:
+    """Show the histograms of some daemons, merged by name."""
+    encoded: dict[HistogramName, list[bytes]] = defaultdict(list)
+    for address in addresses:
+        match _ask(address, lambda stub: stub.ShowHistograms(pb.StatusRequest())):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(reply):
+                for part in reply.histograms:
+                    measure = Measure(part.measure)
+                    name = HistogramName(part.workspace, part.work_class, measure)
+                    encoded[name].append(part.encoded)
+    merged = [merge_encoded(tuple(parts), name) for name, parts in encoded.items()]
+    return Success(Output((_tabulate_histograms(merged),)))
+
+
+def _ask(
+    address: str, question: Callable[[PeerStub], Awaitable[_Reply]]
+) -> Result[_Reply, str]:
+    host, _, port = address.rpartition(":")
+    if not port.isdecimal():
+        return Failure(f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
+
+    async def run() -> _Reply:
+        channel = Channel(host.strip("[]"), int(port))
+        try:
+            return await asyncio.wait_for(question(PeerStub(channel)), _TIMEOUT)
+        finally:
+            channel.close()
+
+    try:
+        return Success(asyncio.run(run()))
+    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+        return Failure(f"{address}: no answer: {error or type(error).__name__}")
+
+
+def _tabulate_status(status: pb.Status) -> Output:
+    stamp = status.stamp
+    load = status.load
+    rows = (
+        ("vm", stamp.vm),
+        ("role", status.role),
+        ("data centre", status.data_centre),
+        ("serving", status.serving and not status.not_serving),
+        ("why not", status.not_serving),
+        ("text revision", stamp.text_revision),
+        ("marks revision", stamp.marks_revision),
+        ("boot", f"{stamp.boot:08x}"),
+        ("engine boot", f"{status.engine_boot:08x}" if status.engine_known else "down"),
+        ("in flight", load.in_flight),
+        ("limit", load.limit),
+        ("queued", load.queued),
+        ("admitted", status.admitted),
+        ("orders remembered", status.ledger_entries),
+        ("cpu seconds", status.cpu_seconds),
+        ("memory MB", status.memory_bytes / _MEGABYTE),
+        ("control bytes", status.control_bytes),
+    )
+    homes = tuple(
+        (home.service, home.anchored, home.settled, " ".join(home.homes), home.advice)
+        for home in status.homes
+    )
+    groups = tuple(
+        (part.group, part.rank, part.active_version, part.ballot, part.held, part.skew)
+        for part in status.groups
+    )
+    refused = tuple((text,) for text in status.refused)
+    tables = (
+        Table("daemon", ("what", "value"), rows),
+        Table("homes", ("service", "anchored", "settled", "homes", "advice"), homes),
+        Table("groups", ("group", "rank", "map", "ballot", "held", "skew"), groups),
+        Table("refused", ("finding",), refused),
+    )
+    bad = not status.serving or bool(status.not_serving) or bool(refused)
+    return Output(tables, bad)
+
+
+def _tabulate_histograms(summaries: list[Summary]) -> Table:
+    rows = tuple(
+        (
+            item.name.workspace,
+            item.name.work_class,
+            item.name.measure.value,
+            item.total,
+            item.p50,
+            item.p95,
+            item.p99,
+            item.largest,
+        )
+        for item in sorted(summaries, key=lambda item: item.name[:2])
+    )
+    heading = ("workspace", "class", "measure", "count", "p50", "p95", "p99", "max")
+    return Table("milliseconds", heading, rows)
--- /dev/null
+++ b/mintsaddle/daemon/_follow.py
@@ -0,0 +1,116 @@
+"""Following the published configuration: by the platform or by a relay."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Result, Success
+
+from mintsaddle.daemon._node import DaemonNode
+from mintsaddle.decisions.configuration import Source, SourceKind, choose_sources
+from mintsaddle.observe import make_logger
+from mintsaddle.platform import PlatformValue, watch_value
+
+WATCH_SECONDS = 20.0
+"""Seconds that a watch or a relay's answer may wait for news."""
+
+_PAUSE = 0.5
+_ABSENT_SECONDS = 5.0
+_log = make_logger("configuration")
+
+
+async def follow_configuration(node: DaemonNode) -> None:
+    """Follow the configuration until cancelled."""
+    await _ask_seeds(node)
+    await asyncio.gather(_follow_text(node), _follow_marks(node), _follow_peers(node))
+
+
+async def _ask_seeds(node: DaemonNode) -> None:
+    """Ask the settings' peers, for a start while the platform is down."""
+    for address in node.settings.peers:
+        if await node.fetch(address, 0.0):
+            return
+
+
+async def _follow_text(node: DaemonNode) -> None:
+    async def adopt(value: PlatformValue) -> None:
+        await node.offer_text(value.revision, value.value)
+        node.ask_first_peers()
+
+    while True:
+        refused = node.configuration.refused_text
+        known = node.configuration.text_revision
+        after = max(known, refused.revision if refused else 0)
+        await _watch_if_reader(node, "fleet", after, adopt)
+
+
+async def _follow_marks(node: DaemonNode) -> None:
+    async def adopt(value: PlatformValue) -> None:
+        node.offer_marks(value.revision, value.value)
+
+    while True:
+        refused = node.configuration.refused_marks
+        known = node.configuration.marks_revision
+        after = max(known, refused.revision if refused else 0)
+        await _watch_if_reader(node, "marks", after, adopt)
+
+
+async def _follow_peers(node: DaemonNode) -> None:
+    while True:
+        peers = [s for s in _sources(node) if s.kind is SourceKind.PEER]
+        if not peers:
+            await asyncio.sleep(_PAUSE)
+            continue
+        node.ask_first_peers()
+        if not await _follow_peer(node, peers[0]):
+            node.rest_peer(peers[0].vm, node.now() + _ABSENT_SECONDS)
+
+
+def _sources(node: DaemonNode) -> tuple[Source, ...]:
+    settings = node.settings
+    fleet = node.configuration.fleet
+    absent = node.resting_peers()
+    return choose_sources(fleet, settings.vm, settings.data_centre, absent)
+
+
+async def _follow_peer(node: DaemonNode, source: Source) -> bool:
+    fleet = node.configuration.fleet
+    address = fleet.address_of(source.vm) if fleet else None
+    if address is None:
+        return False
+    return await node.fetch(address, WATCH_SECONDS)
+
+
+async def _watch_if_reader(
+    node: DaemonNode,
+    name: str,
+    after: int,
+    adopt: Callable[[PlatformValue], Awaitable[None]],
+) -> None:
+    if _sources(node)[0].kind is SourceKind.PLATFORM:
+        await _watch(node, name, after, adopt)
+    else:
+        await asyncio.sleep(_PAUSE)
+
+
+async def _watch(
+    node: DaemonNode,
+    name: str,
+    after: int,
+    adopt: Callable[[PlatformValue], Awaitable[None]],
+) -> None:
+    loop = node.loop_thread.loop
+    first = node.configuration.fleet is None
+    wait = _PAUSE if first else WATCH_SECONDS
+    result: Result[PlatformValue | None, str] = await loop.run_in_executor(
+        node.helpers, watch_value, node.settings.platform, name, after, wait
+    )
+    match result:
+        case Success(value):
+            node.note_platform()
+            if value is not None:
+                await adopt(value)
+        case Failure(problem):
+            _log.debug("The platform: %s.", problem)
+            # Spread over a second, so that a platform that comes back isn't
+            # met by all readers at once.
+            await asyncio.sleep(_PAUSE + node.rng.random())
--- /dev/null
+++ b/mintsaddle/daemon/_main.py
@@ -0,0 +1,67 @@
+"""Run one daemon of mintsaddle.
+
+Usage:
+  mintsaddled --settings FILE [--check]
+  mintsaddled --help
+
+Options:
+  --settings FILE  The daemon's settings, an INI file.
+  --check          Only check the settings and exit.
+  --help           Show this page.
+"""
+
+import sys
+from pathlib import Path
+
+from docopt import docopt
+from returns.result import Failure, Result, Success
+
+from mintsaddle.observe import start_logging
+from mintsaddle.settings import Role, Settings, read_settings
+from mintsaddle.values import Finding, Findings, render_findings
+
+EXIT_BAD_SETTINGS = 2
+"""Exit code when the settings have findings."""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop.
+
+    Args:
+        arguments: The command line without the program's name.
+
+    Returns:
+        The exit code: 0 after a stop that was asked for, 2 for bad settings.
+    """
+    options = docopt(str(__doc__), arguments)
+    match load_settings(options["--settings"]):
+        case Failure(findings):
+            print(render_findings(findings), file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        case Success(settings):
+            if options["--check"]:
+                print(f"{options['--settings']}: the settings are good")
+                return 0
+            return _run(settings)
+    raise AssertionError("a result is a success or a failure")
+
+
+def load_settings(path: str) -> Result[Settings, Findings]:
+    """Return the settings in a file, or everything wrong with it."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"can't be read: {error}"
+        return Failure((Finding(path, 0, "", "", problem),))
+    return read_settings(path, text)
+
+
+def _run(settings: Settings) -> int:
+    # Imported late: a check of settings needs neither role's machinery.
+    from mintsaddle.endpoint import run_endpoint
+    from mintsaddle.entry import run_entry
+
+    start_logging(settings.log_level)
+    if settings.role is Role.ENTRY:
+        return run_entry(settings)
+    return run_endpoint(settings)
--- /dev/null
+++ b/mintsaddle/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions, sans I/O: facts and a time in, a decision out."""
--- /dev/null
+++ b/mintsaddle/decisions/arrivals/__init__.py
@@ -0,0 +1,51 @@
+"""What an endpoint daemon does with each arrival and each engine event."""
+
+from mintsaddle.decisions.arrivals._commands import (
+    arrive,
+    cancel,
+    close_engine_call,
+    confirm,
+    follow_text,
+    lose,
+    start_leaving,
+    tick,
+)
+from mintsaddle.decisions.arrivals._messages import (
+    AcceptArrival,
+    AnswerArrival,
+    Arrival,
+    ArrivalAction,
+    EngineResult,
+    RefuseArrival,
+    StartEngine,
+)
+from mintsaddle.decisions.arrivals._queries import (
+    describe_endpoint_load,
+    is_idle,
+    is_refusing,
+    rules_of,
+)
+from mintsaddle.decisions.arrivals._state import EndpointState
+
+__all__ = [
+    "AcceptArrival",
+    "AnswerArrival",
+    "Arrival",
+    "ArrivalAction",
+    "EndpointState",
+    "EngineResult",
+    "RefuseArrival",
+    "StartEngine",
+    "arrive",
+    "cancel",
+    "close_engine_call",
+    "confirm",
+    "describe_endpoint_load",
+    "follow_text",
+    "is_idle",
+    "is_refusing",
+    "lose",
+    "rules_of",
+    "start_leaving",
+    "tick",
+]
--- /dev/null
+++ b/mintsaddle/decisions/arrivals/_queries.py
@@ -0,0 +1,45 @@
+"""Questions to an endpoint daemon's state."""
+
+from mintsaddle.decisions.admission import AdmissionRules, describe_load
+from mintsaddle.decisions.arrivals._state import EndpointState
+from mintsaddle.decisions.configuration import is_out
+from mintsaddle.fleet import Fleet
+from mintsaddle.values import Instant, Load, Reason
+
+CLOSED = AdmissionRules(1, 1, 0.0, 1.0, 0.0)
+"""Rules before any text lists this endpoint; nothing is admitted by them."""
+
+
+def rules_of(fleet: Fleet | None, endpoint: str) -> AdmissionRules:
+    """Return an engine's rules: the tightest of the services it serves."""
+    services = fleet.services_of(endpoint) if fleet else ()
+    if not services:
+        return CLOSED
+    return AdmissionRules(
+        cold_limit=min(service.cold_limit for service in services),
+        limit=min(service.limit for service in services),
+        growth=min(service.growth for service in services),
+        target=max(service.target for service in services),
+        longest_queue=min(service.longest_queue for service in services),
+    )
+
+
+def is_refusing(state: EndpointState) -> Reason | None:
+    """Return why all new work is refused, or None when it isn't."""
+    if state.leaving:
+        return Reason.LEAVING
+    if is_out(state.configuration, state.vm):
+        return Reason.MARKED_OUT
+    return None
+
+
+def is_idle(state: EndpointState) -> bool:
+    """Return whether nothing is queued or at the engine."""
+    return not state.arrivals
+
+
+def describe_endpoint_load(state: EndpointState, now: Instant) -> Load:
+    """Return the load that rides on each answer."""
+    rules = rules_of(state.configuration.fleet, state.vm)
+    leaving = is_refusing(state) is not None
+    return describe_load(state.admission, rules, now, leaving=leaving)
--- /dev/null
+++ b/mintsaddle/decisions/orders/__init__.py
@@ -0,0 +1,48 @@
+"""Orders: calls that run at most once, with no state that lasts."""
+
+from mintsaddle.decisions.orders._commands import (
+    LEDGER_LIMIT,
+    KeyVerdict,
+    KeyWord,
+    close_order,
+    decide_key,
+    purge_ledger,
+)
+from mintsaddle.decisions.orders._homes import (
+    HomeAnswer,
+    HomeQuestion,
+    adopt_homes,
+    answer_question,
+    ask_homes,
+    note_answer,
+    settle_alone,
+)
+from mintsaddle.decisions.orders._queries import home_is_settled, may_run_moved_keys
+from mintsaddle.decisions.orders._state import (
+    HomeState,
+    LedgerEntry,
+    OrdersState,
+    OrderStatus,
+)
+
+__all__ = [
+    "LEDGER_LIMIT",
+    "HomeAnswer",
+    "HomeQuestion",
+    "HomeState",
+    "KeyVerdict",
+    "KeyWord",
+    "LedgerEntry",
+    "OrderStatus",
+    "OrdersState",
+    "adopt_homes",
+    "answer_question",
+    "ask_homes",
+    "close_order",
+    "decide_key",
+    "home_is_settled",
+    "may_run_moved_keys",
+    "note_answer",
+    "purge_ledger",
+    "settle_alone",
+]
--- /dev/null
+++ b/mintsaddle/decisions/routing/__init__.py
@@ -0,0 +1,40 @@
+"""Which endpoint an entry tries, from what it knows, which may be old."""
+
+from mintsaddle.decisions.routing._commands import (
+    note_failed,
+    note_finished,
+    note_load,
+    note_refused,
+    note_request,
+    note_sent,
+    spend_retry,
+    welcome_back,
+)
+from mintsaddle.decisions.routing._queries import (
+    RouteRequest,
+    choose_endpoint,
+    choose_home,
+    choose_subset,
+    has_free_place,
+    may_retry,
+)
+from mintsaddle.decisions.routing._state import EndpointView, RoutingState
+
+__all__ = [
+    "EndpointView",
+    "RouteRequest",
+    "RoutingState",
+    "choose_endpoint",
+    "choose_home",
+    "choose_subset",
+    "has_free_place",
+    "may_retry",
+    "note_failed",
+    "note_finished",
+    "note_load",
+    "note_refused",
+    "note_request",
+    "note_sent",
+    "spend_retry",
+    "welcome_back",
+]
--- /dev/null
+++ b/mintsaddle/endpoint/_homes.py
@@ -0,0 +1,79 @@
+"""Asking the other homes until this one is settled."""
+
+import asyncio
+
+from mintsaddle.daemon import DaemonNode
+from mintsaddle.decisions.orders import (
+    HomeQuestion,
+    OrdersState,
+    answer_question,
+    ask_homes,
+    note_answer,
+    settle_alone,
+)
+from mintsaddle.observe import make_logger
+from mintsaddle.transport import (
+    read_home_answer,
+    read_home_question,
+    read_stamp,
+    write_home_answer,
+    write_home_question,
+)
+from mintsaddle.transport.proto import peer_pb2 as pb
+from mintsaddle.transport.proto.peer_grpc import PeerStub
+
+_PAUSE = 0.3
+_TIMEOUT = 1.0
+_log = make_logger("orders")
+
+
+async def keep_settled(node: DaemonNode, orders: OrdersState) -> None:
+    """Ask the other homes whenever one of this home's lists isn't settled."""
+    while True:
+        for service in tuple(orders.homes):
+            _settle_alone(node, orders, service)
+            questions = ask_homes(orders, service, node.rng)
+            asked = (_ask(node, orders, vm, question) for vm, question in questions)
+            await asyncio.gather(*asked)
+        await asyncio.sleep(_PAUSE)
+
+
+def answer_home(
+    node: DaemonNode, orders: OrdersState, message: pb.HomeQuestion
+) -> pb.HomeAnswer:
+    """Answer another home, and pull its text if it knows a newer one."""
+    asker = read_stamp(message.stamp)
+    fleet = node.configuration.fleet
+    address = fleet.address_of(asker.vm) if fleet else None
+    node.note_stamp(asker, address or "")
+    question = read_home_question(message)
+    answer = answer_question(orders, question, node.configuration.text_revision)
+    return write_home_answer(answer, node.stamp())
+
+
+def _settle_alone(node: DaemonNode, orders: OrdersState, service: str) -> None:
+    fleet = node.configuration.fleet
+    if fleet is not None:
+        settle_alone(orders, service, fleet.clock_bound, node.now())
+
+
+async def _ask(
+    node: DaemonNode, orders: OrdersState, vm: str, question: HomeQuestion
+) -> None:
+    fleet = node.configuration.fleet
+    address = fleet.address_of(vm) if fleet else None
+    if fleet is None or address is None:
+        return
+    request = write_home_question(question, node.stamp())
+    stub = PeerStub(node.channels.open(address))
+    try:
+        reply = await stub.AskHome(request, timeout=_TIMEOUT)
+    except Exception as error:
+        _log.debug("No answer from home %s: %s.", vm, type(error).__name__)
+        node.channels.drop(address)
+        return
+    node.count_control(request, reply)
+    node.note_stamp(read_stamp(reply.stamp), address)
+    answer = read_home_answer(reply)
+    revision = node.configuration.text_revision
+    note_answer(orders, answer, revision, fleet.clock_bound, node.now())
--- /dev/null
+++ b/mintsaddle/endpoint/_host.py
@@ -0,0 +1,327 @@
+"""Carrying out what the arrival decisions ask for."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from mintsaddle.daemon import DaemonNode
+from mintsaddle.decisions.admission import Evidence
+from mintsaddle.decisions.arrivals import (
+    AcceptArrival,
+    AnswerArrival,
+    Arrival,
+    ArrivalAction,
+    EndpointState,
+    EngineResult,
+    RefuseArrival,
+    StartEngine,
+    arrive,
+    cancel,
+    close_engine_call,
+    confirm,
+    describe_endpoint_load,
+)
+from mintsaddle.decisions.orders import LedgerEntry, OrderStatus
+from mintsaddle.endpoint._words import (
+    Accepted,
+    Broken,
+    Chunk,
+    End,
+    Head,
+    Refused,
+    Word,
+)
+from mintsaddle.engines import EngineCall, EngineEnd, EngineRequest
+from mintsaddle.engines import EngineHead as SeenHead
+from mintsaddle.fleet import ServiceKind
+from mintsaddle.observe import make_logger
+from mintsaddle.transport.proto import peer_pb2 as pb
+from mintsaddle.values import Claim, Load, Reason, Refusal
+
+MOST_ENGINE_CALLS = 512
+"""Worker threads at most; the fleet text's limit is reached long before."""
+
+_OVERLOADED = frozenset({429, 503})
+_log = make_logger("endpoint")
+
+
+class Mailbox:
+    """Words that wait to be sent to the entry of one attempt."""
+
+    def __init__(self, message: pb.CallRequest) -> None:
+        self._message = message
+        self._words: deque[Word] = deque()
+        self._ready = asyncio.Event()
+
+    @property
+    def message(self) -> pb.CallRequest:
+        """The request as it came."""
+        return self._message
+
+    def put(self, word: Word) -> None:
+        """Add a word; it is sent soon."""
+        self._words.append(word)
+        self._ready.set()
+
+    async def take(self) -> list[Word]:
+        """Wait for words and take all that are there."""
+        await self._ready.wait()
+        self._ready.clear()
+        words = list(self._words)
+        self._words.clear()
+        return words
+
+
+class _CallPlan(NamedTuple):
+    """What a worker thread needs to know of its call."""
+
+    request_id: str
+    first: int
+    """Sequence of the first chunk to come."""
+
+    target: float
+    """Seconds within which a first chunk counts as good."""
+
+    is_engine: bool
+    """Whether statuses of overload count as such."""
+
+
+class EndpointHost:
+    """The engine calls and mailboxes of one endpoint daemon.
+
+    Everything runs in the daemon's loop but `_run_call`, which runs in a
+    worker thread and posts back what it sees.
+    """
+
+    def __init__(self, node: DaemonNode, state: EndpointState) -> None:
+        self._node = node
+        self._state = state
+        self._workers = ThreadPoolExecutor(MOST_ENGINE_CALLS, "engine")
+        self._mailboxes: dict[str, Mailbox] = {}
+        self._calls: dict[str, EngineCall] = {}
+        self._orphans: dict[str, pb.CallRequest] = {}
+        self._admitted = 0
+        self._last_admission = 0.0
+
+    @property
+    def node(self) -> DaemonNode:
+        """The daemon."""
+        return self._node
+
+    @property
+    def state(self) -> EndpointState:
+        """What the decisions work on."""
+        return self._state
+
+    @property
+    def admitted(self) -> int:
+        """Requests given to the engine since the start."""
+        return self._admitted
+
+    @property
+    def last_admission(self) -> float:
+        """When the last one was given to it."""
+        return self._last_admission
+
+    def has_open_mailboxes(self) -> bool:
+        """Return whether an entry still waits for its last word."""
+        return bool(self._mailboxes)
+
+    def load(self) -> Load:
+        """Return the exact load."""
+        return describe_endpoint_load(self._state, self._node.now())
+
+    def open(self, arrival: Arrival, message: pb.CallRequest) -> Mailbox:
+        """Take in an arrival; its words come into the mailbox."""
+        mailbox = Mailbox(message)
+        self._mailboxes[arrival.request_id] = mailbox
+        self.perform(arrive(self._state, arrival, self._node.now()))
+        return mailbox
+
+    def close(self, request_id: str) -> None:
+        """Note that the entry has its final word, or has gone."""
+        mailbox = self._mailboxes.pop(request_id, None)
+        if mailbox is None:
+            return
+        arrival = self._state.arrivals.get(request_id)
+        if arrival is not None and arrival.key is not None:
+            # An order outlives its entry; when its turn comes, the message
+            # is still needed.
+            self._orphans[request_id] = mailbox.message
+            return
+        call = self._calls.pop(request_id, None)
+        if call is not None:
+            call.cancel()
+        self.perform(cancel(self._state, request_id, self._node.now()))
+
+    def perform(self, actions: tuple[ArrivalAction, ...]) -> None:
+        """Carry out actions."""
+        for action in actions:
+            match action:
+                case AcceptArrival(request_id):
+                    self._put(request_id, Accepted())
+                case RefuseArrival(request_id, refusal):
+                    self._orphans.pop(request_id, None)
+                    self._put(request_id, Refused(refusal))
+                case AnswerArrival(request_id, entry):
+                    self._answer(request_id, entry)
+                case StartEngine(request_id):
+                    self._start(request_id)
+
+    def _put(self, request_id: str, word: Word) -> None:
+        mailbox = self._mailboxes.get(request_id)
+        if mailbox is not None:
+            mailbox.put(word)
+
+    def _answer(self, request_id: str, entry: LedgerEntry) -> None:
+        if entry.status is OrderStatus.DONE:
+            self._put(request_id, Head(entry.http_status, entry.content_type))
+            if entry.body:
+                self._put(request_id, Chunk(1, entry.body))
+            self._put(request_id, End(1 if entry.body else 0))
+            return
+        never = entry.status is OrderStatus.TOMBSTONE
+        claim = Claim.NEVER if never else Claim.MAYBE
+        reason = Reason.TOMBSTONE if never else Reason.ENGINE_FAILED
+        self._put(request_id, Refused(Refusal(claim, reason, self._node.now())))
+
+    def _start(self, request_id: str) -> None:
+        arrival = self._state.arrivals[request_id]
+        mailbox = self._mailboxes.get(request_id)
+        message = mailbox.message if mailbox else self._orphans.pop(request_id)
+        now = self._node.now()
+        self._admitted += 1
+        self._last_admission = now
+        request = self._make_request(arrival, message)
+        call = EngineCall(self._node.settings.engine, request)
+        self._calls[request_id] = call
+        run = _run_order if arrival.key else _run_call
+        plan = self._make_plan(arrival, int(message.resume_after) + 1)
+        self._workers.submit(run, self, call, plan)
+
+    def _make_request(self, arrival: Arrival, message: pb.CallRequest) -> EngineRequest:
+        headers = {
+            "Content-Type": message.content_type or "application/octet-stream",
+            "Request-Id": arrival.key.text if arrival.key else arrival.request_id,
+            "Workspace": arrival.workspace,
+            "Priority": str(arrival.priority),
+        }
+        if message.resume_after:
+            headers["Resume-After"] = str(message.resume_after)
+        if arrival.key is not None:
+            stamp = self._node.stamp()
+            headers["Fencing"] = f"{stamp.text_revision}.{stamp.boot}"
+        silence = max(0.1, arrival.deadline - self._node.now())
+        return EngineRequest(
+            message.method, message.path, headers, message.body, silence
+        )
+
+    def see_head(self, request_id: str, head: SeenHead, *, deliver: bool) -> None:
+        """Note an engine's answer head: it shows the engine's run."""
+        now = self._node.now()
+        if head.boot is not None:
+            limit = self._state.admission.reported_limit
+            self.perform(confirm(self._state, head.boot, limit, now))
+        if deliver:
+            self._put(request_id, Head(head.status, head.content_type))
+
+    def see_chunk(self, request_id: str, sequence: int, data: bytes) -> None:
+        """Pass a chunk on."""
+        self._put(request_id, Chunk(sequence, data))
+
+    def see_end(self, request_id: str, result: EngineResult, word: Word | None) -> None:
+        """Note how an engine call ended."""
+        self._calls.pop(request_id, None)
+        self._orphans.pop(request_id, None)
+        if word is not None:
+            self._put(request_id, word)
+        now = self._node.now()
+        self.perform(close_engine_call(self._state, request_id, result, now))
+
+    def _make_plan(self, arrival: Arrival, first: int) -> _CallPlan:
+        fleet = self._state.configuration.fleet
+        service = fleet.services.get(arrival.service) if fleet else None
+        is_engine = service is not None and service.kind is ServiceKind.ENGINE
+        target = service.target if service else 0.0
+        return _CallPlan(arrival.request_id, first, target, is_engine)
+
+
+def _run_call(host: EndpointHost, call: EngineCall, plan: _CallPlan) -> None:
+    """Run a repeatable call in a worker thread."""
+    post = host.node.loop_thread.post
+    clock = host.node.now
+    started = clock()
+    request_id = plan.request_id
+    overload_counts = plan.is_engine
+    firsts: list[float] = []
+    heads: list[SeenHead] = []
+    sequence = plan.first
+
+    def on_head(head: SeenHead) -> None:
+        heads.append(head)
+        refused = overload_counts and head.status in _OVERLOADED
+        post(_call_see_head(host, request_id, head, deliver=not refused))
+
+    def on_chunk(data: bytes) -> None:
+        nonlocal sequence
+        if not firsts:
+            firsts.append(clock())
+        if not (overload_counts and heads[0].status in _OVERLOADED):
+            post(host.see_chunk, request_id, sequence, data)
+        sequence += 1
+
+    end = call.run(on_head, on_chunk)
+    overloaded = overload_counts and bool(heads) and heads[0].status in _OVERLOADED
+    in_time = bool(firsts) and firsts[0] - started <= plan.target
+    evidence = _judge(end, overloaded=overloaded, in_time=in_time)
+    word = _last_word(end, sequence - 1, overloaded=overloaded, now=clock())
+    post(host.see_end, request_id, EngineResult(evidence, end.reached), word)
+
+
+def _run_order(host: EndpointHost, call: EngineCall, plan: _CallPlan) -> None:
+    """Run an order in a worker thread; the ledger keeps its answer."""
+    post = host.node.loop_thread.post
+    clock = host.node.now
+    started = clock()
+    request_id = plan.request_id
+    heads: list[SeenHead] = []
+    parts: list[bytes] = []
+
+    def on_head(head: SeenHead) -> None:
+        heads.append(head)
+        post(_call_see_head(host, request_id, head, deliver=False))
+
+    end = call.run(on_head, parts.append)
+    in_time = clock() - started <= plan.target
+    evidence = _judge(end, overloaded=False, in_time=in_time)
+    status = heads[0].status if heads else 0
+    content_type = heads[0].content_type if heads else ""
+    body = b"".join(parts)
+    result = EngineResult(evidence, end.reached, status, content_type, body)
+    post(host.see_end, request_id, result, None)
+
+
+def _call_see_head(
+    host: EndpointHost, request_id: str, head: SeenHead, *, deliver: bool
+) -> Callable[[], None]:
+    return lambda: host.see_head(request_id, head, deliver=deliver)
+
+
+def _judge(end: EngineEnd, *, overloaded: bool, in_time: bool) -> Evidence:
+    if overloaded:
+        return Evidence.OVERLOADED
+    if not end.whole:
+        return Evidence.FAILED
+    return Evidence.GOOD if in_time else Evidence.SLOW
+
+
+def _last_word(end: EngineEnd, count: int, *, overloaded: bool, now: float) -> Word:
+    if overloaded:
+        return Refused(Refusal(Claim.NEVER, Reason.FULL, now + 1.0))
+    if not end.reached:
+        return Refused(Refusal(Claim.NEVER, Reason.ENGINE_DOWN, now + 1.0))
+    if not end.whole:
+        return Broken(Reason.ENGINE_FAILED)
+    return End(count)
--- /dev/null
+++ b/mintsaddle/entry/_http.py
@@ -0,0 +1,380 @@
+"""The WSGI application that callers reach."""
+
+import json
+import math
+import queue
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple, TypeAlias
+
+from returns.result import Failure, Success
+
+from mintsaddle.daemon import DaemonNode
+from mintsaddle.decisions.calls import (
+    CallRequest,
+    DeliverChunk,
+    DeliverHead,
+    FinishCall,
+)
+from mintsaddle.decisions.configuration import is_out
+from mintsaddle.decisions.routing import RouteRequest, RoutingState, choose_home
+from mintsaddle.engines import EVENT_STREAM
+from mintsaddle.entry._calls import CallerMessage, EntryCall
+from mintsaddle.entry._requests import (
+    LARGEST_BODY,
+    Problem,
+    read_request,
+    read_target,
+)
+from mintsaddle.fleet import Service
+from mintsaddle.observe import HistogramName, Measure, make_logger
+from mintsaddle.values import Instant, OrderKey, Outcome, Reason, issue_key
+
+_Start: TypeAlias = Callable[[str, list[tuple[str, str]]], object]
+_Environ: TypeAlias = dict[str, Any]
+
+_HANG_UP_POLL = 0.25
+_STATUSES = {
+    Outcome.NOT_RUN: "503 Service Unavailable",
+    Outcome.ASK_AGAIN: "503 Service Unavailable",
+    Outcome.IN_DOUBT: "504 Gateway Timeout",
+}
+_JSON = "application/json"
+_log = make_logger("entry")
+
+
+class FinalWord(NamedTuple):
+    """The last event of a stream, or the body of a refusal."""
+
+    outcome: Outcome
+    reason: Reason | None
+    retry_at: Instant
+    delivered: int
+    key: OrderKey | None
+
+    def to_json(self) -> bytes:
+        """Return the JSON form; absent parts are left out."""
+        parts: dict[str, str | int | float] = {"outcome": self.outcome.value}
+        if self.reason is not None:
+            parts["reason"] = self.reason.value
+        if self.retry_at:
+            parts["retry_at"] = round(self.retry_at, 3)
+        if self.key is not None:
+            parts["key"] = self.key.text
+        parts["count"] = self.delivered
+        return json.dumps(parts).encode()
+
+
+class EntryApp:
+    """Turns each caller's HTTP request into a call and its answer."""
+
+    def __init__(self, node: DaemonNode, routing: RoutingState) -> None:
+        self._node = node
+        self._routing = routing
+        self._refuse_after: Instant = math.inf
+        self._has_looked = False
+        self._open: set[EntryCall] = set()
+
+    @property
+    def open_calls(self) -> int:
+        """Callers that are being answered."""
+        return len(self._open)
+
+    def mark_looked(self) -> None:
+        """Note that the homes of orders were asked for their runs."""
+        self._has_looked = True
+
+    def stop_at(self, moment: Instant) -> None:
+        """Refuse new callers from a moment on."""
+        self._refuse_after = moment
+
+    def __call__(self, environ: _Environ, start: _Start) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == "/health":
+            return self._answer_health(start)
+        fleet = self._node.configuration.fleet
+        if fleet is None or not self._node.is_serving():
+            return self._refuse(start, Reason.BEHIND)
+        if self._node.now() >= self._refuse_after:
+            return self._refuse(start, Reason.LEAVING)
+        match read_target(environ, fleet):
+            case Failure(problem):
+                return _answer_problem(start, problem)
+            case Success(target):
+                if target.wants_key:
+                    return self._issue_key(start, target.service)
+                return self._answer_call(environ, start, target.service)
+        return ()
+
+    def _answer_health(self, start: _Start) -> Iterable[bytes]:
+        """Tell the balancer whether this entry takes new callers."""
+        node = self._node
+        out = is_out(node.configuration, node.settings.vm)
+        ready = node.is_serving() and self._has_looked
+        if ready and not node.leaving and not out:
+            start("200 OK", [("Content-Type", "text/plain")])
+            return [b"serving\n"]
+        start("503 Service Unavailable", [("Content-Type", "text/plain")])
+        return [b"not serving\n"]
+
+    def _refuse(self, start: _Start, reason: Reason) -> Iterable[bytes]:
+        """Refuse a caller whose request went nowhere from here.
+
+        A key that the caller brought may have reached its home by another
+        entry, so no claim is made.
+        """
+        retry_at = self._node.now() + 1.0
+        word = FinalWord(Outcome.ASK_AGAIN, reason, retry_at, 0, None)
+        return _answer_word(start, word, self._node.now())
+
+    def _answer_call(
+        self, environ: _Environ, start: _Start, service: Service
+    ) -> Iterable[bytes]:
+        body = _read_body(environ)
+        if body is None:
+            text = f"body: a length of at most {LARGEST_BODY} bytes is needed"
+            return _answer_problem(start, Problem("413 Content Too Large", text))
+        fleet = self._node.configuration.fleet
+        assert fleet is not None
+        now = self._node.now()
+        match read_request(environ, fleet, service, now, body):
+            case Failure(problem):
+                return _answer_problem(start, problem)
+            case Success(request):
+                return self._run_call(environ, start, request, body, now)
+        return ()
+
+    def _run_call(
+        self,
+        environ: _Environ,
+        start: _Start,
+        request: CallRequest,
+        body: bytes,
+        arrived_at: Instant,
+    ) -> Iterable[bytes]:
+        message = CallerMessage(
+            str(environ["REQUEST_METHOD"]),
+            _path_of(environ),
+            str(environ.get("CONTENT_TYPE", "")),
+            body,
+        )
+        call = EntryCall(self._node, self._routing, request, message)
+        self._open.add(call)
+        post = self._node.loop_thread.post
+        post(call.start)
+        gone = environ.get("waitress.client_disconnected", lambda: False)
+        deliveries = _Deliveries(call, post, gone, self._open.discard)
+        return self._relay(start, call, deliveries, arrived_at)
+
+    def _relay(
+        self,
+        start: _Start,
+        call: EntryCall,
+        deliveries: "_Deliveries",
+        arrived_at: Instant,
+    ) -> Iterable[bytes]:
+        first = deliveries.take()
+        if isinstance(first, DeliverHead):
+            if first.content_type.startswith(EVENT_STREAM):
+                head = [
+                    ("Content-Type", first.content_type),
+                    ("Cache-Control", "no-store"),
+                    ("Mintsaddle-Outcome", "see-end"),
+                ]
+                start(_status_line(first.status), head)
+                return self._stream(call, deliveries, arrived_at)
+            return self._answer_whole(start, first, call, deliveries, arrived_at)
+        deliveries.close()
+        if isinstance(first, FinishCall):
+            return self._answer_finish(start, call, first, arrived_at)
+        # The caller hung up; nobody reads what is returned here.
+        start("499 Client Closed Request", [])
+        return ()
+
+    def _stream(
+        self, call: EntryCall, deliveries: "_Deliveries", arrived_at: Instant
+    ) -> Iterator[bytes]:
+        """Give each chunk on, and end with the final word as an event."""
+        last = arrived_at
+        measure = Measure.FIRST
+        try:
+            while True:
+                delivery = deliveries.take()
+                if delivery is None:
+                    return
+                if isinstance(delivery, FinishCall):
+                    word = _word_of(delivery)
+                    self._record(call, Measure.WHOLE, self._node.now() - arrived_at)
+                    self._log_end(call, delivery)
+                    yield b"event: end\ndata: " + word.to_json() + b"\n\n"
+                    return
+                if isinstance(delivery, DeliverChunk):
+                    now = self._node.now()
+                    self._record(call, measure, now - last)
+                    last = now
+                    measure = Measure.GAP
+                    yield delivery.data
+        finally:
+            # Reached by a hang-up too: waitress closes the iterable.
+            deliveries.close()
+
+    def _answer_whole(
+        self,
+        start: _Start,
+        head: DeliverHead,
+        call: EntryCall,
+        deliveries: "_Deliveries",
+        arrived_at: Instant,
+    ) -> Iterable[bytes]:
+        """Answer with a whole body, once it is known to be whole."""
+        parts: list[bytes] = []
+        delivery = deliveries.take()
+        while isinstance(delivery, DeliverChunk):
+            parts.append(delivery.data)
+            delivery = deliveries.take()
+        deliveries.close()
+        if not isinstance(delivery, FinishCall):
+            start("499 Client Closed Request", [])
+            return ()
+        if delivery.outcome is not Outcome.DONE:
+            return self._answer_finish(start, call, delivery, arrived_at)
+        seconds = self._node.now() - arrived_at
+        self._record(call, Measure.FIRST, seconds)
+        self._record(call, Measure.WHOLE, seconds)
+        self._log_end(call, delivery)
+        headers = [
+            ("Content-Type", head.content_type),
+            ("Content-Length", str(sum(map(len, parts)))),
+            ("Mintsaddle-Outcome", Outcome.DONE.value),
+        ]
+        headers += _key_header(delivery.key)
+        start(_status_line(head.status), headers)
+        return parts
+
+    def _answer_finish(
+        self, start: _Start, call: EntryCall, finish: FinishCall, arrived_at: Instant
+    ) -> Iterable[bytes]:
+        now = self._node.now()
+        self._record(call, Measure.WHOLE, now - arrived_at)
+        self._log_end(call, finish)
+        return _answer_word(start, _word_of(finish), now)
+
+    def _issue_key(self, start: _Start, service: Service) -> Iterable[bytes]:
+        """Issue a key for a home that answers now, own data centre first."""
+        node = self._node
+        fleet = node.configuration.fleet
+        assert fleet is not None
+        route = RouteRequest(service, "", frozenset())
+        marks = node.configuration.marks
+        now = node.now()
+        home = choose_home(self._routing, fleet, marks, route, now, node.rng)
+        boot = self._routing.view(home).boot if home else None
+        if home is None or boot is None:
+            return self._refuse(start, Reason.NO_ENDPOINT)
+        key = issue_key(home, boot, now, node.rng)
+        start("201 Created", [("Content-Type", _JSON), *_key_header(key)])
+        return [json.dumps({"key": key.text, "home": home}).encode()]
+
+    def _record(self, call: EntryCall, measure: Measure, seconds: float) -> None:
+        request = call.request
+        name = HistogramName(request.workspace, request.service.work_class, measure)
+        # The book is used in the loop only.
+        self._node.loop_thread.post(self._node.book.record, name, seconds)
+
+    def _log_end(self, call: EntryCall, finish: FinishCall) -> None:
+        request = call.request
+        key = f" key {finish.key.text}" if finish.key else ""
+        if finish.outcome is Outcome.DONE:
+            _log.debug("Request %s%s is done.", request.request_id, key)
+            return
+        _log.info(
+            "Request %s%s for %s ended %s: %s.",
+            request.request_id,
+            key,
+            request.service.name,
+            finish.outcome.value,
+            finish.reason.value if finish.reason else "no reason",
+        )
+
+
+class _Deliveries:
+    """The caller's side of a call: waits for deliveries, notices a hang-up."""
+
+    def __init__(
+        self,
+        call: EntryCall,
+        post: Callable[..., object],
+        is_gone: Callable[[], bool],
+        on_close: Callable[[EntryCall], None],
+    ) -> None:
+        self._call = call
+        self._post = post
+        self._is_gone = is_gone
+        self._on_close = on_close
+        self._closed = False
+
+    def take(self) -> DeliverHead | DeliverChunk | FinishCall | None:
+        """Return the next delivery, or None once the caller has gone."""
+        while True:
+            try:
+                return self._call.deliveries.get(timeout=_HANG_UP_POLL)
+            except queue.Empty:
+                if self._is_gone():
+                    return None
+
+    def close(self) -> None:
+        """End the call from the caller's side; it may be over already."""
+        if not self._closed:
+            self._closed = True
+            self._on_close(self._call)
+            self._post(self._call.leave)
+
+
+def _word_of(finish: FinishCall) -> FinalWord:
+    return FinalWord(
+        finish.outcome, finish.reason, finish.retry_at, finish.delivered, finish.key
+    )
+
+
+def _answer_word(start: _Start, word: FinalWord, now: Instant) -> Iterable[bytes]:
+    body = word.to_json()
+    headers = [
+        ("Content-Type", _JSON),
+        ("Content-Length", str(len(body))),
+        ("Mintsaddle-Outcome", word.outcome.value),
+        ("Retry-After", str(max(1, math.ceil(word.retry_at - now)))),
+    ]
+    start(_STATUSES[word.outcome], headers + _key_header(word.key))
+    return [body]
+
+
+def _answer_problem(start: _Start, problem: Problem) -> Iterable[bytes]:
+    body = json.dumps({"outcome": "not-run", "problem": problem.text}).encode()
+    headers = [
+        ("Content-Type", _JSON),
+        ("Content-Length", str(len(body))),
+        ("Mintsaddle-Outcome", Outcome.NOT_RUN.value),
+    ]
+    start(problem.status, headers)
+    return [body]
+
+
+def _key_header(key: OrderKey | None) -> list[tuple[str, str]]:
+    return [("Idempotency-Key", key.text)] if key else []
+
+
+def _read_body(environ: _Environ) -> bytes | None:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > LARGEST_BODY:
+        return None
+    body: bytes = environ["wsgi.input"].read(length) if length else b""
+    return body
+
+
+def _path_of(environ: _Environ) -> str:
+    """Return the path behind the service's name, with its query."""
+    _, _, rest = str(environ["PATH_INFO"]).lstrip("/").partition("/")
+    query = environ.get("QUERY_STRING")
+    return f"/{rest}?{query}" if query else f"/{rest}"
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {'OK' if status == 200 else 'From the service'}"
--- /dev/null
+++ b/mintsaddle/ini/_fields.py
@@ -0,0 +1,94 @@
+"""Reading typed fields of a section, collecting what is wrong."""
+
+from collections.abc import Callable, Collection
+from typing import TypeVar
+
+from mintsaddle.ini._document import Section
+from mintsaddle.values import Finding
+
+_Value = TypeVar("_Value")
+_BOOLEANS = {"yes": True, "no": False}
+
+
+class FieldReader:
+    """The fields of one section, and the findings met while reading them."""
+
+    def __init__(self, source: str, section: Section, findings: list[Finding]) -> None:
+        self._source = source
+        self._section = section
+        self._findings = findings
+        self._read: set[str] = set()
+
+    def report(self, key: str, problem: str) -> None:
+        """Add a finding at a key of this section."""
+        line = self._section.lines.get(key, self._section.line)
+        name = self._section.name
+        self._findings.append(Finding(self._source, line, name, key, problem))
+
+    def read_text(self, key: str, default: str | None = None) -> str:
+        """Return a text; without a default the key must stand there."""
+        self._read.add(key)
+        value = self._section.values.get(key)
+        if value:
+            return value
+        if default is None:
+            self.report(key, "is missing; add it")
+            return ""
+        return default
+
+    def read_choice(self, key: str, choices: Collection[str], default: str) -> str:
+        """Return one of some words."""
+        value = self.read_text(key, default)
+        if value in choices:
+            return value
+        words = ", ".join(sorted(choices))
+        self.report(key, f"'{value}' is not one of: {words}")
+        return default
+
+    def read_flag(self, key: str, *, default: bool) -> bool:
+        """Return a yes or no."""
+        word = self.read_choice(key, _BOOLEANS, "yes" if default else "no")
+        return _BOOLEANS[word]
+
+    def read_names(self, key: str) -> tuple[str, ...]:
+        """Return names parted by blanks or lines; each may stand once."""
+        names = tuple(self.read_text(key, "").split())
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            self.report(key, f"'{name}' stands there more than once")
+        return names
+
+    def read_integer(self, key: str, low: int, high: int, default: int) -> int:
+        """Return a whole number within bounds."""
+        return self._read_number(key, int, "a whole number", low, high, default)
+
+    def read_number(self, key: str, low: float, high: float, default: float) -> float:
+        """Return a number within bounds."""
+        return self._read_number(key, float, "a number", low, high, default)
+
+    def report_unknown(self) -> None:
+        """Add a finding for each key that nobody has read."""
+        known = ", ".join(sorted(self._read))
+        for key in self._section.values:
+            if key not in self._read:
+                self.report(key, f"is unknown; the keys here are: {known}")
+
+    def _read_number(
+        self,
+        key: str,
+        convert: Callable[[str], _Value],
+        kind: str,
+        low: _Value,
+        high: _Value,
+        default: _Value,
+    ) -> _Value:
+        text = self.read_text(key, str(default))
+        try:
+            value = convert(text)
+        except ValueError:
+            self.report(key, f"'{text}' is not {kind}; {default} would be")
+            return default
+        # A NaN compares false with both bounds and so is refused here too.
+        if low <= value <= high:  # type: ignore[operator]
+            return value
+        self.report(key, f"{text} is not within {low} and {high}")
+        return default
--- /dev/null
+++ b/mintsaddle/settings/_read.py
@@ -0,0 +1,86 @@
+"""Reading a daemon's settings; all findings are reported together."""
+
+import ipaddress
+import logging
+
+from returns.result import Failure, Result, Success
+
+from mintsaddle.ini import FieldReader, Section, read_document
+from mintsaddle.settings._settings import Role, Settings
+from mintsaddle.values import Finding, Findings
+
+_SECTION = "daemon"
+_LARGEST_PORT = 65_535
+_MOST_THREADS = 4_096
+
+
+def read_settings(source: str, text: str) -> Result[Settings, Findings]:
+    """Return the settings in an INI text, or everything wrong with it.
+
+    Args:
+        source: Name of the file, for the findings.
+        text: Its content.
+    """
+    document = read_document(source, text)
+    findings = list(document.findings)
+    found = None
+    for section in document.sections:
+        if section.name == _SECTION:
+            found = section
+            continue
+        problem = f"is no known section; the only one is [{_SECTION}]"
+        findings.append(Finding(source, section.line, section.name, "", problem))
+    if found is None:
+        findings.append(Finding(source, 0, _SECTION, "", "is missing; add it"))
+        return Failure(tuple(findings))
+    settings = _read_daemon(source, found, findings)
+    if findings:
+        return Failure(tuple(sorted(findings, key=lambda finding: finding.line)))
+    return Success(settings)
+
+
+def _read_daemon(source: str, section: Section, findings: list[Finding]) -> Settings:
+    fields = FieldReader(source, section, findings)
+    role = Role(fields.read_choice("role", [role.value for role in Role], "entry"))
+    is_entry = role is Role.ENTRY
+    settings = Settings(
+        vm=fields.read_text("vm"),
+        data_centre=fields.read_text("data centre"),
+        role=role,
+        address=_read_address(fields, "address", needed=True),
+        platform=_read_address(fields, "platform", needed=True),
+        peers=fields.read_names("peers"),
+        http=_read_address(fields, "http", needed=is_entry),
+        threads=fields.read_integer("threads", 1, _MOST_THREADS, 64),
+        engine=_read_address(fields, "engine", needed=not is_entry),
+        grace=fields.read_number("grace", 0.0, 60.0, 2.0),
+        log_level=fields.read_choice(
+            "log level", logging.getLevelNamesMapping(), "INFO"
+        ),
+    )
+    for peer in settings.peers:
+        _check_address(fields, "peers", peer)
+    if is_entry and settings.engine:
+        fields.report("engine", "belongs to an endpoint; this daemon is an entry")
+    if not is_entry and settings.http:
+        fields.report("http", "belongs to an entry; this daemon is an endpoint")
+    fields.report_unknown()
+    return settings
+
+
+def _read_address(fields: FieldReader, key: str, *, needed: bool) -> str:
+    address = fields.read_text(key, None if needed else "")
+    if address:
+        _check_address(fields, key, address)
+    return address
+
+
+def _check_address(fields: FieldReader, key: str, address: str) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) <= _LARGEST_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        fields.report(key, f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
--- /dev/null
+++ b/mintsaddle/transport/_convert.py
@@ -0,0 +1,164 @@
+"""Between the typed values of the decisions and the messages on the wire."""
+
+import zlib
+
+from returns.result import Success
+
+from mintsaddle.decisions.configuration import ConfigurationState
+from mintsaddle.decisions.orders import (
+    HomeAnswer,
+    HomeQuestion,
+    LedgerEntry,
+    OrderStatus,
+)
+from mintsaddle.fleet import OrderHomes
+from mintsaddle.transport.proto import peer_pb2 as pb
+from mintsaddle.values import Claim, Load, Reason, Refusal, Stamp, parse_key
+
+_LARGEST_VALUE = 1_048_576
+
+
+def write_stamp(stamp: Stamp) -> pb.Stamp:
+    """Return the message form of a stamp."""
+    return pb.Stamp(
+        vm=stamp.vm,
+        boot=stamp.boot,
+        text_revision=stamp.text_revision,
+        marks_revision=stamp.marks_revision,
+    )
+
+
+def read_stamp(message: pb.Stamp) -> Stamp:
+    """Return the stamp in a message."""
+    return Stamp(
+        message.vm, message.boot, message.text_revision, message.marks_revision
+    )
+
+
+def write_load(load: Load) -> pb.Load:
+    """Return the message form of a load."""
+    return pb.Load(
+        in_flight=load.in_flight,
+        limit=load.limit,
+        queued=load.queued,
+        leaving=load.leaving,
+    )
+
+
+def read_load(message: pb.Load) -> Load:
+    """Return the load in a message."""
+    return Load(message.in_flight, message.limit, message.queued, message.leaving)
+
+
+def write_refusal(refusal: Refusal) -> pb.Refused:
+    """Return the message form of a refusal."""
+    return pb.Refused(
+        claim=refusal.claim.value,
+        reason=refusal.reason.value,
+        retry_at=refusal.retry_at,
+    )
+
+
+def read_refusal(message: pb.Refused) -> Refusal:
+    """Return the refusal in a message."""
+    return Refusal(Claim(message.claim), Reason(message.reason), message.retry_at)
+
+
+def pack_configuration(
+    state: ConfigurationState, asker: Stamp, own: Stamp
+) -> pb.FetchReply:
+    """Return what the asker doesn't have yet, compressed."""
+    reply = pb.FetchReply(stamp=write_stamp(own))
+    if state.text_revision > asker.text_revision:
+        reply.text = zlib.compress(state.text.encode())
+    if state.marks_revision > asker.marks_revision:
+        reply.marks = zlib.compress(state.marks_text.encode())
+    return reply
+
+
+def unpack_value(packed: bytes) -> str | None:
+    """Return a packed text, or None if it is damaged or too large."""
+    unpacker = zlib.decompressobj()
+    try:
+        raw = unpacker.decompress(packed, _LARGEST_VALUE + 1)
+        text = raw.decode()
+    except (zlib.error, UnicodeDecodeError):
+        return None
+    if len(raw) > _LARGEST_VALUE or not unpacker.eof:
+        return None
+    return text
+
+
+def write_home_question(question: HomeQuestion, stamp: Stamp) -> pb.HomeQuestion:
+    """Return the message form of a home's question."""
+    return pb.HomeQuestion(
+        stamp=write_stamp(stamp),
+        asker=question.asker,
+        service=question.service,
+        nonce=question.nonce,
+    )
+
+
+def read_home_question(message: pb.HomeQuestion) -> HomeQuestion:
+    """Return the question in a message."""
+    return HomeQuestion(message.asker, message.service, message.nonce)
+
+
+def write_home_answer(answer: HomeAnswer, stamp: Stamp) -> pb.HomeAnswer:
+    """Return the message form of a home's answer."""
+    message = pb.HomeAnswer(
+        stamp=write_stamp(stamp),
+        service=answer.service,
+        nonce=answer.nonce,
+        anchored=answer.anchored,
+        settled=answer.settled,
+        handed=[_write_entry(entry) for entry in answer.handed],
+    )
+    if answer.homes is not None:
+        message.homes.homes.extend(answer.homes.homes)
+        message.homes.to_ask.extend(sorted(answer.homes.to_ask))
+    return message
+
+
+def read_home_answer(message: pb.HomeAnswer) -> HomeAnswer:
+    """Return the answer in a message."""
+    homes = None
+    if message.HasField("homes"):
+        to_ask = frozenset(message.homes.to_ask)
+        homes = OrderHomes(tuple(message.homes.homes), to_ask)
+    entries = (_read_entry(handed, message.service) for handed in message.handed)
+    return HomeAnswer(
+        vm=message.stamp.vm,
+        boot=message.stamp.boot,
+        service=message.service,
+        nonce=message.nonce,
+        homes=homes,
+        text_revision=message.stamp.text_revision,
+        anchored=message.anchored,
+        settled=message.settled,
+        handed=tuple(entry for entry in entries if entry is not None),
+    )
+
+
+def _write_entry(entry: LedgerEntry) -> pb.HandedOrder:
+    return pb.HandedOrder(
+        key=entry.key.text,
+        status=entry.status.value,
+        http_status=entry.http_status,
+        content_type=entry.content_type,
+        body=entry.body,
+    )
+
+
+def _read_entry(message: pb.HandedOrder, service: str) -> LedgerEntry | None:
+    match parse_key(message.key):
+        case Success(key):
+            return LedgerEntry(
+                key,
+                service,
+                OrderStatus(message.status),
+                message.http_status,
+                message.content_type,
+                message.body,
+            )
+    return None
--- /dev/null
+++ b/mintsaddle/transport/_loop.py
@@ -0,0 +1,45 @@
+"""One thread that runs the event loop of grpclib and of all decisions."""
+
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine
+from concurrent.futures import Future
+from typing import Any, TypeVar
+
+_Value = TypeVar("_Value")
+
+
+class LoopThread:
+    """An event loop in a thread of its own.
+
+    All decisions of a daemon run in it, one after the other, so their state
+    needs no locks.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name=name, daemon=True
+        )
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """The loop, for code that already runs in it."""
+        return self._loop
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def submit(self, coroutine: Coroutine[Any, Any, _Value]) -> "Future[_Value]":
+        """Run a coroutine in the loop from another thread."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    def post(self, act: Callable[..., object], *arguments: object) -> None:
+        """Call a function in the loop from another thread, soon."""
+        self._loop.call_soon_threadsafe(act, *arguments)
+
+    def stop(self) -> None:
+        """Stop the loop and wait for its thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
--- /dev/null
+++ b/mintsaddle/transport/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the messages between daemons; see scripts/generate."""
--- /dev/null
+++ b/mintsaddle/values/__init__.py
@@ -0,0 +1,42 @@
+"""Immutable values that every other package shares."""
+
+from mintsaddle.values._findings import Finding, Findings, render_findings
+from mintsaddle.values._hashing import hash_score, rank_by_score, stable_hash
+from mintsaddle.values._keys import (
+    BOOT_BITS,
+    HOME_BITS,
+    KeyOrigin,
+    OrderKey,
+    home_tag,
+    issue_key,
+    parse_key,
+)
+from mintsaddle.values._outcomes import Claim, Outcome, Reason, Refusal
+from mintsaddle.values._stamps import Boot, Load, Stamp
+from mintsaddle.values._time import MILLISECONDS, Clock, Instant
+
+__all__ = [
+    "BOOT_BITS",
+    "HOME_BITS",
+    "MILLISECONDS",
+    "Boot",
+    "Claim",
+    "Clock",
+    "Finding",
+    "Findings",
+    "Instant",
+    "KeyOrigin",
+    "Load",
+    "OrderKey",
+    "Outcome",
+    "Reason",
+    "Refusal",
+    "Stamp",
+    "hash_score",
+    "home_tag",
+    "issue_key",
+    "parse_key",
+    "rank_by_score",
+    "render_findings",
+    "stable_hash",
+]
