Prove the decisions by a fault matrix on virtual time

Cause: the thin path had no proof. The matrix drives the daemons' own decision code through a small model with 28 faults at 9 steps for 4 kinds of request.

Found by the matrix, each mended at its cause: - a planned move of homes left keys in doubt: the floor was set by time alone; homes now hand over what they know in the second round; - a planned restart of a home left keys in doubt: its ledger now goes to the other homes and comes back if no run in between has asked any of them; - keys issued to a run that had just ended: a run that took the ledger back says that they never ran; a refused order gets a fresh key for a living home; - a doubled message ran as two and was counted as one, so a cold engine held 4 and bore 3. Ruled out: keeping a key that nobody ran in doubt as the price of a planned restart; the all-must-offer rule is safe, by the stories in decisions/orders/tests, each of which goes wrong without its guard.

Conclusion: the decisions stand; the process tests come next.

--- /dev/null
+++ b/fakes/model/tests/test_matrix.py
@@ -0,0 +1,175 @@
+"""The fault matrix: each fault at each step, and an oracle that can fail."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+import pytest
+
+from fakes.model import FAULTS, STEPS, Cell, _daemons, run_cell
+from fakes.model._endpoint import EndpointDaemon
+from mintsaddle.decisions.admission import AdmissionRules, AdmissionState
+from mintsaddle.decisions.admission import _commands as admission
+from mintsaddle.decisions.arrivals import _commands as arrivals
+from mintsaddle.decisions.calls import DeliverChunk
+from mintsaddle.decisions.calls import _commands as calls
+from mintsaddle.decisions.configuration import Adoption
+from mintsaddle.decisions.orders import KeyVerdict, KeyWord, LedgerEntry, OrderStatus
+from mintsaddle.decisions.orders import _commands as orders
+from mintsaddle.fleet import read_fleet
+
+KINDS = ("stream", "brought", "issued", "drawn")
+
+CI_PAIRS = 40
+"""Every so many pairs one runs in CI; docs/PROOF.md has the run of all."""
+
+
+def all_pairs() -> list[Cell]:
+    """Return the cells of two faults at one step, clocks apart in half."""
+    cells = []
+    pairs = itertools.combinations(FAULTS, 2)
+    for number, (kind, step, pair) in enumerate(itertools.product(KINDS, STEPS, pairs)):
+        cells.append(Cell(kind, step, pair, skewed=number % 2 == 1))
+    return cells
+
+
+class TestSingleFaults:
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_no_promise_is_broken(self, fault: str) -> None:
+        found = []
+        for kind, step in itertools.product(KINDS, STEPS):
+            result = run_cell(Cell(kind, step, (fault,)))
+            assert result.reached, result.cell
+            found += [(str(result.cell), *item) for item in result.violations]
+        assert not found
+
+
+class TestPairs:
+    def test_no_promise_is_broken(self) -> None:
+        found = []
+        for cell in all_pairs()[:: CI_PAIRS * 7]:
+            result = run_cell(cell)
+            found += [(str(cell), *item) for item in result.violations]
+        assert not found
+
+
+class Permissive(NamedTuple):
+    """A guard swapped for one that lets everything pass."""
+
+    point: str
+    """The promise whose violation the oracle must report."""
+
+    module: Any
+    name: str
+    guard: Callable[..., Any]
+    cell: Cell
+
+
+def _warm_limit(state: AdmissionState, rules: AdmissionRules, now: float) -> int:
+    return rules.limit if state.engine_boot is not None else 0
+
+
+def _take_any_chunk(state: Any, facts: Any, attempt: Any, event: Any, now: Any) -> Any:
+    state.mark_head()
+    return (DeliverChunk(state.count_delivered(), event.data),)
+
+
+def _forget_tombstone(state: Any, key: Any, status: Any, *rest: Any) -> Any:
+    entry = LedgerEntry(key, state.ledger[key.text].service, status, *rest)
+    if status is OrderStatus.TOMBSTONE:
+        state.drop_entry(key.text)
+    else:
+        state.put_entry(entry)
+    return entry
+
+
+def _adopt_any(state: Any, revision: int, text: str, check: Any = None) -> Any:
+    if revision == state.text_revision:
+        return Adoption.NOT_NEWER
+    state.set_text(revision, text, read_fleet("fleet", text).unwrap())
+    return Adoption.ADOPTED
+
+
+def _run_any_key(state: Any, key: Any, service: str, *rest: Any) -> KeyVerdict:
+    entry = LedgerEntry(key, service, OrderStatus.PENDING)
+    state.put_entry(entry)
+    return KeyVerdict(KeyWord.RUN, entry=entry)
+
+
+PERMISSIVE = [
+    Permissive(
+        "cold",
+        admission,
+        "current_limit",
+        _warm_limit,
+        Cell("stream", "given", ("engine cold restart",)),
+    ),
+    Permissive(
+        "marked out",
+        arrivals,
+        "is_refusing",
+        lambda state: None,
+        Cell("stream", "arrived", ("data centre marked out", "entry frozen")),
+    ),
+    Permissive(
+        "whole answer",
+        calls,
+        "_take_chunk",
+        _take_any_chunk,
+        Cell("stream", "middle", ("reply doubled",)),
+    ),
+    Permissive(
+        "not run",
+        arrivals,
+        "close_order",
+        _forget_tombstone,
+        Cell("brought", "routed", ("engine cold restart", "request doubled")),
+    ),
+    Permissive(
+        "at most once",
+        orders,
+        "_refuse_issued",
+        lambda state, key, now: None,
+        Cell("issued", "middle", ("endpoint daemon killed",)),
+    ),
+    Permissive(
+        "at most once",
+        arrivals,
+        "decide_key",
+        _run_any_key,
+        Cell("brought", "given", ("caller retries by another entry",)),
+    ),
+    Permissive(
+        "leaving",
+        EndpointDaemon,
+        "leave",
+        lambda self, then: None,
+        Cell("stream", "arrived", ("endpoint leaves",)),
+    ),
+    Permissive(
+        "planned stop",
+        EndpointDaemon,
+        "_exit_when_idle",
+        lambda self, then: self._exit(then),
+        Cell("stream", "middle", ("endpoint leaves",)),
+    ),
+    Permissive(
+        "configuration",
+        _daemons,
+        "adopt_text",
+        _adopt_any,
+        Cell("stream", "arrived", ("platform stale",)),
+    ),
+]
+
+
+class TestOracleCanFail:
+    @pytest.mark.parametrize(
+        "case", PERMISSIVE, ids=lambda case: f"{case.point} without {case.name}"
+    )
+    def test_permissive_guard_is_reported(self, case: Permissive) -> None:
+        assert not run_cell(case.cell).violations
+        with patch.object(case.module, case.name, case.guard):
+            points = {item.point for item in run_cell(case.cell).violations}
+        assert case.point in points, (str(case.cell), points)
--- a/mintsaddle/daemon/__init__.py
+++ b/mintsaddle/daemon/__init__.py
@@ -1,5 +1,6 @@
 """The daemon ``mintsaddled``: what both roles share, and its command line."""
 
+from mintsaddle.daemon._follow import refresh
 from mintsaddle.daemon._main import load_settings, main
 from mintsaddle.daemon._node import DaemonNode, make_clock
 from mintsaddle.daemon._peers import PeerService
@@ -11,6 +12,7 @@
     "load_settings",
     "main",
     "make_clock",
+    "refresh",
     "start_server",
     "wait_for_stop",
 ]
--- a/mintsaddle/daemon/_follow.py
+++ b/mintsaddle/daemon/_follow.py
@@ -24,6 +24,29 @@
     await asyncio.gather(_follow_text(node), _follow_marks(node), _follow_peers(node))
 
 
+async def refresh(node: DaemonNode) -> None:
+    """Ask once for news, before a leaving daemon says its last word.
+
+    Homes that have just moved would otherwise ask a run that has gone.
+    """
+    source = _sources(node)[0]
+    if source.kind is SourceKind.PEER:
+        fleet = node.configuration.fleet
+        address = fleet.address_of(source.vm) if fleet else None
+        if address is not None:
+            await node.fetch(address, 0.0)
+        return
+    loop = node.loop_thread.loop
+    known = node.configuration.text_revision
+    platform = node.settings.platform
+    result = await loop.run_in_executor(
+        node.helpers, watch_value, platform, "fleet", known, 0.0
+    )
+    value = result.value_or(None)
+    if value is not None:
+        await node.offer_text(value.revision, value.value)
+
+
 async def _ask_seeds(node: DaemonNode) -> None:
     """Ask the settings' peers, for a start while the platform is down."""
     for address in node.settings.peers:
--- a/mintsaddle/daemon/_peers.py
+++ b/mintsaddle/daemon/_peers.py
@@ -29,11 +29,13 @@
         node: DaemonNode,
         describe: Callable[[pb.Status], None],
         answer_home: Callable[[pb.HomeQuestion], pb.HomeAnswer] | None = None,
+        keep_bequest: Callable[[pb.Bequest], None] | None = None,
         obey_group: Callable[[pb.GroupOrder], "pb.GroupReply"] | None = None,
     ) -> None:
         self._node = node
         self._describe = describe
         self._answer_home = answer_home
+        self._keep_bequest = keep_bequest
         self._obey_group = obey_group
 
     async def Fetch(  # noqa: N802 - the generated base names it
@@ -62,6 +64,18 @@
         self._node.count_control(request, reply)
         await stream.send_message(reply)
 
+    async def Keep(  # noqa: N802
+        self, stream: Stream[pb.Bequest, pb.Kept]
+    ) -> None:
+        """Keep the ledger of a home that leaves."""
+        request = await stream.recv_message()
+        if request is None or self._keep_bequest is None:
+            return
+        self._keep_bequest(request)
+        reply = pb.Kept(stamp=write_stamp(self._node.stamp()))
+        self._node.count_control(request, reply)
+        await stream.send_message(reply)
+
     async def OrderGroup(  # noqa: N802
         self, stream: Stream[pb.GroupOrder, pb.GroupReply]
     ) -> None:
--- a/mintsaddle/decisions/arrivals/__init__.py
+++ b/mintsaddle/decisions/arrivals/__init__.py
@@ -21,8 +21,8 @@
 )
 from mintsaddle.decisions.arrivals._queries import (
     describe_endpoint_load,
-    is_idle,
     is_refusing,
+    may_exit,
     rules_of,
 )
 from mintsaddle.decisions.arrivals._state import EndpointState
@@ -42,9 +42,9 @@
     "confirm",
     "describe_endpoint_load",
     "follow_text",
-    "is_idle",
     "is_refusing",
     "lose",
+    "may_exit",
     "rules_of",
     "start_leaving",
     "tick",
--- a/mintsaddle/decisions/arrivals/_commands.py
+++ b/mintsaddle/decisions/arrivals/_commands.py
@@ -39,12 +39,19 @@
 
 Actions = tuple[ArrivalAction, ...]
 
+_AWAITED = 4.0
+"""Seconds that a leaving daemon gives other homes to hear its last word."""
+
 _BACK_SOON = 1.0
 _BACK_LATER = 5.0
 
 
 def arrive(state: EndpointState, arrival: Arrival, now: Instant) -> Actions:
     """Decide on an arriving attempt; the answer is given at once."""
+    if arrival.request_id in state.arrivals:
+        # A doubled message: counted as one, it would run as two, which shows
+        # as an engine that holds more than its limit.
+        return ()
     fleet = state.configuration.fleet
     service = fleet.services.get(arrival.service) if fleet else None
     if fleet is None or service is None or state.vm not in service.endpoints:
@@ -103,7 +110,7 @@
 
 def start_leaving(state: EndpointState, now: Instant) -> Actions:
     """Refuse new work from now on and give the queue back."""
-    state.mark_leaving()
+    state.mark_leaving(now + _AWAITED)
     return _give_back(state, drain_queue(state.admission), Reason.LEAVING, now)
 
 
@@ -131,7 +138,8 @@
     """Do what time alone brings: expired waiting, old ledger entries."""
     fleet = state.configuration.fleet
     if fleet is not None:
-        purge_ledger(state.orders, fleet.ledger_window, now)
+        bound = fleet.clock_bound
+        purge_ledger(state.orders, bound, fleet.ledger_window, now)
     late = expire_queue(state.admission, now)
     rules = rules_of(fleet, state.vm)
     started = start_waiting(state.admission, rules, now)
--- a/mintsaddle/decisions/arrivals/_state.py
+++ b/mintsaddle/decisions/arrivals/_state.py
@@ -23,7 +23,7 @@
         self._configuration = configuration
         self._admission = AdmissionState()
         self._orders = OrdersState(vm, boot, boot_at)
-        self._leaving = False
+        self._leave_by: Instant | None = None
         self._arrivals: dict[str, Arrival] = {}
         self._joined: dict[str, list[str]] = {}
 
@@ -50,16 +50,21 @@
     @property
     def leaving(self) -> bool:
         """Whether this daemon was told to stop."""
-        return self._leaving
+        return self._leave_by is not None
+
+    @property
+    def leave_by(self) -> Instant | None:
+        """Until when a leaving daemon waits for homes that need its word."""
+        return self._leave_by
 
     @property
     def arrivals(self) -> Mapping[str, Arrival]:
         """Requests that are queued or at the engine, by id."""
         return self._arrivals
 
-    def mark_leaving(self) -> None:
+    def mark_leaving(self, leave_by: Instant) -> None:
         """Note that this daemon was told to stop."""
-        self._leaving = True
+        self._leave_by = leave_by
 
     def put_arrival(self, arrival: Arrival) -> None:
         """Remember a request until it is over."""
--- a/mintsaddle/decisions/calls/_commands.py
+++ b/mintsaddle/decisions/calls/_commands.py
@@ -368,7 +368,25 @@
     """Give the final word at once, with a spread-out time to come back."""
     spread = _COME_BACK_SPREAD * facts.rng.random()
     retry_at = max(state.retry_at, now + _COME_BACK) + spread
-    return _finish(state, _final_outcome(state, reason), reason, retry_at)
+    outcome = _final_outcome(state, reason)
+    fresh = None
+    if outcome is Outcome.NOT_RUN and is_order(state):
+        fresh = _draw_fresh(state, facts, now)
+    return _finish(state, outcome, reason, retry_at, fresh)
+
+
+def _draw_fresh(state: CallState, facts: RouteFacts, now: Instant) -> OrderKey | None:
+    """Return a key with which the caller's next try reaches a living home.
+
+    A key that the caller draws itself may belong to the very home that is
+    leaving, and would end in doubt when that home comes back.
+    """
+    route = RouteRequest(state.request.service, "", state.tried)
+    home = choose_home(facts.routing, facts.fleet, facts.marks, route, now, facts.rng)
+    boot = facts.routing.view(home).boot if home else None
+    if home is None or boot is None:
+        return None
+    return issue_key(home, boot, now, facts.rng)
 
 
 def _final_outcome(state: CallState, reason: Reason) -> Outcome:
@@ -385,9 +403,13 @@
 
 
 def _finish(
-    state: CallState, outcome: Outcome, reason: Reason | None, retry_at: Instant
+    state: CallState,
+    outcome: Outcome,
+    reason: Reason | None,
+    retry_at: Instant,
+    fresh: OrderKey | None = None,
 ) -> Actions:
     count = state.delivered
     key = state.request.key or state.drawn
     state.close()
-    return (FinishCall(outcome, reason, retry_at, count, key),)
+    return (FinishCall(outcome, reason, retry_at, count, key, fresh),)
--- a/mintsaddle/decisions/calls/_messages.py
+++ b/mintsaddle/decisions/calls/_messages.py
@@ -131,6 +131,8 @@
     """Chunks delivered."""
 
     key: OrderKey | None
+    fresh: OrderKey | None = None
+    """For an order that did not run: a key for a home that answers now."""
 
 
 CallAction: TypeAlias = (
--- a/mintsaddle/decisions/orders/__init__.py
+++ b/mintsaddle/decisions/orders/__init__.py
@@ -14,11 +14,18 @@
     adopt_homes,
     answer_question,
     ask_homes,
+    bequeath,
+    keep_bequest,
     note_answer,
     settle_alone,
 )
-from mintsaddle.decisions.orders._queries import home_is_settled, may_run_moved_keys
+from mintsaddle.decisions.orders._queries import (
+    home_is_settled,
+    is_awaited,
+    may_run_moved_keys,
+)
 from mintsaddle.decisions.orders._state import (
+    Bequest,
     HomeState,
     LedgerEntry,
     OrdersState,
@@ -27,6 +34,7 @@
 
 __all__ = [
     "LEDGER_LIMIT",
+    "Bequest",
     "HomeAnswer",
     "HomeQuestion",
     "HomeState",
@@ -38,9 +46,12 @@
     "adopt_homes",
     "answer_question",
     "ask_homes",
+    "bequeath",
     "close_order",
     "decide_key",
     "home_is_settled",
+    "is_awaited",
+    "keep_bequest",
     "may_run_moved_keys",
     "note_answer",
     "purge_ledger",
--- a/mintsaddle/decisions/orders/_commands.py
+++ b/mintsaddle/decisions/orders/_commands.py
@@ -24,6 +24,8 @@
 """Orders that a home remembers; with more within the window it refuses."""
 
 _SOON = 0.5
+_TAKING_BACK = 3.0
+"""Seconds in which a fresh home may still get its last run's ledger back."""
 
 
 class KeyWord(enum.Enum):
@@ -63,6 +65,8 @@
     if known is not None:
         return _answer_known(known, service, now)
     refusal = _find_refusal(state, key, service, clock_bound, window, now)
+    if refusal is None and state.closed:
+        refusal = _refuse_closed(key, now)
     if refusal is not None:
         return KeyVerdict(KeyWord.REFUSE, refusal=refusal)
     if len(state.ledger) >= LEDGER_LIMIT:
@@ -92,15 +96,20 @@
     return entry
 
 
-def purge_ledger(state: OrdersState, window: float, now: Instant) -> None:
+def purge_ledger(
+    state: OrdersState, clock_bound: float, window: float, now: Instant
+) -> None:
     """Forget orders that are too old to be accepted again.
 
     Keys that old are refused as in doubt, so forgetting can't run one twice.
+    They are kept two clock bounds longer: a home to which they move may have
+    a clock behind this one's, and would still take them.
     """
+    oldest = now - window - 2 * clock_bound
     old = [
         text
         for text, entry in state.ledger.items()
-        if entry.key.date < now - window and entry.status is not OrderStatus.PENDING
+        if entry.key.date < oldest and entry.status is not OrderStatus.PENDING
     ]
     for text in old:
         state.drop_entry(text)
@@ -130,15 +139,33 @@
     return _refuse_brought(state, key, service, clock_bound, now)
 
 
+def _refuse_closed(key: OrderKey, now: Instant) -> Refusal:
+    """Refuse a new key after the ledger was given away.
+
+    Even a tombstone would be missing in it, so nothing is claimed of a brought
+    key: the next run may take it. An issued one belongs to this run alone.
+    """
+    issued = key.origin is KeyOrigin.ISSUED
+    claim = Claim.NEVER if issued else Claim.NONE
+    return Refusal(claim, Reason.LEAVING, now + _SOON)
+
+
 def _refuse_issued(state: OrdersState, key: OrderKey, now: Instant) -> Refusal | None:
     """Only the very run that an issued key names may execute it.
 
     Guards against a home that has lost its memory: it would show as an order
     that ran in the run before and runs again. The key names the boot, and a
-    later run has another one.
+    later run has another one. A run that ended as planned has left its whole
+    ledger, and what isn't in it did not run.
     """
-    if key.home_tag == home_tag(state.vm) and key.boot == state.boot:
+    is_here = key.home_tag == home_tag(state.vm)
+    if is_here and key.boot == state.boot:
         return None
+    floor = state.ended_runs.get(key.boot)
+    if is_here and floor is not None and key.date > floor:
+        return Refusal(Claim.NEVER, Reason.LEAVING, now)
+    if is_here and now < state.boot_at + _TAKING_BACK:
+        return Refusal(Claim.NONE, Reason.HOME_UNCONFIRMED, now + _SOON)
     return Refusal(Claim.MAYBE, Reason.WRONG_HOME, now)
 
 
--- a/mintsaddle/decisions/orders/_homes.py
+++ b/mintsaddle/decisions/orders/_homes.py
@@ -5,13 +5,19 @@
 the same boots. One round is not enough: A acknowledges and restarts, C (still
 on the old list) vouches for A's old list, C acknowledges; the new home starts
 while A runs on the old list. After two rounds there was a moment at which all
-of them knew the new list.
+of them knew the new list. In the second round each home hands over what it
+knows of the asker's keys, so a move leaves no key in doubt.
 
 A home without memory is not *anchored*: the text it has read may be older
 than an agreed one. It runs no brought key until an anchored home has answered
 a question asked after the start (the nonce ties the answer to it). So no home
 goes back behind an agreed list, which keeps the moment above true.
 
+A home that leaves as planned gives its ledger to all other homes. Its next
+run takes it back if every one of them offers it, that is, if no run in
+between has asked any of them: such a run may have run keys that the ledger
+doesn't know.
+
 When all homes of a service have started anew, nobody is anchored. The text
 they read may then be a stale one, and a home that only a newer text lists may
 be running. So they wait until the operator publishes a text with a
@@ -19,10 +25,12 @@
 """
 
 import random
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from mintsaddle.decisions.orders._queries import home_is_settled
+from mintsaddle.decisions.orders._queries import find_own_floor, home_is_settled
 from mintsaddle.decisions.orders._state import (
+    Bequest,
     HomeMove,
     HomeState,
     LedgerEntry,
@@ -32,13 +40,6 @@
 from mintsaddle.fleet import OrderHomes, find_home
 from mintsaddle.values import Boot, Instant
 
-_NONCE_BITS = 62
-_FIRST_ROUND = 1
-_SECOND_ROUND = 2
-_MOST_HANDED = 1000
-_MOST_MOVES = 64
-"""Moves remembered; by then the first one's floor is older than any window."""
-
 CLOCK_BOUNDS = 2
 """Clock bounds between a start and the first key that may run.
 
@@ -46,13 +47,28 @@
 clock one bound ahead of the clock of the home that took its place.
 """
 
+VOUCH_PATIENCE = 1.5
+"""Seconds for all homes to answer before one settled home's word is enough."""
+
+_NONCE_BITS = 62
+_FIRST_ROUND = 1
+_SECOND_ROUND = 2
+_MOST_HANDED = 1000
+_MOST_MOVES = 64
+"""Moves remembered; by then the first one's floor is older than any window."""
+
 
 class HomeQuestion(NamedTuple):
     """A home's question to another one."""
 
     asker: str
+    boot: Boot
+    """The asking run."""
+
     service: str
     nonce: int
+    wants_ledger: bool
+    """Whether the answer should hand over what it knows."""
 
 
 class HomeAnswer(NamedTuple):
@@ -70,8 +86,14 @@
     text_revision: int
     anchored: bool
     settled: bool
+    floor: Instant = 0.0
+    """Keys of the asker dated after it ran here only if handed over."""
+
     handed: tuple[LedgerEntry, ...] = ()
-    """Ended orders whose keys now belong to the asker."""
+    """Orders whose keys now belong to the asker."""
+
+    offer: Bequest | None = None
+    """What the asker's run before gave this home to keep."""
 
 
 def adopt_homes(
@@ -95,12 +117,13 @@
     home = home._replace(bootstrap=bootstrap)
     if home.wanted != wanted:
         followed = (*home.unsettled, home.wanted)
-        home = _restart(home._replace(wanted=wanted, unsettled=followed))
+        home = home._replace(wanted=wanted, unsettled=followed)
+        home = _restart(home._replace(vouch_at=0.0, handed_to=frozenset()))
     state.put_home(service, home)
 
 
 def ask_homes(
-    state: OrdersState, service: str, rng: random.Random
+    state: OrdersState, service: str, now: Instant, rng: random.Random
 ) -> tuple[tuple[str, HomeQuestion], ...]:
     """Return the questions to ask now, each with the home it goes to."""
     home = state.homes.get(service)
@@ -108,44 +131,43 @@
         return ()
     if state.vm not in home.wanted.homes:
         return ()
-    answered = home.first_boots
-    if home.round_number == _SECOND_ROUND:
-        answered = home.second_boots
+    second = home.round_number == _SECOND_ROUND
+    answered = home.second_boots if second else home.first_boots
     others = sorted(home.wanted.to_ask - {state.vm} - set(answered))
     nonces = {name: rng.getrandbits(_NONCE_BITS) for name in others}
-    state.put_home(service, home._replace(nonces=nonces))
+    vouch_at = home.vouch_at or now + VOUCH_PATIENCE
+    state.put_home(service, home._replace(nonces=nonces, vouch_at=vouch_at))
     return tuple(
-        (name, HomeQuestion(state.vm, service, nonce)) for name, nonce in nonces.items()
+        (name, HomeQuestion(state.vm, state.boot, service, nonce, second))
+        for name, nonce in nonces.items()
     )
 
 
 def answer_question(
     state: OrdersState, question: HomeQuestion, text_revision: int
 ) -> HomeAnswer:
-    """Return where this home stands, and orders that the asker now owns."""
+    """Return this home's standing and what it knows of the asker's keys."""
     home = state.homes.get(question.service)
-    if home is None:
-        return HomeAnswer(
-            state.vm,
-            state.boot,
-            question.service,
-            question.nonce,
-            None,
-            text_revision,
-            False,
-            False,
-        )
-    return HomeAnswer(
-        state.vm,
-        state.boot,
-        question.service,
-        question.nonce,
-        home.wanted,
-        text_revision,
-        home.anchored,
-        home_is_settled(home),
-        _hand_over(state, home, question),
+    answer = HomeAnswer(
+        vm=state.vm,
+        boot=state.boot,
+        service=question.service,
+        nonce=question.nonce,
+        homes=home.wanted if home else None,
+        text_revision=text_revision,
+        anchored=home is not None and home.anchored,
+        settled=home is not None and home_is_settled(home),
     )
+    if home is None:
+        return answer
+    home, offer = _offer(home, question)
+    state.put_home(question.service, home)
+    if not question.wants_ledger:
+        return answer
+    handed_to = home.handed_to | {question.asker}
+    state.put_home(question.service, home._replace(handed_to=handed_to))
+    floor, handed = _hand_over(state, home, question)
+    return answer._replace(floor=floor, handed=handed, offer=offer)
 
 
 def note_answer(
@@ -164,9 +186,11 @@
     if answer.text_revision > text_revision:
         # The newer text is pulled first; until then this answer says nothing.
         return
-    home = _anchor(home, answer)
+    if answer.anchored:
+        # Its text was as new as any agreed one, and this home's is no older.
+        home = home._replace(anchored=True)
     if answer.homes == home.wanted:
-        _take_over(state, answer)
+        _take_over(state, answer.handed)
         home = _count_answer(home, answer)
     home = _settle_if_agreed(state, home, answer, clock_bound, now)
     state.put_home(answer.service, home)
@@ -180,20 +204,53 @@
     if home is None or home_is_settled(home):
         return
     if home.wanted.to_ask == {state.vm} and _may_settle(state, home, clock_bound):
-        state.put_home(service, _settle(home, clock_bound, now))
+        floor = now + CLOCK_BOUNDS * clock_bound
+        state.put_home(service, _settle(home, floor))
+
+
+def bequeath(state: OrdersState) -> tuple[Bequest, ...]:
+    """Return what this run leaves to the other homes, one for each service.
+
+    Afterwards it takes no new key: what it did then would be missing.
+    """
+    state.close()
+    bequests = []
+    for service, home in state.homes.items():
+        entries = (e for e in state.ledger.values() if e.service == service)
+        floor, newest = _newest(find_own_floor(home), entries)
+        bequests.append(Bequest(state.vm, state.boot, service, floor, newest))
+    return tuple(bequests)
+
+
+def keep_bequest(state: OrdersState, bequest: Bequest) -> None:
+    """Keep what a leaving home knows until its next run asks."""
+    home = state.homes.get(bequest.service)
+    if home is not None:
+        kept = {**home.kept, bequest.vm: bequest}
+        state.put_home(bequest.service, home._replace(kept=kept))
 
 
 def _restart(home: HomeState) -> HomeState:
     return home._replace(
-        round_number=_FIRST_ROUND, first_boots={}, second_boots={}, nonces={}
+        round_number=_FIRST_ROUND,
+        first_boots={},
+        second_boots={},
+        floors={},
+        offers={},
+        nonces={},
     )
 
 
-def _anchor(home: HomeState, answer: HomeAnswer) -> HomeState:
-    """An anchored home's fresh answer anchors this one at its own revision."""
-    if answer.anchored:
-        return home._replace(anchored=True)
-    return home
+def _offer(home: HomeState, question: HomeQuestion) -> tuple[HomeState, Bequest | None]:
+    """Return the bequest for the asking run, if it is the first one to ask."""
+    kept = home.kept.get(question.asker)
+    if kept is None or kept.boot == question.boot:
+        return home, None
+    if kept.offered_to in (0, question.boot):
+        kept = kept._replace(offered_to=question.boot)
+        return home._replace(kept={**home.kept, question.asker: kept}), kept
+    others = {vm: item for vm, item in home.kept.items() if vm != question.asker}
+    return home._replace(kept=others), None
 
 
 def _count_answer(home: HomeState, answer: HomeAnswer) -> HomeState:
@@ -205,7 +262,12 @@
     if home.first_boots.get(answer.vm) != answer.boot:
         # It restarted between the rounds: what it acknowledged is forgotten.
         return _restart(home)
-    return home._replace(second_boots={**home.second_boots, answer.vm: answer.boot})
+    if answer.offer is not None:
+        home = home._replace(offers={**home.offers, answer.vm: answer.offer})
+    return home._replace(
+        second_boots={**home.second_boots, answer.vm: answer.boot},
+        floors={**home.floors, answer.vm: answer.floor},
+    )
 
 
 def _settle_if_agreed(
@@ -215,16 +277,20 @@
     clock_bound: float,
     now: Instant,
 ) -> HomeState:
-    same_list = answer.homes == home.wanted
-    if same_list and answer.settled and home.anchored:
-        return _settle(home, clock_bound, now)
     others = home.wanted.to_ask - {state.vm}
-    if home.round_number == _FIRST_ROUND:
-        if others <= set(home.first_boots):
-            return home._replace(round_number=_SECOND_ROUND, nonces={})
-        return home
-    if others <= set(home.second_boots) and _may_settle(state, home, clock_bound):
-        return _settle(home, clock_bound, now)
+    if home.round_number == _FIRST_ROUND and others <= set(home.first_boots):
+        return home._replace(round_number=_SECOND_ROUND, nonces={})
+    unknown_until = now + CLOCK_BOUNDS * clock_bound
+    if home.round_number == _SECOND_ROUND and others <= set(home.second_boots):
+        if not _may_settle(state, home, clock_bound):
+            return home
+        home = _take_back(state, home, others)
+        return _settle(home, _find_move_floor(home, unknown_until))
+    vouched = answer.homes == home.wanted and answer.settled and home.anchored
+    if vouched and now >= home.vouch_at:
+        # All knew this list once, and no home goes back behind it; but what
+        # the silent ones have run isn't known here.
+        return _settle(home, unknown_until)
     return home
 
 
@@ -233,39 +299,79 @@
     return home.anchored or home.bootstrap > state.boot_at + clock_bound
 
 
-def _settle(home: HomeState, clock_bound: float, now: Instant) -> HomeState:
+def _find_move_floor(home: HomeState, unknown_until: Instant) -> Instant:
+    """Return the date up to which keys that came here may have run elsewhere.
+
+    A home that is gone for good has handed nothing over.
+    """
+    if home.wanted.some_gone:
+        return unknown_until
+    return max(home.floors.values(), default=unknown_until)
+
+
+def _take_back(
+    state: OrdersState, home: HomeState, others: frozenset[str]
+) -> HomeState:
+    """Take back what the run before left, if every other home offers it."""
+    offers = list(home.offers.values())
+    if not offers or set(home.offers) != others:
+        return home
+    if len({offer.boot for offer in offers}) > 1:
+        return home
+    _take_over(state, offers[0].entries)
+    state.put_ended_run(offers[0].boot, offers[0].floor)
+    return home._replace(boot_floor=offers[0].floor)
+
+
+def _settle(home: HomeState, floor: Instant) -> HomeState:
     before = (home.settled, *home.unsettled) if home.settled else ()
-    floor = now + CLOCK_BOUNDS * clock_bound
     moves = (*home.moves, HomeMove(before, floor))
     return home._replace(
         anchored=True,
         settled=home.wanted,
         unsettled=(),
         moves=moves[-_MOST_MOVES:],
+        floors={},
+        offers={},
         nonces={},
     )
 
 
 def _hand_over(
     state: OrdersState, home: HomeState, question: HomeQuestion
-) -> tuple[LedgerEntry, ...]:
-    """Return the newest ended orders that the list gives to the asker."""
+) -> tuple[Instant, tuple[LedgerEntry, ...]]:
+    """Return the orders whose keys belong to the asker, and a floor."""
     if question.asker not in home.wanted.homes:
-        return ()
-    handed = []
-    for entry in reversed(tuple(state.ledger.values())):
-        if entry.service != question.service:
-            continue
-        if entry.status is OrderStatus.PENDING:
-            continue
-        if find_home(home.wanted.homes, entry.key.text) == question.asker:
-            handed.append(entry)
-        if len(handed) == _MOST_HANDED:
-            break
-    return tuple(handed)
-
-
-def _take_over(state: OrdersState, answer: HomeAnswer) -> None:
-    for entry in answer.handed:
-        if entry.key.text not in state.ledger:
+        return find_own_floor(home), ()
+    entries = (
+        entry
+        for entry in state.ledger.values()
+        if entry.service == question.service
+        and find_home(home.wanted.homes, entry.key.text) == question.asker
+    )
+    return _newest(find_own_floor(home), entries)
+
+
+def _newest(
+    floor: Instant, entries: Iterable[LedgerEntry]
+) -> tuple[Instant, tuple[LedgerEntry, ...]]:
+    """Return the newest entries, and the date after which none is missing."""
+    ordered = sorted(entries, key=lambda entry: entry.key.date, reverse=True)
+    if len(ordered) > _MOST_HANDED:
+        floor = max(floor, ordered[_MOST_HANDED].key.date)
+    newest = ordered[:_MOST_HANDED]
+    return floor, tuple(_without_pending(entry) for entry in newest)
+
+
+def _without_pending(entry: LedgerEntry) -> LedgerEntry:
+    """A pending order ends where it began; elsewhere its end isn't known."""
+    if entry.status is OrderStatus.PENDING:
+        return entry._replace(status=OrderStatus.IN_DOUBT)
+    return entry
+
+
+def _take_over(state: OrdersState, entries: Iterable[LedgerEntry]) -> None:
+    for entry in entries:
+        known = state.ledger.get(entry.key.text)
+        if known is None or known.status is OrderStatus.IN_DOUBT:
             state.put_entry(entry)
--- a/mintsaddle/decisions/orders/_queries.py
+++ b/mintsaddle/decisions/orders/_queries.py
@@ -16,6 +16,23 @@
     return home is not None and home_is_settled(home)
 
 
+def is_awaited(state: OrdersState) -> bool:
+    """Return whether homes still have to hear what this one released.
+
+    A run that left before would leave the keys that have just moved in doubt.
+    """
+    for home in state.homes.values():
+        moving = home.settled is not None and home.settled != home.wanted
+        if moving and set(home.wanted.homes) - {state.vm} - home.handed_to:
+            return True
+    return False
+
+
+def find_own_floor(home: HomeState) -> Instant:
+    """Return the date from which this run's ledger misses no order."""
+    return max([home.boot_floor, *(move.floor for move in home.moves)])
+
+
 def find_floor(state: OrdersState, home: HomeState, key: str) -> Instant:
     """Return the date up to which a key may have run without this run knowing.
 
--- a/mintsaddle/decisions/orders/_state.py
+++ b/mintsaddle/decisions/orders/_state.py
@@ -47,6 +47,26 @@
     """Keys dated up to it may have run at another home before."""
 
 
+class Bequest(NamedTuple):
+    """What a leaving home gives the others to keep for its next run.
+
+    It is offered to the first run that asks and dropped when another one
+    does: what that first run did is not in it.
+    """
+
+    vm: str
+    boot: Boot
+    """The run that left."""
+
+    service: str
+    floor: Instant
+    """Keys dated after it ran only if the entries say so."""
+
+    entries: tuple[LedgerEntry, ...]
+    offered_to: Boot = 0
+    """The run that it was offered to; 0 before."""
+
+
 class HomeState(NamedTuple):
     """A home's standing for the brought keys of one service."""
 
@@ -71,6 +91,9 @@
     boot_floor: Instant = 0.0
     """Keys dated up to it may have run before this run's start."""
 
+    vouch_at: Instant = 0.0
+    """From then on another settled home's word is enough; 0 before asking."""
+
     round_number: int = 1
     """1 while collecting acknowledgements, 2 while asking a second time."""
 
@@ -80,9 +103,21 @@
     second_boots: Mapping[str, Boot] = {}
     """Runs that acknowledged in the second round."""
 
+    floors: Mapping[str, Instant] = {}
+    """From which date each home has handed over all that it knows."""
+
+    offers: Mapping[str, Bequest] = {}
+    """What each home keeps of this home's run before."""
+
     nonces: Mapping[str, int] = {}
     """The open question to each home; an answer to another one is too old."""
 
+    handed_to: frozenset[str] = frozenset()
+    """Homes that have asked in their second round since the list changed."""
+
+    kept: Mapping[str, Bequest] = {}
+    """What homes that have left gave this one to keep, by their names."""
+
 
 class OrdersState:
     """The orders of one run of one endpoint daemon."""
@@ -93,6 +128,8 @@
         self._boot_at = boot_at
         self._ledger: dict[str, LedgerEntry] = {}
         self._homes: dict[str, HomeState] = {}
+        self._closed = False
+        self._ended_runs: dict[Boot, Instant] = {}
 
     @property
     def vm(self) -> str:
@@ -119,6 +156,24 @@
         """The standing for each service."""
         return self._homes
 
+    @property
+    def closed(self) -> bool:
+        """Whether the ledger was given away and takes no new key."""
+        return self._closed
+
+    @property
+    def ended_runs(self) -> Mapping[Boot, Instant]:
+        """Earlier runs whose whole ledger is here, each with its floor."""
+        return self._ended_runs
+
+    def put_ended_run(self, boot: Boot, floor: Instant) -> None:
+        """Note that an earlier run's ledger was taken back whole."""
+        self._ended_runs[boot] = max(floor, self._ended_runs.get(boot, floor))
+
+    def close(self) -> None:
+        """Take no new key from now on, not even to bury it."""
+        self._closed = True
+
     def put_entry(self, entry: LedgerEntry) -> None:
         """Write what is known of a key."""
         self._ledger[entry.key.text] = entry
--- a/mintsaddle/endpoint/_homes.py
+++ b/mintsaddle/endpoint/_homes.py
@@ -4,10 +4,12 @@
 
 from mintsaddle.daemon import DaemonNode
 from mintsaddle.decisions.orders import (
+    Bequest,
     HomeQuestion,
     OrdersState,
     answer_question,
     ask_homes,
+    bequeath,
     note_answer,
     settle_alone,
 )
@@ -16,6 +18,7 @@
     read_home_answer,
     read_home_question,
     read_stamp,
+    write_bequest,
     write_home_answer,
     write_home_question,
 )
@@ -32,7 +35,7 @@
     while True:
         for service in tuple(orders.homes):
             _settle_alone(node, orders, service)
-            questions = ask_homes(orders, service, node.rng)
+            questions = ask_homes(orders, service, node.now(), node.rng)
             asked = (_ask(node, orders, vm, question) for vm, question in questions)
             await asyncio.gather(*asked)
         await asyncio.sleep(_PAUSE)
@@ -51,6 +54,30 @@
     return write_home_answer(answer, node.stamp())
 
 
+async def leave_ledger(node: DaemonNode, orders: OrdersState) -> None:
+    """Give the ledger to the other homes, for the next run of this one."""
+    gifts = [
+        _give(node, vm, bequest)
+        for bequest in bequeath(orders)
+        for vm in orders.homes[bequest.service].wanted.to_ask - {orders.vm}
+    ]
+    await asyncio.gather(*gifts)
+
+
+async def _give(node: DaemonNode, vm: str, bequest: Bequest) -> None:
+    fleet = node.configuration.fleet
+    address = fleet.address_of(vm) if fleet else None
+    if address is None:
+        return
+    message = write_bequest(bequest, node.stamp())
+    try:
+        await PeerStub(node.channels.open(address)).Keep(message, timeout=_TIMEOUT)
+    except Exception as error:
+        # The next run then finds its old keys in doubt, which is safe.
+        name = type(error).__name__
+        _log.warning("Home %s keeps no ledger for this one: %s.", vm, name)
+
+
 def _settle_alone(node: DaemonNode, orders: OrdersState, service: str) -> None:
     fleet = node.configuration.fleet
     if fleet is not None:
--- a/mintsaddle/endpoint/_run.py
+++ b/mintsaddle/endpoint/_run.py
@@ -4,25 +4,31 @@
 
 from returns.result import Failure, Success
 
-from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
+from mintsaddle.daemon import (
+    DaemonNode,
+    PeerService,
+    refresh,
+    start_server,
+    wait_for_stop,
+)
 from mintsaddle.decisions.arrivals import (
     EndpointState,
     confirm,
     describe_endpoint_load,
     follow_text,
-    is_idle,
     lose,
+    may_exit,
     start_leaving,
     tick,
 )
-from mintsaddle.decisions.orders import home_is_settled
-from mintsaddle.endpoint._homes import answer_home, keep_settled
+from mintsaddle.decisions.orders import home_is_settled, keep_bequest
+from mintsaddle.endpoint._homes import answer_home, keep_settled, leave_ledger
 from mintsaddle.endpoint._host import EndpointHost
 from mintsaddle.endpoint._service import CallService
 from mintsaddle.engines import probe_engine
 from mintsaddle.observe import make_logger
 from mintsaddle.settings import Settings
-from mintsaddle.transport import LoopThread, write_load
+from mintsaddle.transport import LoopThread, read_bequest, write_load
 from mintsaddle.transport.proto import peer_pb2 as pb
 
 PROBE_PAUSE = 0.2
@@ -56,6 +62,7 @@
         node,
         describe=lambda status: describe_endpoint(host, status),
         answer_home=lambda question: answer_home(node, state.orders, question),
+        keep_bequest=lambda gift: keep_bequest(state.orders, read_bequest(gift)),
     )
     await start_server(node, [peers, CallService(host)])
     node.spawn(_keep_probing(host))
@@ -67,7 +74,11 @@
     """Refuse new work at once and finish what is in flight."""
     host.node.mark_leaving()
     host.perform(start_leaving(host.state, host.node.now()))
-    while not is_idle(host.state) or host.has_open_mailboxes():
+    await refresh(host.node)
+    while not may_exit(host.state, host.node.now()):
+        await asyncio.sleep(_IDLE_PAUSE)
+    await leave_ledger(host.node, host.state.orders)
+    while host.has_open_mailboxes():
         await asyncio.sleep(_IDLE_PAUSE)
 
 
--- a/mintsaddle/entry/_http.py
+++ b/mintsaddle/entry/_http.py
@@ -50,6 +50,8 @@
     retry_at: Instant
     delivered: int
     key: OrderKey | None
+    fresh: OrderKey | None = None
+    """For an order that did not run: the key to come back with."""
 
     def to_json(self) -> bytes:
         """Return the JSON form; absent parts are left out."""
@@ -60,6 +62,8 @@
             parts["retry_at"] = round(self.retry_at, 3)
         if self.key is not None:
             parts["key"] = self.key.text
+        if self.fresh is not None:
+            parts["fresh_key"] = self.fresh.text
         parts["count"] = self.delivered
         return json.dumps(parts).encode()
 
@@ -330,7 +334,12 @@
 
 def _word_of(finish: FinishCall) -> FinalWord:
     return FinalWord(
-        finish.outcome, finish.reason, finish.retry_at, finish.delivered, finish.key
+        finish.outcome,
+        finish.reason,
+        finish.retry_at,
+        finish.delivered,
+        finish.key,
+        finish.fresh,
     )
 
 
@@ -342,7 +351,10 @@
         ("Mintsaddle-Outcome", word.outcome.value),
         ("Retry-After", str(max(1, math.ceil(word.retry_at - now)))),
     ]
-    start(_STATUSES[word.outcome], headers + _key_header(word.key))
+    headers += _key_header(word.key)
+    if word.fresh is not None:
+        headers.append(("Fresh-Key", word.fresh.text))
+    start(_STATUSES[word.outcome], headers)
     return [body]
 
 
--- a/mintsaddle/fleet/_homes.py
+++ b/mintsaddle/fleet/_homes.py
@@ -15,12 +15,16 @@
     to_ask: frozenset[str]
     """Present and former homes that must agree before a key may move."""
 
+    some_gone: bool = False
+    """Whether a former home is gone and can tell nothing."""
+
 
 def list_homes(service: Service) -> OrderHomes:
     """Return the homes of a service and those who must agree to them."""
     present = frozenset(service.endpoints)
     former = frozenset(service.former) - frozenset(service.gone)
-    return OrderHomes(tuple(sorted(present)), present | former)
+    homes = tuple(sorted(present))
+    return OrderHomes(homes, present | former, bool(service.gone))
 
 
 def find_home(homes: tuple[str, ...], key: str) -> str:
--- a/mintsaddle/transport/_convert.py
+++ b/mintsaddle/transport/_convert.py
@@ -1,11 +1,13 @@
 """Between the typed values of the decisions and the messages on the wire."""
 
 import zlib
+from collections.abc import Iterable
 
 from returns.result import Success
 
 from mintsaddle.decisions.configuration import ConfigurationState
 from mintsaddle.decisions.orders import (
+    Bequest,
     HomeAnswer,
     HomeQuestion,
     LedgerEntry,
@@ -96,12 +98,19 @@
         asker=question.asker,
         service=question.service,
         nonce=question.nonce,
+        wants_ledger=question.wants_ledger,
     )
 
 
 def read_home_question(message: pb.HomeQuestion) -> HomeQuestion:
     """Return the question in a message."""
-    return HomeQuestion(message.asker, message.service, message.nonce)
+    return HomeQuestion(
+        message.asker,
+        message.stamp.boot,
+        message.service,
+        message.nonce,
+        message.wants_ledger,
+    )
 
 
 def write_home_answer(answer: HomeAnswer, stamp: Stamp) -> pb.HomeAnswer:
@@ -113,10 +122,14 @@
         anchored=answer.anchored,
         settled=answer.settled,
         handed=[_write_entry(entry) for entry in answer.handed],
+        floor=answer.floor,
     )
+    if answer.offer is not None:
+        message.offer.CopyFrom(write_bequest(answer.offer, stamp))
     if answer.homes is not None:
         message.homes.homes.extend(answer.homes.homes)
         message.homes.to_ask.extend(sorted(answer.homes.to_ask))
+        message.homes.some_gone = answer.homes.some_gone
     return message
 
 
@@ -125,8 +138,9 @@
     homes = None
     if message.HasField("homes"):
         to_ask = frozenset(message.homes.to_ask)
-        homes = OrderHomes(tuple(message.homes.homes), to_ask)
-    entries = (_read_entry(handed, message.service) for handed in message.handed)
+        listed = tuple(message.homes.homes)
+        homes = OrderHomes(listed, to_ask, message.homes.some_gone)
+    offer = read_bequest(message.offer) if message.HasField("offer") else None
     return HomeAnswer(
         vm=message.stamp.vm,
         boot=message.stamp.boot,
@@ -136,10 +150,37 @@
         text_revision=message.stamp.text_revision,
         anchored=message.anchored,
         settled=message.settled,
-        handed=tuple(entry for entry in entries if entry is not None),
+        floor=message.floor,
+        handed=_read_entries(message.handed, message.service),
+        offer=offer,
+    )
+
+
+def write_bequest(bequest: Bequest, stamp: Stamp) -> pb.Bequest:
+    """Return the message form of a leaving home's ledger."""
+    return pb.Bequest(
+        stamp=write_stamp(stamp),
+        vm=bequest.vm,
+        boot=bequest.boot,
+        service=bequest.service,
+        floor=bequest.floor,
+        entries=[_write_entry(entry) for entry in bequest.entries],
     )
 
 
+def read_bequest(message: pb.Bequest) -> Bequest:
+    """Return the ledger in a message."""
+    entries = _read_entries(message.entries, message.service)
+    return Bequest(message.vm, message.boot, message.service, message.floor, entries)
+
+
+def _read_entries(
+    messages: Iterable[pb.HandedOrder], service: str
+) -> tuple[LedgerEntry, ...]:
+    entries = (_read_entry(message, service) for message in messages)
+    return tuple(entry for entry in entries if entry is not None)
+
+
 def _write_entry(entry: LedgerEntry) -> pb.HandedOrder:
     return pb.HandedOrder(
         key=entry.key.text,
--- a/mintsaddle/transport/proto/peer_grpc.py
+++ b/mintsaddle/transport/proto/peer_grpc.py
@@ -22,6 +22,10 @@
     async def AskHome(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.HomeQuestion, mintsaddle.transport.proto.peer_pb2.HomeAnswer]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Keep(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.Bequest, mintsaddle.transport.proto.peer_pb2.Kept]') -> None:
+        pass
+
     @abc.abstractmethod
     async def OrderGroup(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.GroupOrder, mintsaddle.transport.proto.peer_pb2.GroupReply]') -> None:
         pass
@@ -48,6 +52,12 @@
                 mintsaddle.transport.proto.peer_pb2.HomeQuestion,
                 mintsaddle.transport.proto.peer_pb2.HomeAnswer,
             ),
+            '/mintsaddle.v1.Peer/Keep': grpclib.const.Handler(
+                self.Keep,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.Bequest,
+                mintsaddle.transport.proto.peer_pb2.Kept,
+            ),
             '/mintsaddle.v1.Peer/OrderGroup': grpclib.const.Handler(
                 self.OrderGroup,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -84,6 +94,12 @@
             mintsaddle.transport.proto.peer_pb2.HomeQuestion,
             mintsaddle.transport.proto.peer_pb2.HomeAnswer,
         )
+        self.Keep = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.Peer/Keep',
+            mintsaddle.transport.proto.peer_pb2.Bequest,
+            mintsaddle.transport.proto.peer_pb2.Kept,
+        )
         self.OrderGroup = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mintsaddle.v1.Peer/OrderGroup',
