Test real daemons under kill, freeze, stop and stale platform

Cause: the decisions were proved on virtual time only.

Found, each by a test seen failing first: - a caller's hang-up left the engine writing: http.client forgets the socket of an answer without a length, so cancel had nothing to close. Ruled out: waitress not noticing (its log said that it did) and the stream's reset (the endpoint's log said that it came). The socket is now kept by the call. - a request that waited in an endpoint's queue and was given back ended as ask-again: accepted counted as reached. A refusal that says never now holds.

Conclusion: what the model promises holds in processes for these faults.

--- /dev/null
+++ b/fakes/tests/test_processes.py
@@ -0,0 +1,318 @@
+"""Real daemons as processes: killed, frozen, restarted and stopped."""
+
+import http.client
+import json
+import signal
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from fakes.demo import bootstrapped, uuid7
+from fakes.site import Answer, Site, VmPlan
+from mintsaddle.cli import show_status
+
+SERVICES = """
+[service letters]
+class = letter
+endpoints = a-letters b-letters
+cold limit = 4
+limit = 32
+resume = yes
+
+[service redirections]
+kind = plain
+class = order
+repeat = no
+endpoints = a-orders b-orders
+cold limit = 16
+limit = 32
+bootstrap = {bootstrap}
+
+[workspace counter]
+services = letters redirections
+"""
+
+PLANS = (
+    VmPlan("a-entry", "a", "entry"),
+    VmPlan("b-entry", "b", "entry"),
+    VmPlan("a-letters", "a", "endpoint", cold_limit=4),
+    VmPlan("b-letters", "b", "endpoint", cold_limit=4),
+    VmPlan("a-orders", "a", "endpoint"),
+    VmPlan("b-orders", "b", "endpoint"),
+)
+HEADERS = {"Workspace": "counter", "Timeout": "15"}
+TOKENS = 60
+DRAFT = {"tokens": TOKENS, "pace": 0.02}
+WAIT = 15.0
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    """Return once a condition holds."""
+    deadline = time.monotonic() + WAIT
+    while not condition():
+        assert time.monotonic() < deadline, f"never came: {what}"
+        time.sleep(0.01)
+
+
+class Running:
+    """A serving site with callers in threads."""
+
+    def __init__(self) -> None:
+        self.site = Site(PLANS, bootstrapped(SERVICES))
+        self.callers = ThreadPoolExecutor(16)
+
+    def start(self) -> None:
+        """Start and settle."""
+        self.site.start()
+        self.site.publish("fleet", 7, self.site.fleet_text())
+        self.site.wait_until_serving()
+        wait_for(self.both_homes_run, "both homes")
+
+    def both_homes_run(self) -> bool:
+        """Place an order; return whether each home has run one by now."""
+        self.order("a-entry", uuid7())
+        homes = ("a-orders", "b-orders")
+        return all(self.site.executions(home)["executions"] for home in homes)
+
+    def draft(self, entry: str) -> "Future[Answer]":
+        """Begin a streamed draft."""
+        return self.callers.submit(
+            self.site.call, entry, "POST", "/letters/draft", DRAFT, HEADERS
+        )
+
+    def order(self, entry: str, key: str, pace: float = 0.0) -> Answer:
+        """Place an order with a key."""
+        headers = {**HEADERS, "Idempotency-Key": key}
+        body = {"pace": pace}
+        return self.site.call(entry, "POST", "/redirections/new", body, headers)
+
+    def held(self, endpoint: str) -> int:
+        """Return what an engine holds now."""
+        return int(self.site.executions(endpoint)["held"])
+
+    def runs(self, key: str) -> int:
+        """Return how often an order has run."""
+        names = ("a-orders", "b-orders")
+        return sum(self.site.executions(n)["executions"].get(key, 0) for n in names)
+
+    def status(self, entry: str) -> int:
+        """Return an entry's health."""
+        return self.site.call(entry, "GET", "/health").status
+
+
+@pytest.fixture
+def running() -> Iterator[Running]:
+    """Return a site that serves, and stop it by process id."""
+    site = Running()
+    try:
+        site.start()
+        yield site
+    finally:
+        site.callers.shutdown(wait=False)
+        site.site.stop()
+
+
+def assert_whole(answer: Answer) -> None:
+    """Check that a draft is whole: each token once, in order, with a count."""
+    numbers = [int(event.rpartition("-")[2]) for event in answer.events]
+    end = answer.end
+    shown = (answer.outcome, numbers, end)
+    assert answer.outcome == "done", shown
+    assert numbers == list(range(1, TOKENS + 1)), shown
+    assert end is not None, shown
+    assert end["count"] == TOKENS, shown
+
+
+class TestEndpointDaemon:
+    @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+    def test_drafts_go_on_elsewhere(
+        self, running: Running, number: signal.Signals
+    ) -> None:
+        """A counter would see its draft stop in the middle.
+
+        The endpoint daemon that carries it is killed, or frozen and woken
+        late; the entry resumes the draft at the other endpoint.
+        """
+        drafts = [running.draft("a-entry") for _ in range(3)]
+        wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
+        running.site.signal("a-letters", number)
+        for draft in drafts:
+            assert_whole(draft.result(WAIT))
+        running.site.signal("a-letters", signal.SIGCONT)
+
+    def test_stop_cuts_nothing(self, running: Running) -> None:
+        """A planned stop would cut the drafts that are under way.
+
+        SIGTERM comes while streams are open; they end whole, the daemon takes
+        nothing new and exits with 0.
+        """
+        drafts = [running.draft("a-entry") for _ in range(3)]
+        wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
+        running.site.signal("a-letters", signal.SIGTERM)
+        later = [running.draft("a-entry") for _ in range(3)]
+        for draft in drafts + later:
+            assert_whole(draft.result(WAIT))
+        assert running.site.wait_for_exit("a-letters") == 0
+        assert running.site.executions("a-letters")["cancelled"] == 0
+
+    def test_order_is_answered_after_a_planned_restart(self, running: Running) -> None:
+        """A counter asks again after a planned restart and would get a doubt.
+
+        The home gave its ledger to the other home and took it back.
+        """
+        key = uuid7()
+        first = running.order("a-entry", key)
+        home = next(
+            name
+            for name in ("a-orders", "b-orders")
+            if key in running.site.executions(name)["executions"]
+        )
+        running.site.signal(home, signal.SIGTERM)
+        assert running.site.wait_for_exit(home) == 0
+        running.site.start_daemon(home)
+        outcomes = []
+
+        def answered() -> bool:
+            outcomes.append(running.order("b-entry", key))
+            return outcomes[-1].outcome not in ("ask-again", "not-run")
+
+        wait_for(answered, "an answer of the new run")
+        assert (outcomes[-1].outcome, running.runs(key)) == ("done", 1)
+        assert outcomes[-1].body == first.body
+
+    def test_killed_home_leaves_a_doubt_and_no_second_run(
+        self, running: Running
+    ) -> None:
+        """A redirection would be billed twice.
+
+        The home is killed while the order runs and comes back with no memory;
+        the caller comes again by the other entry with its key.
+        """
+        key = uuid7()
+        order = running.callers.submit(running.order, "a-entry", key, 1.0)
+        wait_for(lambda: running.runs(key) == 1, "the order at the service")
+        home = "a-orders" if running.held("a-orders") else "b-orders"
+        running.site.signal(home, signal.SIGKILL)
+        assert order.result(WAIT).outcome == "in-doubt"
+        running.site.start_daemon(home)
+
+        def decided() -> bool:
+            return running.order("b-entry", key).outcome == "in-doubt"
+
+        wait_for(decided, "in-doubt of the new run")
+        assert running.runs(key) == 1
+
+
+class TestEntry:
+    def test_stop_cuts_nothing(self, running: Running) -> None:
+        """A planned stop of an entry would cut the callers it answers."""
+        drafts = [running.draft("a-entry") for _ in range(3)]
+        wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
+        running.site.signal("a-entry", signal.SIGTERM)
+        running.site.wait_for_health("a-entry", 503)
+        for draft in drafts:
+            assert_whole(draft.result(WAIT))
+        assert running.site.wait_for_exit("a-entry") == 0
+
+    def test_kill_never_doubles_an_order(self, running: Running) -> None:
+        """A counter loses its connection and comes by the other entry.
+
+        The first entry is killed while the order runs; the second one gets
+        the first run's answer from the home.
+        """
+        key = uuid7()
+        order = running.callers.submit(running.order, "a-entry", key, 1.0)
+        wait_for(lambda: running.runs(key) == 1, "the order at the service")
+        running.site.signal("a-entry", signal.SIGKILL)
+        with pytest.raises((OSError, http.client.HTTPException)):
+            order.result(WAIT)
+        assert running.order("b-entry", key).outcome == "done"
+        assert running.runs(key) == 1
+
+    def test_frozen_entry_wakes_with_old_marks(self, running: Running) -> None:
+        """An entry that slept through a mark sends work where none may go.
+
+        Data centre a is marked out while b's entry is frozen. What it sends
+        on waking is refused by a's endpoints and served by b's.
+        """
+        running.site.signal("b-entry", signal.SIGSTOP)
+        running.site.publish("marks", 1, "[marks]\ndata centre a = out\n")
+        running.site.wait_for_health("a-entry", 503)
+        before = running.site.executions("a-letters")["executions"]
+        running.site.signal("b-entry", signal.SIGCONT)
+        drafts = [running.draft("b-entry") for _ in range(3)]
+        for draft in drafts:
+            assert_whole(draft.result(WAIT))
+        assert running.site.executions("a-letters")["executions"] == before
+
+    def test_hang_up_cancels_the_draft(self, running: Running) -> None:
+        """An engine would go on writing a letter that nobody waits for."""
+        connection = http.client.HTTPConnection(running.site.http["a-entry"])
+        body = json.dumps({"tokens": 1000, "pace": 0.02})
+        connection.request("POST", "/letters/draft", body, HEADERS)
+        connection.getresponse().read1(10)
+        assert running.held("a-letters") + running.held("b-letters") == 1
+        connection.close()
+
+        def idle() -> bool:
+            return running.held("a-letters") + running.held("b-letters") == 0
+
+        wait_for(idle, "the engine's end of the draft")
+
+
+class TestEngine:
+    def test_cold_restart_is_never_overrun(self, running: Running) -> None:
+        """An engine that comes back cold would fall over under a full share.
+
+        It is killed and started while callers go on; it counts for itself
+        what it held above what it could bear.
+        """
+        drafts = [running.draft("a-entry") for _ in range(4)]
+        wait_for(lambda: running.held("a-letters") > 0, "drafts at a")
+        running.site.signal("a-letters engine", signal.SIGKILL)
+        running.site.wait_for_exit("a-letters engine")
+        running.site.start_engine("a-letters")
+        drafts += [running.draft("a-entry") for _ in range(12)]
+        outcomes = {draft.result(WAIT).outcome for draft in drafts}
+        assert outcomes <= {"done", "not-run", "ask-again"}
+        assert running.site.executions("a-letters")["overruns"] == 0
+        assert running.site.executions("b-letters")["overruns"] == 0
+
+
+class TestPlatform:
+    def test_old_text_never_comes_back(self, running: Running) -> None:
+        """A counter would be refused by a text that was replaced long ago.
+
+        The platform is killed and comes back with an older revision; a new
+        daemon asks its peers before it serves and follows the newer one.
+        """
+        running.site.publish("fleet", 8, running.site.fleet_text("# newer\n"))
+        running.site.signal("platform", signal.SIGKILL)
+        running.site.wait_for_exit("platform")
+        wait_for(lambda: running.status("a-entry") == 200, "service with no platform")
+        running.site.start_platform()
+        running.site.publish("fleet", 7, running.site.fleet_text())
+        running.site.signal("b-entry", signal.SIGKILL)
+        running.site.wait_for_exit("b-entry")
+        running.site.start_daemon("b-entry")
+        running.site.wait_for_health("b-entry", 200)
+        assert show_revision(running, "b-entry") == 8
+        assert show_revision(running, "a-entry") == 8
+
+    def test_garbage_text_is_refused_and_service_goes_on(
+        self, running: Running
+    ) -> None:
+        running.site.publish("fleet", 9, "[fleet]\nname = \nrubbish")
+        wait_for(lambda: "is refused" in running.site.log("a-entry"), "a refusal")
+        assert_whole(running.draft("a-entry").result(WAIT))
+        assert show_revision(running, "a-entry") == 7
+
+
+def show_revision(running: Running, name: str) -> int:
+    """Return a daemon's text revision as the tool shows it."""
+    output = show_status(running.site.addresses[name]).unwrap()
+    rows: dict[Any, Any] = {row[0]: row[1] for row in output.tables[0].rows}
+    return int(rows["text revision"])
--- a/mintsaddle/cli/__init__.py
+++ b/mintsaddle/cli/__init__.py
@@ -1,5 +1,6 @@
 """The command-line tool ``mintsaddle``."""
 
 from mintsaddle.cli._main import main
+from mintsaddle.cli._remote import show_histograms, show_status
 
-__all__ = ["main"]
+__all__ = ["main", "show_histograms", "show_status"]
--- a/mintsaddle/decisions/calls/_commands.py
+++ b/mintsaddle/decisions/calls/_commands.py
@@ -162,7 +162,8 @@
 
 
 def _accept(state: CallState, attempt: Attempt, now: Instant) -> Actions:
-    state.mark_reached()
+    # It may only wait in the queue there: a refusal that follows still says
+    # that it didn't run. Any other end of the attempt leaves that open.
     state.replace_attempt(
         attempt._replace(accepted=True, silent_at=_silent_at(state, now))
     )
@@ -238,7 +239,7 @@
 ) -> Actions:
     _end_attempt(state, facts, attempt)
     note_failed(facts.routing, attempt.endpoint, now)
-    if sent:
+    if sent or attempt.accepted:
         state.mark_reached()
     return _retry(state, facts, Reason.UNREACHABLE, now)
 
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -58,6 +58,7 @@
         # that the engine has closed can't tell whether the request arrived,
         # which would leave an order in doubt.
         self._connection = http.client.HTTPConnection(address, timeout=request.deadline)
+        self._socket: socket.socket | None = None
         self._cancelled = False
 
     def run(self, on_head: OnHead, on_chunk: OnChunk) -> EngineEnd:
@@ -66,18 +67,21 @@
             self._connection.connect()
         except OSError:
             return EngineEnd(reached=False, whole=False, chunks=0)
+        # http.client forgets the socket once an answer without a length has
+        # begun; without it a cancelled stream would run on in the engine.
+        self._socket = self._connection.sock
         count = 0
         try:
             # Cancelled before the first byte left: the engine never saw it.
             if self._cancelled:
                 return EngineEnd(reached=False, whole=False, chunks=0)
-            response = self._send()
-            on_head(_read_head(response))
-            for chunk in _read_chunks(response):
-                if chunk is None:
-                    return EngineEnd(reached=True, whole=True, chunks=count)
-                count += 1
-                on_chunk(chunk)
+            with self._send() as response:
+                on_head(_read_head(response))
+                for chunk in _read_chunks(response):
+                    if chunk is None:
+                        return EngineEnd(reached=True, whole=True, chunks=count)
+                    count += 1
+                    on_chunk(chunk)
         except (OSError, http.client.HTTPException):
             return EngineEnd(reached=True, whole=False, chunks=count)
         finally:
@@ -87,11 +91,10 @@
     def cancel(self) -> None:
         """Break the connection, which tells the engine to stop."""
         self._cancelled = True
-        sock = self._connection.sock
-        if sock is None:
+        if self._socket is None:
             return
         try:
-            sock.shutdown(socket.SHUT_RDWR)
+            self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:
             # The engine has closed it already: nothing is left to cancel.
             return
