--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: decisions on virtual time, and loads on real processes."""
--- a/fakes/model/_entry.py
+++ b/fakes/model/_entry.py
@@ -101,9 +101,11 @@
         def reply() -> None:
             stamp = peer.stamp()
             load = describe_endpoint_load(peer.state, peer.now())
-            self.world.send(
-                peer, self, lambda: note_load(self.routing, name, stamp.boot, load)
-            )
+
+            def take() -> None:
+                note_load(self.routing, name, stamp.boot, load, self.now())
+
+            self.world.send(peer, self, take)
 
         self.world.send(self, peer, reply)
 
@@ -121,6 +123,9 @@
     ) -> None:
         self.entry = entry
         self.watched = watched
+        self.first_at: float | None = None
+        self.longest_gap = 0.0
+        self._last_at = 0.0
         self._work = work
         self._tell = tell
         self._chunks: list[bytes] = []
@@ -152,7 +157,8 @@
         if self not in self.entry.calls:
             return
         self.entry.catch_up(stamp, lambda _: None)
-        note_load(self.entry.routing, endpoint.name, stamp.boot, load)
+        now = self.entry.now()
+        note_load(self.entry.routing, endpoint.name, stamp.boot, load, now)
         self.handle(event)
 
     def break_attempt(self, endpoint: EndpointDaemon, number: int) -> None:
@@ -198,6 +204,7 @@
                         self.entry, endpoint, self._make_hang_up(endpoint, name)
                     )
                 case DeliverChunk(_, data):
+                    self._note_chunk()
                     self._chunks.append(data)
                 case FinishCall():
                     self._reach("answered")
@@ -205,6 +212,14 @@
                         self.entry.calls.discard(self)
                         self._tell(action, self._chunks)
 
+    def _note_chunk(self) -> None:
+        now = self.entry.world.now
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self._last_at)
+        self._last_at = now
+
     def _send(self, action: SendAttempt) -> None:
         request = self._state.request
         endpoint = self.entry.peers[action.endpoint]
@@ -225,6 +240,7 @@
             request.priority,
             request.deadline,
             action.key,
+            action.resume_after > 0,
         )
         number = action.attempt
         attempt = Attempt(arrival, self._work, number, action.resume_after, self)
--- a/fakes/model/tests/test_matrix.py
+++ b/fakes/model/tests/test_matrix.py
@@ -10,7 +10,7 @@
 from fakes.model import FAULTS, STEPS, Cell, _daemons, run_cell
 from fakes.model._endpoint import EndpointDaemon
 from mintsaddle.decisions.admission import AdmissionRules, AdmissionState
-from mintsaddle.decisions.admission import _commands as admission
+from mintsaddle.decisions.admission import _queries as admission
 from mintsaddle.decisions.arrivals import _commands as arrivals
 from mintsaddle.decisions.calls import DeliverChunk
 from mintsaddle.decisions.calls import _commands as calls
--- a/fakes/tests/test_processes.py
+++ b/fakes/tests/test_processes.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import pytest
@@ -290,6 +291,8 @@
         daemon asks its peers before it serves and follows the newer one.
         """
         running.site.publish("fleet", 8, running.site.fleet_text("# newer\n"))
+        for name in running.site.addresses:
+            wait_for(partial(has_revision, running, name, 8), f"8 at {name}")
         running.site.signal("platform", signal.SIGKILL)
         running.site.wait_for_exit("platform")
         wait_for(lambda: running.status("a-entry") == 200, "service with no platform")
@@ -311,6 +314,11 @@
         assert show_revision(running, "a-entry") == 7
 
 
+def has_revision(running: Running, name: str, revision: int) -> bool:
+    """Return whether a daemon follows a revision."""
+    return show_revision(running, name) == revision
+
+
 def show_revision(running: Running, name: str) -> int:
     """Return a daemon's text revision as the tool shows it."""
     output = show_status(running.site.addresses[name]).unwrap()
--- a/mintsaddle/daemon/_node.py
+++ b/mintsaddle/daemon/_node.py
@@ -238,8 +238,6 @@
             return False
         self.count_control(request, reply)
         sender = read_stamp(reply.stamp)
-        heard = self._gate.heard | {sender.vm}
-        self._gate = self._gate._replace(heard=heard)
         if reply.text:
             text = unpack_value(reply.text)
             if text is not None:
@@ -248,6 +246,9 @@
             marks = unpack_value(reply.marks)
             if marks is not None:
                 self.offer_marks(sender.marks_revision, marks)
+        # Heard only now: the gate would open before its word is in force.
+        heard = self._gate.heard | {sender.vm}
+        self._gate = self._gate._replace(heard=heard)
         return True
 
     async def offer_text(self, revision: int, text: str) -> None:
--- a/mintsaddle/decisions/admission/__init__.py
+++ b/mintsaddle/decisions/admission/__init__.py
@@ -22,7 +22,7 @@
     AdmissionState,
     Candidate,
     Evidence,
-    QueueOrder,
+    Waiting,
 )
 
 __all__ = [
@@ -32,8 +32,8 @@
     "Candidate",
     "Evidence",
     "Offer",
-    "QueueOrder",
     "Verdict",
+    "Waiting",
     "confirm_engine",
     "current_limit",
     "describe_load",
--- a/mintsaddle/decisions/admission/_commands.py
+++ b/mintsaddle/decisions/admission/_commands.py
@@ -3,13 +3,16 @@
 import enum
 from typing import NamedTuple
 
-from mintsaddle.decisions.admission._queries import current_limit, predict_wait
+from mintsaddle.decisions.admission._queries import (
+    has_place,
+    order_queue,
+    predict_wait,
+)
 from mintsaddle.decisions.admission._state import (
     AdmissionRules,
     AdmissionState,
     Candidate,
     Evidence,
-    QueueOrder,
     Running,
     Waiting,
 )
@@ -41,8 +44,8 @@
     """Admit, queue or refuse an arriving request at once."""
     if state.engine_boot is None or candidate.start_by < now:
         return Offer(Verdict.REFUSE)
-    waiting = _make_waiting(state, rules, candidate)
-    if not state.waiting and _has_place(state, rules, now):
+    waiting = Waiting(candidate, state.count_arrival())
+    if not state.waiting and has_place(state, rules, candidate, now):
         _start(state, waiting, now)
         return Offer(Verdict.START)
     state.put_waiting(waiting)
@@ -126,36 +129,18 @@
 ) -> tuple[str, ...]:
     """Start what may start; return the started requests in their order."""
     started = []
-    while state.waiting and _has_place(state, rules, now):
-        first = min(state.waiting.values(), key=lambda waiting: waiting.order)
+    while state.waiting:
+        first = order_queue(state)[0]
+        if not has_place(state, rules, first.candidate, now):
+            break
         state.drop_waiting(first.candidate.request_id)
         _start(state, first, now)
         started.append(first.candidate.request_id)
     return tuple(started)
 
 
-def _has_place(state: AdmissionState, rules: AdmissionRules, now: Instant) -> bool:
-    return len(state.running) < current_limit(state, rules, now)
-
-
 def _start(state: AdmissionState, waiting: Waiting, now: Instant) -> None:
-    candidate = waiting.candidate
-    state.advance_virtual_time(waiting.order[1])
-    state.put_running(Running(candidate, now, state.epoch))
-
-
-def _make_waiting(
-    state: AdmissionState, rules: AdmissionRules, candidate: Candidate
-) -> Waiting:
-    number = state.count_arrival()
-    tag = 0.0
-    if rules.order is QueueOrder.FAIR:
-        start = max(state.virtual_time, state.tag_of(candidate.workspace))
-        tag = start
-        state.put_tag(candidate.workspace, start + 1.0 / candidate.share)
-    elif rules.order is QueueOrder.SHORTEST:
-        tag = state.length_of(candidate.workspace, candidate.service)
-    return Waiting(candidate, (-candidate.priority, tag, number))
+    state.put_running(Running(waiting.candidate, now, state.epoch))
 
 
 def _shed_hopeless(
@@ -168,7 +153,7 @@
     """
     shed = []
     ahead = 0
-    for waiting in sorted(state.waiting.values(), key=lambda waiting: waiting.order):
+    for waiting in order_queue(state):
         wait = predict_wait(state, rules, ahead, now)
         if now + wait > waiting.candidate.start_by:
             shed.append(waiting.candidate.request_id)
@@ -187,7 +172,7 @@
     now: Instant,
 ) -> None:
     if evidence in (Evidence.GOOD, Evidence.SLOW):
-        state.record_time(running.candidate, now - running.started_at)
+        state.record_time(now - running.started_at)
     room = rules.limit - min(rules.cold_limit, rules.limit)
     if evidence is Evidence.GOOD:
         state.replace_gained(min(float(room), state.gained + rules.growth))
--- a/mintsaddle/decisions/admission/_queries.py
+++ b/mintsaddle/decisions/admission/_queries.py
@@ -1,6 +1,14 @@
 """Questions to the admission state."""
 
-from mintsaddle.decisions.admission._state import AdmissionRules, AdmissionState
+from collections import Counter
+from operator import itemgetter
+
+from mintsaddle.decisions.admission._state import (
+    AdmissionRules,
+    AdmissionState,
+    Candidate,
+    Waiting,
+)
 from mintsaddle.values import Instant, Load
 
 CONFIRMATION_LIFE = 0.5
@@ -10,6 +18,9 @@
 """
 
 
+_PLACES_FOR_ONE_KEPT = 32
+
+
 def current_limit(state: AdmissionState, rules: AdmissionRules, now: Instant) -> int:
     """Return how many requests the engine may hold now.
 
@@ -36,6 +47,28 @@
     return Load(len(state.running), limit, len(state.waiting), leaving)
 
 
+def has_place(
+    state: AdmissionState, rules: AdmissionRules, candidate: Candidate, now: Instant
+) -> bool:
+    """Return whether a request may start now.
+
+    The last few places of a full engine are kept for workspaces that hold no
+    more than the mean for their share: a small one's newcomer then starts at
+    once instead of waiting for a large one's request to end.
+    """
+    limit = current_limit(state, rules, now)
+    free = limit - len(state.running)
+    if free > limit // _PLACES_FOR_ONE_KEPT:
+        return True
+    return free > 0 and _holds_little(state, candidate)
+
+
+def _holds_little(state: AdmissionState, candidate: Candidate) -> bool:
+    held = state.held_by(candidate.workspace)
+    total = state.total_share() + (0.0 if held else candidate.share)
+    return held / candidate.share <= len(state.running) / total
+
+
 def predict_wait(
     state: AdmissionState, rules: AdmissionRules, ahead: int, now: Instant
 ) -> float:
@@ -43,3 +76,21 @@
     limit = max(1, current_limit(state, rules, now))
     mean_time = state.mean_time or rules.target
     return (ahead + 1) * mean_time / limit
+
+
+def order_queue(state: AdmissionState) -> list[Waiting]:
+    """Return the queue in the order in which it starts.
+
+    By priority; then the workspace that holds least of the engine for its
+    share (weighted max-min); then by arrival. A workspace's own later requests
+    count the earlier ones as held already.
+    """
+    ahead: Counter[str] = Counter()
+    keyed = []
+    for waiting in state.waiting.values():
+        candidate = waiting.candidate
+        held = state.held_by(candidate.workspace) + ahead[candidate.workspace]
+        ahead[candidate.workspace] += 1
+        key = (-candidate.priority, held / candidate.share, waiting.number)
+        keyed.append((key, waiting))
+    return [waiting for _, waiting in sorted(keyed, key=itemgetter(0))]
--- a/mintsaddle/decisions/admission/_state.py
+++ b/mintsaddle/decisions/admission/_state.py
@@ -1,26 +1,13 @@
 """What an endpoint daemon knows of its engine and of the work before it."""
 
 import enum
+from collections import Counter
 from collections.abc import Mapping
 from typing import NamedTuple
 
 from mintsaddle.values import Boot, Instant
 
 
-class QueueOrder(enum.Enum):
-    """By what the queue is ordered within a priority."""
-
-    FAIR = "fair"
-    """Weighted fair share between workspaces (start-time fair queueing)."""
-
-    ARRIVAL = "arrival"
-    """First come, first served."""
-
-    SHORTEST = "shortest"
-    """Predicted shortest first, after the ELIS paper's ISRTF; predicted by a
-    running mean for each workspace and service."""
-
-
 class AdmissionRules(NamedTuple):
     """What the fleet text says of an endpoint's engine."""
 
@@ -29,7 +16,6 @@
     growth: float
     target: float
     longest_queue: float
-    order: QueueOrder = QueueOrder.FAIR
 
 
 class Candidate(NamedTuple):
@@ -46,15 +32,13 @@
     start_by: Instant
     """A request that can't start by then is refused on arrival."""
 
-    service: str = ""
-
 
 class Waiting(NamedTuple):
     """A request in the queue."""
 
     candidate: Candidate
-    order: tuple[int, float, int]
-    """Sorts the queue: falling priority, then tag, then arrival."""
+    number: int
+    """Counts arrivals."""
 
 
 class Running(NamedTuple):
@@ -95,12 +79,11 @@
         self._reported_limit: int | None = None
         self._gained = 0.0
         self._mean_time = 0.0
-        self._virtual_time = 0.0
         self._arrivals = 0
         self._running: dict[str, Running] = {}
         self._waiting: dict[str, Waiting] = {}
-        self._tags: dict[str, float] = {}
-        self._lengths: dict[tuple[str, str], float] = {}
+        self._held: Counter[str] = Counter()
+        self._shares: dict[str, float] = {}
 
     @property
     def engine_boot(self) -> Boot | None:
@@ -132,11 +115,6 @@
         """Running mean of a request's time at the engine; 0 at first."""
         return self._mean_time
 
-    @property
-    def virtual_time(self) -> float:
-        """The fair queue's virtual time."""
-        return self._virtual_time
-
     @property
     def running(self) -> Mapping[str, Running]:
         """Requests that the engine holds, by id."""
@@ -147,13 +125,13 @@
         """Requests in the queue, by id."""
         return self._waiting
 
-    def tag_of(self, workspace: str) -> float:
-        """Return the last virtual finish time given to a workspace."""
-        return self._tags.get(workspace, 0.0)
+    def held_by(self, workspace: str) -> int:
+        """Return how many of a workspace's requests the engine holds."""
+        return self._held[workspace]
 
-    def length_of(self, workspace: str, service: str) -> float:
-        """Return the predicted time of a workspace's request at the engine."""
-        return self._lengths.get((workspace, service), self._mean_time)
+    def total_share(self) -> float:
+        """Return the summed shares of the workspaces that hold places."""
+        return sum(self._shares[workspace] for workspace in self._held)
 
     def replace_engine(
         self, boot: Boot | None, confirmed_at: Instant, reported_limit: int | None
@@ -173,25 +151,10 @@
         """Set the places gained by evidence."""
         self._gained = gained
 
-    def record_time(self, candidate: Candidate, seconds: float) -> None:
-        """Take a finished request's time into the running means."""
-        self._mean_time = _blend(self._mean_time, seconds)
-        key = (candidate.workspace, candidate.service)
-        self._lengths[key] = _blend(self._lengths.get(key, 0.0), seconds)
-
-    def advance_virtual_time(self, tag: float) -> None:
-        """Move virtual time up to a started request's tag."""
-        if tag <= self._virtual_time:
-            return
-        self._virtual_time = tag
-        # A tag behind virtual time says nothing any more; dropping it bounds
-        # the memory by the workspaces that wait at present.
-        if len(self._tags) > 2 * len(self._waiting) + 64:
-            self._tags = {name: kept for name, kept in self._tags.items() if kept > tag}
-
-    def put_tag(self, workspace: str, tag: float) -> None:
-        """Set the last virtual finish time of a workspace."""
-        self._tags[workspace] = tag
+    def record_time(self, seconds: float) -> None:
+        """Take a finished request's time into the running mean."""
+        blend = _BLEND if self._mean_time else 1.0
+        self._mean_time += blend * (seconds - self._mean_time)
 
     def count_arrival(self) -> int:
         """Return the number of this arrival."""
@@ -209,17 +172,20 @@
     def put_running(self, running: Running) -> None:
         """Add a request that the engine gets."""
         self._running[running.candidate.request_id] = running
+        self._held[running.candidate.workspace] += 1
+        self._shares[running.candidate.workspace] = running.candidate.share
 
     def drop_running(self, request_id: str) -> Running | None:
         """Take away a request that is over."""
-        return self._running.pop(request_id, None)
+        running = self._running.pop(request_id, None)
+        if running is not None:
+            workspace = running.candidate.workspace
+            self._held[workspace] -= 1
+            if not self._held[workspace]:
+                # There are thousands; those that hold nothing are dropped.
+                del self._held[workspace]
+                del self._shares[workspace]
+        return running
 
 
 _BLEND = 0.1
-
-
-def _blend(mean: float, value: float) -> float:
-    """Return a running mean; the first value stands for itself."""
-    if mean == 0.0:
-        return value
-    return mean + _BLEND * (value - mean)
--- a/mintsaddle/decisions/arrivals/_commands.py
+++ b/mintsaddle/decisions/arrivals/_commands.py
@@ -42,6 +42,9 @@
 _AWAITED = 4.0
 """Seconds that a leaving daemon gives other homes to hear its last word."""
 
+_RESUMED_PRIORITY = 10
+"""Above all that callers may ask for."""
+
 _BACK_SOON = 1.0
 _BACK_LATER = 5.0
 
@@ -211,13 +214,19 @@
     fleet: Fleet, service: Service, arrival: Arrival, now: Instant
 ) -> Candidate:
     workspace = fleet.workspaces.get(arrival.workspace)
+    start_by = min(arrival.deadline, now + service.longest_queue)
+    priority = arrival.priority
+    if arrival.resumes:
+        # Refused, it would be cut in the middle, which the caller can't mend:
+        # it goes before all that has not begun, and waits if it must.
+        start_by = arrival.deadline
+        priority = _RESUMED_PRIORITY
     return Candidate(
         request_id=arrival.request_id,
         workspace=arrival.workspace,
         share=workspace.share if workspace else 1.0,
-        priority=arrival.priority,
-        start_by=min(arrival.deadline, now + service.longest_queue),
-        service=service.name,
+        priority=priority,
+        start_by=start_by,
     )
 
 
--- a/mintsaddle/decisions/arrivals/_messages.py
+++ b/mintsaddle/decisions/arrivals/_messages.py
@@ -20,6 +20,9 @@
     key: OrderKey | None
     """The order's key; None for a call that may repeat."""
 
+    resumes: bool = False
+    """Whether the caller has a part of the answer already."""
+
 
 class EngineResult(NamedTuple):
     """How the engine's handling of a request ended."""
--- a/mintsaddle/decisions/calls/_commands.py
+++ b/mintsaddle/decisions/calls/_commands.py
@@ -53,6 +53,7 @@
 
 _TARGETS_OF_PATIENCE = 3.0
 _MOST_ATTEMPTS = 6
+_BLIND_ATTEMPTS = 2
 _MOST_REROUTES = 3
 _COME_BACK = 1.0
 _COME_BACK_SPREAD = 4.0
@@ -196,7 +197,7 @@
         state.mark_reached()
     if is_order(state):
         return _refuse_order(state, facts, refusal.claim, refusal.reason, now)
-    if not may_start_over(state) or not _may_reroute(state, facts):
+    if not may_start_over(state) or not _may_reroute(state, facts, now):
         return _give_up(state, facts, refusal.reason, now)
     return _try_next(state, facts, refusal.reason, now)
 
@@ -218,17 +219,20 @@
     return _give_up(state, facts, reason, now)
 
 
-def _may_reroute(state: CallState, facts: RouteFacts) -> bool:
+def _may_reroute(state: CallState, facts: RouteFacts, now: Instant) -> bool:
     """Return whether a refused call should try once more.
 
-    Only where a free place is believed to be: under overload a refusal would
-    otherwise cost every endpoint a look at every request.
+    Once anywhere, since another endpoint's queue may be shorter or fairer to
+    it; after that only where a free place is believed to be: under overload a
+    refusal would otherwise cost every endpoint a look at every request.
     """
+    if state.attempts < _BLIND_ATTEMPTS:
+        return True
     if state.attempts >= _MOST_REROUTES:
         return False
     service = state.request.service
     return any(
-        has_free_place(facts.routing, service, name)
+        has_free_place(facts.routing, service, name, now)
         for name in service.endpoints
         if name not in state.tried and not facts.marks.is_out(facts.fleet, name)
     )
--- /dev/null
+++ b/mintsaddle/decisions/expert_maps/_maps.py
@@ -0,0 +1,89 @@
+"""Expert maps and what a step costs under them.
+
+In each layer every rank has the same number of slots, and each slot holds one
+expert. An expert with several slots shares its tokens evenly among them. All
+ranks wait for the slowest one in each layer.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple, TypeAlias
+
+Popularity: TypeAlias = Sequence[Sequence[float]]
+"""Tokens of each expert, by layer; shape (layers, experts)."""
+
+LayerSlots: TypeAlias = tuple[tuple[int, ...], ...]
+"""Experts of one layer, by rank; shape (ranks, slots)."""
+
+
+class ExpertMap(NamedTuple):
+    """One version of a group's map."""
+
+    version: int
+    layers: tuple[LayerSlots, ...]
+    """Experts by layer, rank and slot; shape (layers, ranks, slots)."""
+
+    def slots_of(self, rank: int) -> tuple[int, ...]:
+        """Return a rank's experts, layer by layer, for the engine."""
+        return tuple(expert for layer in self.layers for expert in layer[rank])
+
+
+def make_first_map(
+    version: int, ranks: int, experts: int, layers: int, slots: int
+) -> ExpertMap:
+    """Return a map that deals the experts out in turns."""
+    layer = tuple(
+        tuple((rank + slot * ranks) % experts for slot in range(slots))
+        for rank in range(ranks)
+    )
+    return ExpertMap(version, (layer,) * layers)
+
+
+def is_complete(expert_map: ExpertMap, experts: int) -> bool:
+    """Return whether each layer holds every expert at least once."""
+    wanted = set(range(experts))
+    return all(
+        {expert for slots in layer for expert in slots} == wanted
+        for layer in expert_map.layers
+    )
+
+
+def count_moved(old: ExpertMap, new: ExpertMap) -> int:
+    """Return how many slots get an expert that their rank doesn't hold yet."""
+    moved = 0
+    for old_layer, new_layer in zip(old.layers, new.layers, strict=True):
+        for had, gets in zip(old_layer, new_layer, strict=True):
+            moved += (Counter(gets) - Counter(had)).total()
+    return moved
+
+
+def rank_loads(
+    layer: LayerSlots, popularity: Sequence[float], speeds: Sequence[float]
+) -> list[float]:
+    """Return each rank's time in one layer, in tokens of a normal rank."""
+    copies = Counter(expert for slots in layer for expert in slots)
+    return [
+        sum(popularity[expert] / copies[expert] for expert in slots) / speed
+        for slots, speed in zip(layer, speeds, strict=True)
+    ]
+
+
+def step_load(
+    expert_map: ExpertMap, popularity: Popularity, speeds: Sequence[float]
+) -> float:
+    """Return the time of a step: the slowest rank's, summed over layers."""
+    return sum(
+        max(rank_loads(layer, tokens, speeds))
+        for layer, tokens in zip(expert_map.layers, popularity, strict=True)
+    )
+
+
+def measure_skew(
+    expert_map: ExpertMap, popularity: Popularity, speeds: Sequence[float]
+) -> float:
+    """Return the step-time skew: the slowest rank over the mean."""
+    total = sum(speeds)
+    mean = sum(sum(tokens) / total for tokens in popularity)
+    if mean == 0.0:
+        return 1.0
+    return step_load(expert_map, popularity, speeds) / mean
--- a/mintsaddle/decisions/routing/_commands.py
+++ b/mintsaddle/decisions/routing/_commands.py
@@ -41,10 +41,14 @@
     state.replace_view(endpoint, view._replace(sent=max(0, view.sent - 1)))
 
 
-def note_load(state: RoutingState, endpoint: str, boot: Boot, load: Load) -> None:
+def note_load(
+    state: RoutingState, endpoint: str, boot: Boot, load: Load, now: Instant
+) -> None:
     """Take over the exact load that an endpoint daemon reported."""
     view = state.view(endpoint)
-    view = view._replace(load=load, sent_at_report=view.sent, boot=boot, failures=0)
+    view = view._replace(
+        load=load, load_at=now, sent_at_report=view.sent, boot=boot, failures=0
+    )
     if not load.leaving:
         view = view._replace(blocked_until=0.0)
     state.replace_view(endpoint, view)
--- a/mintsaddle/decisions/routing/_queries.py
+++ b/mintsaddle/decisions/routing/_queries.py
@@ -73,21 +73,24 @@
     rested = [name for name in names if state.view(name).blocked_until <= now]
     if not rested:
         return _least_rested(state, names)
-    free = [name for name in rested if has_free_place(state, request.service, name)]
+    service = request.service
+    free = [name for name in rested if has_free_place(state, service, name, now)]
     near = [
         name for name in free if fleet.endpoints[name].data_centre == state.data_centre
     ]
     candidates = near or free or rested
-    own = _own_by_prefix(state, request, candidates)
+    own = _own_by_prefix(state, request, candidates, now)
     if own is not None:
         return own
     pair = rng.sample(candidates, min(_CHOICES, len(candidates)))
-    return min(pair, key=lambda name: _utilisation(state, request.service, name))
+    return min(pair, key=lambda name: _utilisation(state, service, name, now))
 
 
-def has_free_place(state: RoutingState, service: Service, endpoint: str) -> bool:
+def has_free_place(
+    state: RoutingState, service: Service, endpoint: str, now: Instant
+) -> bool:
     """Return whether an endpoint is believed to have a place."""
-    return _utilisation(state, service, endpoint) < 1.0
+    return _utilisation(state, service, endpoint, now) < 1.0
 
 
 def choose_home(
@@ -122,19 +125,21 @@
 
 
 def _own_by_prefix(
-    state: RoutingState, request: RouteRequest, candidates: list[str]
+    state: RoutingState, request: RouteRequest, candidates: list[str], now: Instant
 ) -> str | None:
     if not request.prefix:
         return None
-    loads = [state.view(name).estimate_load() for name in candidates]
+    loads = [state.view(name).estimate_load(now) for name in candidates]
     bound = AFFINITY_SLACK * (sum(loads) + 1) / len(candidates)
     for name in rank_by_score(request.prefix, candidates)[:_CHOICES]:
-        if state.view(name).estimate_load() < bound:
+        if state.view(name).estimate_load(now) < bound:
             return name
     return None
 
 
-def _utilisation(state: RoutingState, service: Service, endpoint: str) -> float:
+def _utilisation(
+    state: RoutingState, service: Service, endpoint: str, now: Instant
+) -> float:
     view = state.view(endpoint)
     limit = view.load.limit if view.load else service.cold_limit
-    return view.estimate_load() / max(1, limit)
+    return view.estimate_load(now) / max(1, limit)
--- a/mintsaddle/decisions/routing/_state.py
+++ b/mintsaddle/decisions/routing/_state.py
@@ -4,6 +4,9 @@
 
 from mintsaddle.values import Boot, Instant, Load
 
+REPORT_LIFE = 1.0
+"""Seconds for which a reported load is believed."""
+
 BUDGET_CAP = 20.0
 """Retries that may be saved up by quiet times."""
 
@@ -17,6 +20,9 @@
     load: Load | None = None
     """The last load that the endpoint's daemon reported."""
 
+    load_at: Instant = 0.0
+    """When it reported that."""
+
     sent_at_report: int = 0
     """Own attempts there when that load was reported."""
 
@@ -29,9 +35,13 @@
     blocked_until: Instant = 0.0
     """Not tried before, unless nothing else is left."""
 
-    def estimate_load(self) -> int:
-        """Return the requests believed to be there, waiting ones included."""
-        if self.load is None:
+    def estimate_load(self, now: Instant) -> int:
+        """Return the requests believed to be there, waiting ones included.
+
+        An old report counts for nothing: an endpoint that was full once would
+        otherwise never be tried again by an entry that has nothing there.
+        """
+        if self.load is None or now > self.load_at + REPORT_LIFE:
             return self.sent
         since = self.sent - self.sent_at_report
         return max(self.sent, self.load.in_flight + self.load.queued + since)
--- a/mintsaddle/endpoint/_service.py
+++ b/mintsaddle/endpoint/_service.py
@@ -49,6 +49,7 @@
             priority=message.priority,
             deadline=message.deadline,
             key=key,
+            resumes=message.resume_after > 0,
         )
         mailbox = self._host.open(arrival, message)
         try:
--- a/mintsaddle/entry/_calls.py
+++ b/mintsaddle/entry/_calls.py
@@ -200,7 +200,9 @@
             return
         stamp = read_stamp(reply.stamp)
         self._node.note_stamp(stamp, address)
-        note_load(self._routing, action.endpoint, stamp.boot, read_load(reply.load))
+        load = read_load(reply.load)
+        now = self._node.now()
+        note_load(self._routing, action.endpoint, stamp.boot, load, now)
         if word == "accepted":
             self._handle(AttemptAccepted(number))
         elif word == "refused":
--- a/mintsaddle/entry/_requests.py
+++ b/mintsaddle/entry/_requests.py
@@ -63,7 +63,9 @@
     prefix = body[:_PREFIX_BYTES].decode(errors="replace")
     return Success(
         CallRequest(
-            request_id=str(environ.get("HTTP_REQUEST_ID") or uuid.uuid4()),
+            # Never the caller's own: two callers might bring the same, and an
+            # endpoint daemon takes the second one for a doubled message.
+            request_id=str(uuid.uuid4()),
             service=service,
             workspace=workspace,
             priority=priority,
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -130,7 +130,7 @@
     stamp = read_stamp(status.stamp)
     node.note_stamp(stamp, address)
     load: Load = read_load(status.load)
-    note_load(routing, name, stamp.boot, load)
+    note_load(routing, name, stamp.boot, load, node.now())
 
 
 def _describe(app: EntryApp, status: pb.Status) -> None:
