--- a/fakes/site.py
+++ b/fakes/site.py
@@ -175,6 +175,14 @@
         connection.getresponse().read()
         connection.close()
 
+    def platform_calls(self) -> int:
+        """Return how often the platform was read or watched."""
+        connection = http.client.HTTPConnection(self._platform, timeout=5)
+        connection.request("GET", "/operator/calls")
+        calls = int(json.loads(connection.getresponse().read())["calls"])
+        connection.close()
+        return calls
+
     def wait_until_serving(self) -> None:
         """Return once every entry passes its health check."""
         for name in self._http:
--- a/mintsaddle/decisions/orders/_homes.py
+++ b/mintsaddle/decisions/orders/_homes.py
@@ -283,7 +283,9 @@
     unknown_until = now + CLOCK_BOUNDS * clock_bound
     if home.round_number == _SECOND_ROUND and others <= set(home.second_boots):
         if not _may_settle(state, home, clock_bound):
-            return home
+            # All agree but nobody is anchored: asked again, until one is or
+            # the operator's bootstrap date comes.
+            return _restart(home)
         home = _take_back(state, home, others)
         return _settle(home, _find_move_floor(home, unknown_until))
     vouched = answer.homes == home.wanted and answer.settled and home.anchored
--- a/mintsaddle/decisions/orders/tests/test_homes_machine.py
+++ b/mintsaddle/decisions/orders/tests/test_homes_machine.py
@@ -373,6 +373,29 @@
             assert story() == 2, f"without {name} the story should go wrong"
 
 
+class TestBootstrap:
+    def test_bootstrap_published_later_settles_the_homes(self) -> None:
+        """Brought keys would answer ask-again for ever.
+
+        All homes restart together and agree, but nobody is anchored. Then
+        the operator publishes a text with a later bootstrap date.
+        """
+        story = Story()
+        for vm in "ac":
+            story.restart(vm, 7, planned=False)
+        story.talk("acac")
+        key = story.key_of("a")
+        assert story.runs("a", key) == 0
+        story.bootstrap = story.now + 1.0
+        for vm in "ac":
+            adopt_homes(
+                story.homes[vm].orders, SERVICE, TEXTS[7], story.bootstrap, BOUND
+            )
+        story.talk("acac")
+        story.now += 2.0
+        assert story.runs("a", story.key_of("a")) == 1
+
+
 class TestPlannedRestart:
     def test_key_before_the_stop_is_answered_after_it(self) -> None:
         """A counter asks again after a planned restart of the home.
--- a/mintsaddle/endpoint/_run.py
+++ b/mintsaddle/endpoint/_run.py
@@ -33,7 +33,10 @@
 from mintsaddle.transport.proto import peer_pb2 as pb
 
 PROBE_PAUSE = 0.2
-"""Seconds between looks at the engine; shorter than a sight's life."""
+"""Seconds between looks at a working engine; shorter than a sight's life."""
+
+IDLE_PROBE_PAUSE = 1.0
+"""Seconds between looks at an idle one, which counts as cold meanwhile."""
 
 _TICK = 0.1
 _IDLE_PAUSE = 0.05
@@ -99,7 +102,8 @@
                 host.perform(actions)
             case Failure(True):
                 host.perform(lose(host.state, node.now()))
-        await asyncio.sleep(PROBE_PAUSE)
+        idle = not host.state.arrivals
+        await asyncio.sleep(IDLE_PROBE_PAUSE if idle else PROBE_PAUSE)
 
 
 async def _keep_ticking(host: EndpointHost) -> None:
