Let a former home answer for its keys

Cause: an order endpoint that a text took out of a service refused every key as not served, also keys that it had run and keys issued to this very run, so a caller was told ask-again until it gave up. Ruled out: the entry's choice of home, which followed the key rightly. Change: the ledger and the issued key's boot are looked at before the service's list; a key that the list no longer gives here gets a tombstone.

--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from datetime import UTC, datetime, timedelta
 
 from benchmarks.real_path import read_cost
 from fakes.site import Site, VmPlan
@@ -19,6 +20,7 @@
 [service orders]
 repeat = no
 endpoints = {endpoints}
+bootstrap = {bootstrap}
 
 [workspace load]
 services = letters
@@ -32,7 +34,9 @@
         VmPlan(f"{name}-{n}", name, "endpoint") for name in "ab" for n in range(count)
     ]
     names = " ".join(plan.name for plan in plans if plan.role == "endpoint")
-    site = Site(plans, _SERVICES.format(endpoints=names))
+    later = datetime.now(UTC) + timedelta(seconds=30)
+    bootstrap = later.isoformat(timespec="seconds")
+    site = Site(plans, _SERVICES.format(endpoints=names, bootstrap=bootstrap))
     try:
         site.start()
         site.publish("fleet", 1, site.fleet_text())
--- a/mintsaddle/decisions/arrivals/_commands.py
+++ b/mintsaddle/decisions/arrivals/_commands.py
@@ -35,7 +35,7 @@
     settle_alone,
 )
 from mintsaddle.fleet import Fleet, Service, list_homes
-from mintsaddle.values import Boot, Claim, Instant, Reason, Refusal
+from mintsaddle.values import Boot, Claim, Instant, OrderKey, Reason, Refusal
 
 Actions = tuple[ArrivalAction, ...]
 
@@ -56,12 +56,11 @@
         # as an engine that holds more than its limit.
         return ()
     fleet = state.configuration.fleet
-    service = fleet.services.get(arrival.service) if fleet else None
-    if fleet is None or service is None or state.vm not in service.endpoints:
+    if fleet is None:
         return _refuse(arrival, _claim_nothing(arrival), Reason.NOT_SERVED, now)
-    if arrival.key is None:
-        return _admit(state, fleet, service, arrival, now)
-    return _arrive_order(state, fleet, service, arrival, now)
+    if arrival.key is not None:
+        return _arrive_order(state, fleet, arrival, arrival.key, now)
+    return _admit(state, fleet, arrival, now)
 
 
 def close_engine_call(
@@ -152,30 +151,33 @@
 def _arrive_order(
     state: EndpointState,
     fleet: Fleet,
-    service: Service,
     arrival: Arrival,
+    key: OrderKey,
     now: Instant,
 ) -> Actions:
-    assert arrival.key is not None
+    """Decide on an order, also one of a service that has moved away.
+
+    A former home still knows the fate of what it ran, and is the only one
+    that can say of a key issued to it that it never will run.
+    """
     verdict = decide_key(
         state.orders,
-        arrival.key,
-        service.name,
+        key,
+        arrival.service,
         fleet.clock_bound,
         fleet.ledger_window,
         now,
     )
     if verdict.word is KeyWord.RUN:
-        return _admit(state, fleet, service, arrival, now)
-    return _answer_known(state, arrival, verdict)
+        return _admit(state, fleet, arrival, now)
+    return _answer_known(state, arrival, key, verdict)
 
 
 def _answer_known(
-    state: EndpointState, arrival: Arrival, verdict: KeyVerdict
+    state: EndpointState, arrival: Arrival, key: OrderKey, verdict: KeyVerdict
 ) -> Actions:
-    assert arrival.key is not None
     if verdict.word is KeyWord.JOIN:
-        state.join(arrival.key.text, arrival.request_id)
+        state.join(key.text, arrival.request_id)
         return (AcceptArrival(arrival.request_id),)
     if verdict.entry is not None:
         return (AnswerArrival(arrival.request_id, verdict.entry),)
@@ -184,12 +186,11 @@
 
 
 def _admit(
-    state: EndpointState,
-    fleet: Fleet,
-    service: Service,
-    arrival: Arrival,
-    now: Instant,
+    state: EndpointState, fleet: Fleet, arrival: Arrival, now: Instant
 ) -> Actions:
+    service = fleet.services.get(arrival.service)
+    if service is None or state.vm not in service.endpoints:
+        return _refuse_new(state, arrival, Reason.NOT_SERVED, now)
     reason = is_refusing(state)
     if reason is not None:
         return _refuse_new(state, arrival, reason, now)
--- a/mintsaddle/decisions/orders/_homes.py
+++ b/mintsaddle/decisions/orders/_homes.py
@@ -50,6 +50,9 @@
 VOUCH_PATIENCE = 1.5
 """Seconds for all homes to answer before one settled home's word is enough."""
 
+_ASK_AGAIN = 2.0
+"""Seconds between full rounds that may not settle."""
+
 _NONCE_BITS = 62
 _FIRST_ROUND = 1
 _SECOND_ROUND = 2
@@ -129,7 +132,7 @@
     home = state.homes.get(service)
     if home is None or home_is_settled(home):
         return ()
-    if state.vm not in home.wanted.homes:
+    if state.vm not in home.wanted.homes or now < home.ask_at:
         return ()
     second = home.round_number == _SECOND_ROUND
     answered = home.second_boots if second else home.first_boots
@@ -285,7 +288,7 @@
         if not _may_settle(state, home, clock_bound):
             # All agree but nobody is anchored: asked again, until one is or
             # the operator's bootstrap date comes.
-            return _restart(home)
+            return _restart(home)._replace(ask_at=now + _ASK_AGAIN)
         home = _take_back(state, home, others)
         return _settle(home, _find_move_floor(home, unknown_until))
     vouched = answer.homes == home.wanted and answer.settled and home.anchored
--- a/mintsaddle/decisions/orders/_state.py
+++ b/mintsaddle/decisions/orders/_state.py
@@ -91,6 +91,9 @@
     boot_floor: Instant = 0.0
     """Keys dated up to it may have run before this run's start."""
 
+    ask_at: Instant = 0.0
+    """Before it nobody is asked."""
+
     vouch_at: Instant = 0.0
     """From then on another settled home's word is enough; 0 before asking."""
 
