Exit at once after a stop; claim nothing of a key in a bad request

Ruled out: work in flight, and the refresh before leaving. The process now ends itself once all work is done. - a retry with a bad header was answered not-run, although its key may have run by another entry. With a key it is ask-again now. Change besides: the group, answer and delivery code is split by job.

--- a/fakes/tests/test_processes.py
+++ b/fakes/tests/test_processes.py
@@ -14,6 +14,7 @@
 from fakes.demo import bootstrapped, uuid7
 from fakes.site import Answer, Site, VmPlan
 from mintsaddle.cli import show_status
+from mintsaddle.daemon import WATCH_SECONDS
 
 SERVICES = """
 [service letters]
@@ -218,6 +219,16 @@
             assert_whole(draft.result(WAIT))
         assert running.site.wait_for_exit("a-entry") == 0
 
+    def test_idle_stop_does_not_wait_for_a_watch(self, running: Running) -> None:
+        """An operator waits half a minute for a daemon that has nothing to do.
+
+        A thread that watches the platform held the process after its end.
+        """
+        started = time.monotonic()
+        running.site.signal("b-orders", signal.SIGTERM)
+        assert running.site.wait_for_exit("b-orders") == 0
+        assert time.monotonic() - started < WATCH_SECONDS / 2
+
     def test_kill_never_doubles_an_order(self, running: Running) -> None:
         """A counter loses its connection and comes by the other entry.
 
@@ -249,6 +260,18 @@
             assert_whole(draft.result(WAIT))
         assert running.site.executions("a-letters")["executions"] == before
 
+    def test_mark_ends_admissions_under_load(self, running: Running) -> None:
+        """A data centre that is marked out would go on getting new work."""
+        drafts = [running.draft("a-entry") for _ in range(3)]
+        wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
+        running.site.publish("marks", 1, "[marks]\ndata centre a = out\n")
+        marked_at = time.time()
+        drafts += [running.draft("b-entry") for _ in range(4)]
+        for draft in drafts:
+            assert_whole(draft.result(WAIT))
+        last = float(show_row(running, "a-letters", "last admission"))
+        assert last < marked_at + 3.0
+
     def test_hang_up_cancels_the_draft(self, running: Running) -> None:
         """An engine would go on writing a letter that nobody waits for."""
         connection = http.client.HTTPConnection(running.site.http["a-entry"])
@@ -321,6 +344,11 @@
 
 def show_revision(running: Running, name: str) -> int:
     """Return a daemon's text revision as the tool shows it."""
+    return int(show_row(running, name, "text revision"))
+
+
+def show_row(running: Running, name: str, what: str) -> Any:
+    """Return one line of a daemon's status as the tool shows it."""
     output = show_status(running.site.addresses[name]).unwrap()
     rows: dict[Any, Any] = {row[0]: row[1] for row in output.tables[0].rows}
-    return int(rows["text revision"])
+    return rows[what]
--- a/mintsaddle/cli/_remote.py
+++ b/mintsaddle/cli/_remote.py
@@ -78,6 +78,7 @@
         ("limit", load.limit),
         ("queued", load.queued),
         ("admitted", status.admitted),
+        ("last admission", status.last_admission),
         ("orders remembered", status.ledger_entries),
         ("cpu seconds", status.cpu_seconds),
         ("memory MB", status.memory_bytes / _MEGABYTE),
--- a/mintsaddle/daemon/_main.py
+++ b/mintsaddle/daemon/_main.py
@@ -10,8 +10,11 @@
   --help           Show this page.
 """
 
+import logging
+import os
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 from docopt import docopt
 from returns.result import Failure, Result, Success
@@ -42,7 +45,7 @@
             if options["--check"]:
                 print(f"{options['--settings']}: the settings are good")
                 return 0
-            return _run(settings)
+            _run(settings)
     raise AssertionError("a result is a success or a failure")
 
 
@@ -56,12 +59,15 @@
     return read_settings(path, text)
 
 
-def _run(settings: Settings) -> int:
+def _run(settings: Settings) -> NoReturn:
     # Imported late: a check of settings needs neither role's machinery.
     from mintsaddle.endpoint import run_endpoint
     from mintsaddle.entry import run_entry
 
     start_logging(settings.log_level)
-    if settings.role is Role.ENTRY:
-        return run_entry(settings)
-    return run_endpoint(settings)
+    run = run_entry if settings.role is Role.ENTRY else run_endpoint
+    code = run(settings)
+    logging.shutdown()
+    # All work is done. A helper thread may still wait in a watch of the
+    # platform, and Python would wait for it: a stop would take up to 25 s.
+    os._exit(code)
--- /dev/null
+++ b/mintsaddle/endpoint/_ranks.py
@@ -0,0 +1,146 @@
+"""This daemon as one rank of a group: it obeys one order after the other."""
+
+import asyncio
+import functools
+from typing import Any
+
+from returns.result import Result, Success
+
+from mintsaddle.daemon import DaemonNode
+from mintsaddle.decisions.expert_maps import (
+    GroupAct,
+    RankReading,
+    RankState,
+    RankVerdict,
+    judge_order,
+)
+from mintsaddle.endpoint._group_messages import read_order, read_reading
+from mintsaddle.engines import send_group_order
+from mintsaddle.fleet import Group
+from mintsaddle.observe import make_logger
+from mintsaddle.transport import write_stamp
+from mintsaddle.transport.proto import peer_pb2 as pb
+
+_log = make_logger("group")
+
+
+class RankHost:
+    """This daemon as one rank of one group: the only sender to its engine."""
+
+    def __init__(self, node: DaemonNode, group: Group) -> None:
+        self._node = node
+        self._group = group
+        self._rank = group.ranks.index(node.settings.vm)
+        self._state = RankState(node.boot, node.boot_at)
+        self._turn = asyncio.Lock()
+        self._reading: RankReading | None = None
+        self._ordered_at = node.now()
+        self._skew = 0.0
+        self._note = ""
+
+    @property
+    def group(self) -> Group:
+        """The group as the text has it."""
+        return self._group
+
+    @property
+    def rank(self) -> int:
+        """This rank."""
+        return self._rank
+
+    @property
+    def ordered_at(self) -> float:
+        """When the last order came."""
+        return self._ordered_at
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the engine was held when last read."""
+        return self._reading is not None and self._reading.held
+
+    @property
+    def ballot(self) -> int:
+        """The highest ballot seen."""
+        return self._state.ballot
+
+    def follow(self, group: Group) -> None:
+        """Follow a changed text."""
+        self._group = group
+
+    def note(self, skew: float, text: str) -> None:
+        """Remember what the last plan found, for the status."""
+        self._skew = skew
+        self._note = text
+
+    def describe(self, status: pb.Status) -> None:
+        """Add this rank to a status."""
+        standing = status.groups.add(
+            group=self._group.name,
+            rank=self._rank,
+            ballot=self._state.ballot,
+            skew=self._skew,
+            note=self._note,
+        )
+        if self._reading is not None:
+            standing.active_version = self._reading.active
+            standing.held = self._reading.held
+
+    async def obey(self, message: pb.GroupOrder) -> pb.GroupReply:
+        """Carry out one order, after the one before it has ended."""
+        async with self._turn:
+            self._ordered_at = self._node.now()
+            order = read_order(message)
+            verdict = judge_order(self._state, order, self._node.now())
+            obeyed = verdict is not RankVerdict.REFUSE
+            answer: dict[str, Any] | None = None
+            if verdict is RankVerdict.OBEY:
+                answer = await self._send(order.act.value, _engine_order(message))
+                obeyed = answer is not None and bool(answer.get("obeyed"))
+            elif verdict is RankVerdict.READ:
+                answer = await self._send(GroupAct.READ.value, {"ballot": order.ballot})
+            reply = self._make_reply(answer, obeyed=obeyed)
+            if answer is not None:
+                self._reading = read_reading(reply)
+            return reply
+
+    async def _send(self, act: str, order: dict[str, Any]) -> dict[str, Any] | None:
+        engine = self._node.settings.engine
+        loop = self._node.loop_thread.loop
+        send = functools.partial(send_group_order, engine, act, order)
+        result: Result[dict[str, Any], str] = await loop.run_in_executor(
+            self._node.helpers, send
+        )
+        if not isinstance(result, Success):
+            _log.warning("The engine did not answer '%s': %s.", act, result.failure())
+        return result.value_or(None)
+
+    def _make_reply(
+        self, answer: dict[str, Any] | None, *, obeyed: bool
+    ) -> pb.GroupReply:
+        reply = pb.GroupReply(
+            stamp=write_stamp(self._node.stamp()),
+            group=self._group.name,
+            ballot=self._state.ballot,
+            obeyed=obeyed,
+            has_reading=answer is not None,
+        )
+        if answer is not None:
+            reply.active = answer["active"]
+            reply.staged = answer["staged"]
+            reply.previous = answer["previous"]
+            reply.held = answer["held"]
+            reply.entered = answer["entered"]
+            reply.completed = answer["completed"]
+            reply.popularity.extend(answer.get("popularity", ()))
+            reply.slots.extend(answer.get("slots", ()))
+            reply.speed = answer.get("speed", 1.0)
+        return reply
+
+
+def _engine_order(message: pb.GroupOrder) -> dict[str, Any]:
+    return {
+        "ballot": message.ballot,
+        "version": message.version,
+        "limit": message.limit,
+        "slots": list(message.slots),
+    }
--- a/mintsaddle/entry/_http.py
+++ b/mintsaddle/entry/_http.py
@@ -2,9 +2,8 @@
 
 import json
 import math
-import queue
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any, NamedTuple, TypeAlias
+from collections.abc import Iterable, Iterator
+from typing import Any, TypeAlias
 
 from returns.result import Failure, Success
 
@@ -18,7 +17,18 @@
 from mintsaddle.decisions.configuration import is_out
 from mintsaddle.decisions.routing import RouteRequest, RoutingState, choose_home
 from mintsaddle.engines import EVENT_STREAM
-from mintsaddle.entry._calls import CallerMessage, Delivery, EntryCall, Outbox
+from mintsaddle.entry._answers import (
+    JSON_TYPE,
+    FinalWord,
+    StartResponse,
+    answer_problem,
+    answer_word,
+    key_header,
+    status_line,
+    word_of,
+)
+from mintsaddle.entry._calls import CallerMessage, EntryCall, Outbox
+from mintsaddle.entry._deliveries import Deliveries
 from mintsaddle.entry._requests import (
     LARGEST_BODY,
     Problem,
@@ -27,47 +37,13 @@
 )
 from mintsaddle.fleet import Service
 from mintsaddle.observe import HistogramName, Measure, make_logger
-from mintsaddle.values import Instant, OrderKey, Outcome, Reason, issue_key
+from mintsaddle.values import Instant, Outcome, Reason, issue_key
 
-_Start: TypeAlias = Callable[[str, list[tuple[str, str]]], object]
 _Environ: TypeAlias = dict[str, Any]
 
-_HANG_UP_POLL = 0.25
-_STATUSES = {
-    Outcome.NOT_RUN: "503 Service Unavailable",
-    Outcome.ASK_AGAIN: "503 Service Unavailable",
-    Outcome.IN_DOUBT: "504 Gateway Timeout",
-}
-_JSON = "application/json"
 _log = make_logger("entry")
 
 
-class FinalWord(NamedTuple):
-    """The last event of a stream, or the body of a refusal."""
-
-    outcome: Outcome
-    reason: Reason | None
-    retry_at: Instant
-    delivered: int
-    key: OrderKey | None
-    fresh: OrderKey | None = None
-    """For an order that did not run: the key to come back with."""
-
-    def to_json(self) -> bytes:
-        """Return the JSON form; absent parts are left out."""
-        parts: dict[str, str | int | float] = {"outcome": self.outcome.value}
-        if self.reason is not None:
-            parts["reason"] = self.reason.value
-        if self.retry_at:
-            parts["retry_at"] = round(self.retry_at, 3)
-        if self.key is not None:
-            parts["key"] = self.key.text
-        if self.fresh is not None:
-            parts["fresh_key"] = self.fresh.text
-        parts["count"] = self.delivered
-        return json.dumps(parts).encode()
-
-
 class EntryApp:
     """Turns each caller's HTTP request into a call and its answer."""
 
@@ -92,7 +68,7 @@
         """Refuse new callers from a moment on."""
         self._refuse_after = moment
 
-    def __call__(self, environ: _Environ, start: _Start) -> Iterable[bytes]:
+    def __call__(self, environ: _Environ, start: StartResponse) -> Iterable[bytes]:
         if environ["PATH_INFO"] == "/health":
             return self._answer_health(start)
         fleet = self._node.configuration.fleet
@@ -102,14 +78,14 @@
             return self._refuse(start, Reason.LEAVING)
         match read_target(environ, fleet):
             case Failure(problem):
-                return _answer_problem(start, problem)
+                return answer_problem(start, problem, has_key=_has_key(environ))
             case Success(target):
                 if target.wants_key:
                     return self._issue_key(start, target.service)
                 return self._answer_call(environ, start, target.service)
         return ()
 
-    def _answer_health(self, start: _Start) -> Iterable[bytes]:
+    def _answer_health(self, start: StartResponse) -> Iterable[bytes]:
         """Tell the balancer whether this entry takes new callers."""
         node = self._node
         out = is_out(node.configuration, node.settings.vm)
@@ -120,7 +96,7 @@
         start("503 Service Unavailable", [("Content-Type", "text/plain")])
         return [b"not serving\n"]
 
-    def _refuse(self, start: _Start, reason: Reason) -> Iterable[bytes]:
+    def _refuse(self, start: StartResponse, reason: Reason) -> Iterable[bytes]:
         """Refuse a caller whose request went nowhere from here.
 
         A key that the caller brought may have reached its home by another
@@ -128,21 +104,22 @@
         """
         retry_at = self._node.now() + 1.0
         word = FinalWord(Outcome.ASK_AGAIN, reason, retry_at, 0, None)
-        return _answer_word(start, word, self._node.now())
+        return answer_word(start, word, self._node.now())
 
     def _answer_call(
-        self, environ: _Environ, start: _Start, service: Service
+        self, environ: _Environ, start: StartResponse, service: Service
     ) -> Iterable[bytes]:
         body = _read_body(environ)
         if body is None:
             text = f"body: a length of at most {LARGEST_BODY} bytes is needed"
-            return _answer_problem(start, Problem("413 Content Too Large", text))
+            problem = Problem("413 Content Too Large", text)
+            return answer_problem(start, problem, has_key=_has_key(environ))
         fleet = self._node.configuration.fleet
         assert fleet is not None
         now = self._node.now()
         match read_request(environ, fleet, service, now, body):
             case Failure(problem):
-                return _answer_problem(start, problem)
+                return answer_problem(start, problem, has_key=_has_key(environ))
             case Success(request):
                 return self._run_call(environ, start, request, body, now)
         return ()
@@ -150,7 +127,7 @@
     def _run_call(
         self,
         environ: _Environ,
-        start: _Start,
+        start: StartResponse,
         request: CallRequest,
         body: bytes,
         arrived_at: Instant,
@@ -166,14 +143,14 @@
         post = self._node.loop_thread.post
         post(call.start)
         gone = environ.get("waitress.client_disconnected", lambda: False)
-        deliveries = _Deliveries(call, post, gone, self._open.discard)
+        deliveries = Deliveries(call, post, gone, self._open.discard)
         return self._relay(start, call, deliveries, arrived_at)
 
     def _relay(
         self,
-        start: _Start,
+        start: StartResponse,
         call: EntryCall,
-        deliveries: "_Deliveries",
+        deliveries: "Deliveries",
         arrived_at: Instant,
     ) -> Iterable[bytes]:
         first = deliveries.take()
@@ -184,7 +161,7 @@
                     ("Cache-Control", "no-store"),
                     ("Mintsaddle-Outcome", "see-end"),
                 ]
-                start(_status_line(first.status), head)
+                start(status_line(first.status), head)
                 return self._stream(call, deliveries, arrived_at)
             return self._answer_whole(start, first, call, deliveries, arrived_at)
         deliveries.close()
@@ -195,7 +172,7 @@
         return ()
 
     def _stream(
-        self, call: EntryCall, deliveries: "_Deliveries", arrived_at: Instant
+        self, call: EntryCall, deliveries: "Deliveries", arrived_at: Instant
     ) -> Iterator[bytes]:
         """Give each chunk on, and end with the final word as an event."""
         last = arrived_at
@@ -206,7 +183,7 @@
                 if delivery is None:
                     return
                 if isinstance(delivery, FinishCall):
-                    word = _word_of(delivery)
+                    word = word_of(delivery)
                     self._log_end(call, delivery)
                     yield b"event: end\ndata: " + word.to_json() + b"\n\n"
                     return
@@ -222,10 +199,10 @@
 
     def _answer_whole(
         self,
-        start: _Start,
+        start: StartResponse,
         head: DeliverHead,
         call: EntryCall,
-        deliveries: "_Deliveries",
+        deliveries: "Deliveries",
         arrived_at: Instant,
     ) -> Iterable[bytes]:
         """Answer with a whole body, once it is known to be whole."""
@@ -248,19 +225,23 @@
             ("Content-Length", str(sum(map(len, parts)))),
             ("Mintsaddle-Outcome", Outcome.DONE.value),
         ]
-        headers += _key_header(delivery.key)
-        start(_status_line(head.status), headers)
+        headers += key_header(delivery.key)
+        start(status_line(head.status), headers)
         return parts
 
     def _answer_finish(
-        self, start: _Start, call: EntryCall, finish: FinishCall, arrived_at: Instant
+        self,
+        start: StartResponse,
+        call: EntryCall,
+        finish: FinishCall,
+        arrived_at: Instant,
     ) -> Iterable[bytes]:
         now = self._node.now()
         self._record(call, [], [], now - arrived_at)
         self._log_end(call, finish)
-        return _answer_word(start, _word_of(finish), now)
+        return answer_word(start, word_of(finish), now)
 
-    def _issue_key(self, start: _Start, service: Service) -> Iterable[bytes]:
+    def _issue_key(self, start: StartResponse, service: Service) -> Iterable[bytes]:
         """Issue a key for a home that answers now, own data centre first."""
         node = self._node
         fleet = node.configuration.fleet
@@ -273,7 +254,7 @@
         if home is None or boot is None:
             return self._refuse(start, Reason.NO_ENDPOINT)
         key = issue_key(home, boot, now, node.rng)
-        start("201 Created", [("Content-Type", _JSON), *_key_header(key)])
+        start("201 Created", [("Content-Type", JSON_TYPE), *key_header(key)])
         return [json.dumps({"key": key.text, "home": home}).encode()]
 
     def _record(
@@ -308,100 +289,8 @@
         )
 
 
-class _Deliveries:
-    """The caller's side of a call: waits for deliveries, notices a hang-up."""
-
-    def __init__(
-        self,
-        call: EntryCall,
-        post: Callable[..., object],
-        is_gone: Callable[[], bool],
-        on_close: Callable[[EntryCall], None],
-    ) -> None:
-        self._call = call
-        self._post = post
-        self._is_gone = is_gone
-        self._on_close = on_close
-        self._next: Delivery | None = None
-        self._closed = False
-
-    def take(self) -> DeliverHead | DeliverChunk | FinishCall | None:
-        """Return the next delivery, or None once the caller has gone."""
-        if self._next is not None:
-            delivery, self._next = self._next, None
-            return delivery
-        while True:
-            try:
-                return self._call.deliveries.get(timeout=_HANG_UP_POLL)
-            except queue.Empty:
-                if self._is_gone():
-                    return None
-
-    def take_ready_chunks(self) -> bytes:
-        """Return the data of all chunks that wait already, joined.
-
-        Under load a write for each token costs more than the token; nothing
-        is ever waited for to fill one.
-        """
-        parts: list[bytes] = []
-        while self._next is None:
-            try:
-                delivery = self._call.deliveries.get_nowait()
-            except queue.Empty:
-                break
-            if isinstance(delivery, DeliverChunk):
-                parts.append(delivery.data)
-            else:
-                self._next = delivery
-        return b"".join(parts)
-
-    def close(self) -> None:
-        """End the call from the caller's side; it may be over already."""
-        if not self._closed:
-            self._closed = True
-            self._on_close(self._call)
-            self._post(self._call.leave)
-
-
-def _word_of(finish: FinishCall) -> FinalWord:
-    return FinalWord(
-        finish.outcome,
-        finish.reason,
-        finish.retry_at,
-        finish.delivered,
-        finish.key,
-        finish.fresh,
-    )
-
-
-def _answer_word(start: _Start, word: FinalWord, now: Instant) -> Iterable[bytes]:
-    body = word.to_json()
-    headers = [
-        ("Content-Type", _JSON),
-        ("Content-Length", str(len(body))),
-        ("Mintsaddle-Outcome", word.outcome.value),
-        ("Retry-After", str(max(1, math.ceil(word.retry_at - now)))),
-    ]
-    headers += _key_header(word.key)
-    if word.fresh is not None:
-        headers.append(("Fresh-Key", word.fresh.text))
-    start(_STATUSES[word.outcome], headers)
-    return [body]
-
-
-def _answer_problem(start: _Start, problem: Problem) -> Iterable[bytes]:
-    body = json.dumps({"outcome": "not-run", "problem": problem.text}).encode()
-    headers = [
-        ("Content-Type", _JSON),
-        ("Content-Length", str(len(body))),
-        ("Mintsaddle-Outcome", Outcome.NOT_RUN.value),
-    ]
-    start(problem.status, headers)
-    return [body]
-
-
-def _key_header(key: OrderKey | None) -> list[tuple[str, str]]:
-    return [("Idempotency-Key", key.text)] if key else []
+def _has_key(environ: _Environ) -> bool:
+    return "HTTP_IDEMPOTENCY_KEY" in environ
 
 
 def _read_body(environ: _Environ) -> bytes | None:
@@ -417,7 +306,3 @@
     _, _, rest = str(environ["PATH_INFO"]).lstrip("/").partition("/")
     query = environ.get("QUERY_STRING")
     return f"/{rest}?{query}" if query else f"/{rest}"
-
-
-def _status_line(status: int) -> str:
-    return f"{status} {'OK' if status == 200 else 'From the service'}"
