--- a/fakes/model/tests/test_matrix.py
+++ b/fakes/model/tests/test_matrix.py
@@ -21,7 +21,7 @@
 
 KINDS = ("stream", "brought", "issued", "drawn")
 
-CI_PAIRS = 40
+CI_PAIRS = 41
 """Every so many pairs one runs in CI; docs/PROOF.md has the run of all."""
 
 
@@ -46,9 +46,10 @@
 
 
 class TestPairs:
-    def test_no_promise_is_broken(self) -> None:
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_no_promise_is_broken(self, kind: str) -> None:
         found = []
-        for cell in all_pairs()[:: CI_PAIRS * 7]:
+        for cell in [cell for cell in all_pairs() if cell.kind == kind][::CI_PAIRS]:
             result = run_cell(cell)
             found += [(str(cell), *item) for item in result.violations]
         assert not found
