--- a/benchmarks/datacentre_move.py
+++ b/benchmarks/datacentre_move.py
@@ -26,7 +26,7 @@
 from mintsaddle.decisions.admission import AdmissionRules, AdmissionState, Waiting
 from mintsaddle.decisions.admission import _commands as admission
 from mintsaddle.decisions.admission import _queries as admission_queries
-from mintsaddle.decisions.calls import _commands as calls
+from mintsaddle.decisions.calls import _attempts as calls
 from mintsaddle.decisions.routing import RouteRequest, RoutingState
 from mintsaddle.decisions.routing import _queries as routing_queries
 from mintsaddle.fleet import Fleet, Marks
--- a/fakes/model/tests/test_matrix.py
+++ b/fakes/model/tests/test_matrix.py
@@ -116,7 +116,7 @@
     Permissive(
         "whole answer",
         calls,
-        "_take_chunk",
+        "take_chunk",
         _take_any_chunk,
         Cell("stream", "middle", ("reply doubled",)),
     ),
--- a/fakes/tests/test_processes.py
+++ b/fakes/tests/test_processes.py
@@ -337,6 +337,56 @@
         assert show_revision(running, "a-entry") == 7
 
 
+GROUP_SERVICES = """
+[service letters]
+endpoints = a-1 a-2 a-3
+
+[group letters]
+ranks = a-1 a-2 a-3
+experts = 8
+layers = 2
+slots = 3
+interval = 1
+step = 0.01
+pause = 0.02
+weight = 0.0001
+
+[workspace counter]
+services = letters
+"""
+RANKS = ("a-1", "a-2", "a-3")
+
+
+class TestGroup:
+    def test_coordinator_that_dies_leaves_one_map(self) -> None:
+        """All ranks would stand still, or step on different maps.
+
+        The coordinator's daemon is killed at some moment of its work and
+        comes back; the group steps on and no step mixes maps.
+        """
+        plans = [VmPlan("a-entry", "a", "entry")]
+        plans += [VmPlan(n, "a", "endpoint", rank=i) for i, n in enumerate(RANKS)]
+        site = Site(plans, GROUP_SERVICES)
+        try:
+            site.start()
+            site.publish("fleet", 1, site.fleet_text())
+            wait_for(lambda: maps_of(site) not in ({1}, set()), "a planned map")
+            site.signal("a-1", signal.SIGKILL)
+            site.wait_for_exit("a-1")
+            site.start_daemon("a-1")
+            steps = site.executions("a-1")["steps"]
+            wait_for(lambda: site.executions("a-1")["steps"] > steps + 50, "steps")
+            wait_for(lambda: len(maps_of(site)) == 1, "one map")
+            assert site.executions("a-1")["mixed"] == 0
+        finally:
+            site.stop()
+
+
+def maps_of(site: Site) -> set[int]:
+    """Return the versions of the maps that the ranks have."""
+    return {int(site.executions(name)["map"]) for name in RANKS}
+
+
 def has_revision(running: Running, name: str, revision: int) -> bool:
     """Return whether a daemon follows a revision."""
     return show_revision(running, name) == revision
--- a/mintsaddle/decisions/calls/_messages.py
+++ b/mintsaddle/decisions/calls/_messages.py
@@ -138,3 +138,6 @@
 CallAction: TypeAlias = (
     SendAttempt | CancelAttempt | DeliverHead | DeliverChunk | FinishCall
 )
+
+CallActions: TypeAlias = tuple[CallAction, ...]
+"""What to do, in order."""
--- a/mintsaddle/decisions/orders/__init__.py
+++ b/mintsaddle/decisions/orders/__init__.py
@@ -8,17 +8,15 @@
     decide_key,
     purge_ledger,
 )
+from mintsaddle.decisions.orders._handover import bequeath, keep_bequest
 from mintsaddle.decisions.orders._homes import (
-    HomeAnswer,
-    HomeQuestion,
     adopt_homes,
     answer_question,
     ask_homes,
-    bequeath,
-    keep_bequest,
     note_answer,
     settle_alone,
 )
+from mintsaddle.decisions.orders._homes_messages import HomeAnswer, HomeQuestion
 from mintsaddle.decisions.orders._queries import (
     home_is_settled,
     is_awaited,
--- a/mintsaddle/decisions/orders/_homes.py
+++ b/mintsaddle/decisions/orders/_homes.py
@@ -25,20 +25,22 @@
 """
 
 import random
-from collections.abc import Iterable
-from typing import NamedTuple
 
-from mintsaddle.decisions.orders._queries import find_own_floor, home_is_settled
+from mintsaddle.decisions.orders._handover import (
+    hand_over,
+    offer_bequest,
+    take_back,
+    take_over,
+)
+from mintsaddle.decisions.orders._homes_messages import HomeAnswer, HomeQuestion
+from mintsaddle.decisions.orders._queries import home_is_settled
 from mintsaddle.decisions.orders._state import (
-    Bequest,
     HomeMove,
     HomeState,
-    LedgerEntry,
     OrdersState,
-    OrderStatus,
 )
-from mintsaddle.fleet import OrderHomes, find_home
-from mintsaddle.values import Boot, Instant
+from mintsaddle.fleet import OrderHomes
+from mintsaddle.values import Instant
 
 CLOCK_BOUNDS = 2
 """Clock bounds between a start and the first key that may run.
@@ -56,49 +58,10 @@
 _NONCE_BITS = 62
 _FIRST_ROUND = 1
 _SECOND_ROUND = 2
-_MOST_HANDED = 1000
 _MOST_MOVES = 64
 """Moves remembered; by then the first one's floor is older than any window."""
 
 
-class HomeQuestion(NamedTuple):
-    """A home's question to another one."""
-
-    asker: str
-    boot: Boot
-    """The asking run."""
-
-    service: str
-    nonce: int
-    wants_ledger: bool
-    """Whether the answer should hand over what it knows."""
-
-
-class HomeAnswer(NamedTuple):
-    """A home's word on where it stands."""
-
-    vm: str
-    boot: Boot
-    service: str
-    nonce: int
-    """The nonce of the question that it answers."""
-
-    homes: OrderHomes | None
-    """The list that it follows; None if its text doesn't know the service."""
-
-    text_revision: int
-    anchored: bool
-    settled: bool
-    floor: Instant = 0.0
-    """Keys of the asker dated after it ran here only if handed over."""
-
-    handed: tuple[LedgerEntry, ...] = ()
-    """Orders whose keys now belong to the asker."""
-
-    offer: Bequest | None = None
-    """What the asker's run before gave this home to keep."""
-
-
 def adopt_homes(
     state: OrdersState,
     service: str,
@@ -163,13 +126,13 @@
     )
     if home is None:
         return answer
-    home, offer = _offer(home, question)
+    home, offer = offer_bequest(home, question)
     state.put_home(question.service, home)
     if not question.wants_ledger:
         return answer
     handed_to = home.handed_to | {question.asker}
     state.put_home(question.service, home._replace(handed_to=handed_to))
-    floor, handed = _hand_over(state, home, question)
+    floor, handed = hand_over(state, home, question)
     return answer._replace(floor=floor, handed=handed, offer=offer)
 
 
@@ -193,7 +156,7 @@
         # Its text was as new as any agreed one, and this home's is no older.
         home = home._replace(anchored=True)
     if answer.homes == home.wanted:
-        _take_over(state, answer.handed)
+        take_over(state, answer.handed)
         home = _count_answer(home, answer)
     home = _settle_if_agreed(state, home, answer, clock_bound, now)
     state.put_home(answer.service, home)
@@ -211,28 +174,6 @@
         state.put_home(service, _settle(home, floor))
 
 
-def bequeath(state: OrdersState) -> tuple[Bequest, ...]:
-    """Return what this run leaves to the other homes, one for each service.
-
-    Afterwards it takes no new key: what it did then would be missing.
-    """
-    state.close()
-    bequests = []
-    for service, home in state.homes.items():
-        entries = (e for e in state.ledger.values() if e.service == service)
-        floor, newest = _newest(find_own_floor(home), entries)
-        bequests.append(Bequest(state.vm, state.boot, service, floor, newest))
-    return tuple(bequests)
-
-
-def keep_bequest(state: OrdersState, bequest: Bequest) -> None:
-    """Keep what a leaving home knows until its next run asks."""
-    home = state.homes.get(bequest.service)
-    if home is not None:
-        kept = {**home.kept, bequest.vm: bequest}
-        state.put_home(bequest.service, home._replace(kept=kept))
-
-
 def _restart(home: HomeState) -> HomeState:
     return home._replace(
         round_number=_FIRST_ROUND,
@@ -244,18 +185,6 @@
     )
 
 
-def _offer(home: HomeState, question: HomeQuestion) -> tuple[HomeState, Bequest | None]:
-    """Return the bequest for the asking run, if it is the first one to ask."""
-    kept = home.kept.get(question.asker)
-    if kept is None or kept.boot == question.boot:
-        return home, None
-    if kept.offered_to in (0, question.boot):
-        kept = kept._replace(offered_to=question.boot)
-        return home._replace(kept={**home.kept, question.asker: kept}), kept
-    others = {vm: item for vm, item in home.kept.items() if vm != question.asker}
-    return home._replace(kept=others), None
-
-
 def _count_answer(home: HomeState, answer: HomeAnswer) -> HomeState:
     nonces = {name: nonce for name, nonce in home.nonces.items() if name != answer.vm}
     home = home._replace(nonces=nonces)
@@ -289,7 +218,7 @@
             # All agree but nobody is anchored: asked again, until one is or
             # the operator's bootstrap date comes.
             return _restart(home)._replace(ask_at=now + _ASK_AGAIN)
-        home = _take_back(state, home, others)
+        home = take_back(state, home, others)
         return _settle(home, _find_move_floor(home, unknown_until))
     vouched = answer.homes == home.wanted and answer.settled and home.anchored
     if vouched and now >= home.vouch_at:
@@ -314,20 +243,6 @@
     return max(home.floors.values(), default=unknown_until)
 
 
-def _take_back(
-    state: OrdersState, home: HomeState, others: frozenset[str]
-) -> HomeState:
-    """Take back what the run before left, if every other home offers it."""
-    offers = list(home.offers.values())
-    if not offers or set(home.offers) != others:
-        return home
-    if len({offer.boot for offer in offers}) > 1:
-        return home
-    _take_over(state, offers[0].entries)
-    state.put_ended_run(offers[0].boot, offers[0].floor)
-    return home._replace(boot_floor=offers[0].floor)
-
-
 def _settle(home: HomeState, floor: Instant) -> HomeState:
     before = (home.settled, *home.unsettled) if home.settled else ()
     moves = (*home.moves, HomeMove(before, floor))
@@ -340,43 +255,3 @@
         offers={},
         nonces={},
     )
-
-
-def _hand_over(
-    state: OrdersState, home: HomeState, question: HomeQuestion
-) -> tuple[Instant, tuple[LedgerEntry, ...]]:
-    """Return the orders whose keys belong to the asker, and a floor."""
-    if question.asker not in home.wanted.homes:
-        return find_own_floor(home), ()
-    entries = (
-        entry
-        for entry in state.ledger.values()
-        if entry.service == question.service
-        and find_home(home.wanted.homes, entry.key.text) == question.asker
-    )
-    return _newest(find_own_floor(home), entries)
-
-
-def _newest(
-    floor: Instant, entries: Iterable[LedgerEntry]
-) -> tuple[Instant, tuple[LedgerEntry, ...]]:
-    """Return the newest entries, and the date after which none is missing."""
-    ordered = sorted(entries, key=lambda entry: entry.key.date, reverse=True)
-    if len(ordered) > _MOST_HANDED:
-        floor = max(floor, ordered[_MOST_HANDED].key.date)
-    newest = ordered[:_MOST_HANDED]
-    return floor, tuple(_without_pending(entry) for entry in newest)
-
-
-def _without_pending(entry: LedgerEntry) -> LedgerEntry:
-    """A pending order ends where it began; elsewhere its end isn't known."""
-    if entry.status is OrderStatus.PENDING:
-        return entry._replace(status=OrderStatus.IN_DOUBT)
-    return entry
-
-
-def _take_over(state: OrdersState, entries: Iterable[LedgerEntry]) -> None:
-    for entry in entries:
-        known = state.ledger.get(entry.key.text)
-        if known is None or known.status is OrderStatus.IN_DOUBT:
-            state.put_entry(entry)
--- a/mintsaddle/decisions/orders/tests/test_homes_machine.py
+++ b/mintsaddle/decisions/orders/tests/test_homes_machine.py
@@ -352,7 +352,7 @@
     (restart_between_acknowledgements, "_count_answer", _one_round),
     (all_old_homes_restart, "_may_settle", _always),
     (former_home_lost_its_memory, "_find_move_floor", _no_floor),
-    (run_between_two_others, "_offer", _offer_always),
+    (run_between_two_others, "offer_bequest", _offer_always),
 ]
 
 
--- a/mintsaddle/endpoint/_coordinator.py
+++ b/mintsaddle/endpoint/_coordinator.py
@@ -52,8 +52,8 @@
         self._replies: dict[int, pb.GroupReply] = {}
 
     async def run(self) -> None:
-        """Coordinate while it is this daemon's turn, until cancelled."""
-        while True:
+        """Coordinate while it is this daemon's turn, until it is no rank."""
+        while not self._host.retired:
             await asyncio.sleep(min(_LOOK_PAUSE, self._host.group.interval))
             if self._is_due():
                 self._planned_at = self._node.now()
--- a/mintsaddle/endpoint/_groups.py
+++ b/mintsaddle/endpoint/_groups.py
@@ -3,6 +3,7 @@
 from mintsaddle.daemon import DaemonNode
 from mintsaddle.endpoint._coordinator import Coordinator
 from mintsaddle.endpoint._ranks import RankHost
+from mintsaddle.fleet import Group
 from mintsaddle.transport import write_stamp
 from mintsaddle.transport.proto import peer_pb2 as pb
 
@@ -17,16 +18,22 @@
     def follow(self) -> None:
         """Follow a changed text: join the groups that list this daemon."""
         fleet = self._node.configuration.fleet
-        for group in fleet.groups.values() if fleet else ():
-            if self._node.settings.vm not in group.ranks:
-                continue
-            host = self._hosts.get(group.name)
-            if host is not None and host.group.ranks == group.ranks:
+        groups = fleet.groups if fleet else {}
+        for name, host in tuple(self._hosts.items()):
+            group = groups.get(name)
+            if group is not None and group.ranks == host.group.ranks:
                 host.follow(group)
-                continue
-            host = RankHost(self._node, group)
-            self._hosts[group.name] = host
-            self._node.spawn(Coordinator(self._node, host).run())
+            else:
+                host.retire()
+                del self._hosts[name]
+        for group in groups.values():
+            if self._node.settings.vm in group.ranks and group.name not in self._hosts:
+                self._join(group)
+
+    def _join(self, group: Group) -> None:
+        host = RankHost(self._node, group)
+        self._hosts[group.name] = host
+        self._node.spawn(Coordinator(self._node, host).run())
 
     async def obey(self, message: pb.GroupOrder) -> pb.GroupReply:
         """Pass an order to the group that it is for."""
--- a/mintsaddle/endpoint/_ranks.py
+++ b/mintsaddle/endpoint/_ranks.py
@@ -35,6 +35,7 @@
         self._turn = asyncio.Lock()
         self._reading: RankReading | None = None
         self._ordered_at = node.now()
+        self._retired = False
         self._skew = 0.0
         self._note = ""
 
@@ -63,6 +64,15 @@
         """The highest ballot seen."""
         return self._state.ballot
 
+    @property
+    def retired(self) -> bool:
+        """Whether the text no longer has this rank in this group."""
+        return self._retired
+
+    def retire(self) -> None:
+        """Note that the text no longer has this rank in this group."""
+        self._retired = True
+
     def follow(self, group: Group) -> None:
         """Follow a changed text."""
         self._group = group
--- a/mintsaddle/entry/_calls.py
+++ b/mintsaddle/entry/_calls.py
@@ -29,7 +29,7 @@
     next_deadline,
     start_call,
 )
-from mintsaddle.decisions.routing import RoutingState, note_load
+from mintsaddle.decisions.routing import RoutingState, choose_subset, note_load
 from mintsaddle.fleet import Fleet
 from mintsaddle.observe import make_logger
 from mintsaddle.transport import read_load, read_refusal, read_stamp, write_stamp
@@ -243,11 +243,11 @@
 
 
 def unknown_homes(fleet: Fleet, routing: RoutingState) -> tuple[str, ...]:
-    """Return the order endpoints whose run this entry doesn't know."""
+    """Return the homes that this entry may issue keys for but doesn't know."""
     return tuple(
         name
         for service in fleet.services.values()
         if not service.repeatable
-        for name in service.endpoints
+        for name in choose_subset(fleet, service, routing)
         if routing.view(name).boot is None
     )
