--- a/mintsaddle/endpoint/_coordinator.py
+++ b/mintsaddle/endpoint/_coordinator.py
@@ -7,6 +7,7 @@
 from mintsaddle.decisions.expert_maps import (
     HORIZON_INTERVALS,
     ExpertMap,
+    GroupAct,
     GroupOrder,
     PlanCost,
     PopularityCounts,
@@ -27,6 +28,13 @@
 from mintsaddle.transport.proto.peer_grpc import PeerStub
 from mintsaddle.values import MILLISECONDS
 
+SAMPLE = 8
+"""Ranks whose token counts one plan takes.
+
+Each rank routes an equal part of the tokens, so a few tell the popularity;
+the counts of 128 ranks would be 96 KB/s of control for the coordinator.
+"""
+
 _ORDER_TIMEOUT = 3.0
 _RETRY_PAUSE = 0.05
 _LOOK_PAUSE = 0.5
@@ -50,6 +58,9 @@
         self._counts = PopularityCounts(group.layers, group.experts, _KEEP)
         self._planned_at = node.now()
         self._replies: dict[int, pb.GroupReply] = {}
+        self._known: ExpertMap | None = None
+        self._sample: set[int] = set()
+        self._wants_slots = False
 
     async def run(self) -> None:
         """Coordinate while it is this daemon's turn, until it is no rank."""
@@ -74,16 +85,18 @@
 
     async def _plan_and_switch(self) -> None:
         """Read all ranks, mend what a lost round left, move if worth it."""
+        ranks = range(len(self._host.group.ranks))
+        self._sample = set(self._node.rng.sample(ranks, min(SAMPLE, len(ranks))))
         mended = await self._run_round(None)
         if mended.phase is not SwitchPhase.DONE:
             return
-        current = self._read_map()
+        # Later rounds of this turn read no counts: an engine tells each once.
+        self._sample = set()
+        self._counts.add(self._read_popularity())
+        current = await self._find_map()
         if current is None:
             return
-        self._counts.add(self._read_popularity())
-        speeds = [
-            max(0.01, self._replies[rank].speed) for rank in sorted(self._replies)
-        ]
+        speeds = [max(0.01, self._replies[rank].speed) for rank in ranks]
         skew = measure_skew(current, self._counts.counts, speeds)
         planned = await self._plan(current, speeds)
         if planned is None:
@@ -91,16 +104,23 @@
             return
         done = await self._run_round(planned)
         good = done.phase is SwitchPhase.DONE and not done.failed
-        self._host.note(
-            skew, f"map {planned.version} {'active' if good else 'given up'}"
-        )
-        _log.info(
-            "Group %s: skew %.2f, map %d %s.",
-            self._host.group.name,
-            skew,
-            planned.version,
-            "is active" if good else "was given up",
-        )
+        if good:
+            self._known = planned
+        word = "active" if good else "given up"
+        self._host.note(skew, f"map {planned.version} {word}")
+        name = self._host.group.name
+        _log.info("Group %s: skew %.2f, map %d %s.", name, skew, planned.version, word)
+
+    async def _find_map(self) -> ExpertMap | None:
+        """Return the map that all ranks have; read its slots if unknown."""
+        active = {reply.active for reply in self._replies.values()}
+        if self._known is not None and active == {self._known.version}:
+            return self._known
+        self._wants_slots = True
+        await self._run_round(None)
+        self._wants_slots = False
+        self._known = self._read_map()
+        return self._known
 
     async def _plan(self, current: ExpertMap, speeds: list[float]) -> ExpertMap | None:
         group = self._host.group
@@ -137,13 +157,15 @@
     ) -> None:
         group = self._host.group
         message = write_order(group.name, order, wanted)
+        message.wants_popularity = order.rank in self._sample
+        message.wants_slots = self._wants_slots
         message.stamp.CopyFrom(write_stamp(self._node.stamp()))
         reply = await self._carry(group.ranks[order.rank], message)
         if reply is None:
             return
         reading = read_reading(reply) if reply.has_reading else None
         answer = RankReply(order, reply.stamp.boot, reply.ballot, reply.obeyed, reading)
-        if reading is not None and reply.slots:
+        if reading is not None and order.act is GroupAct.READ:
             self._replies[order.rank] = reply
         note_reply(state, answer)
 
--- a/mintsaddle/endpoint/_ranks.py
+++ b/mintsaddle/endpoint/_ranks.py
@@ -109,6 +109,10 @@
             elif verdict is RankVerdict.READ:
                 answer = await self._send(GroupAct.READ.value, {"ballot": order.ballot})
             reply = self._make_reply(answer, obeyed=obeyed)
+            if answer is not None and message.wants_popularity:
+                reply.popularity.extend(answer.get("popularity", ()))
+            if answer is not None and message.wants_slots:
+                reply.slots.extend(answer.get("slots", ()))
             if answer is not None:
                 self._reading = read_reading(reply)
             return reply
@@ -141,8 +145,6 @@
             reply.held = answer["held"]
             reply.entered = answer["entered"]
             reply.completed = answer["completed"]
-            reply.popularity.extend(answer.get("popularity", ()))
-            reply.slots.extend(answer.get("slots", ()))
             reply.speed = answer.get("speed", 1.0)
         return reply
 
