--- a/mintsaddle/platform/tests/test_client.py
+++ b/mintsaddle/platform/tests/test_client.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from mintsaddle.engines.tests.test_calls import engine
-from mintsaddle.platform import PlatformValue, watch_value
+from mintsaddle.platform import PlatformValue, _client, watch_value
 from mintsaddle.platform._client import LARGEST_ANSWER
 
 
@@ -55,6 +55,14 @@
         assert isinstance(result, Failure)
         assert problem in result.failure()
 
+    def test_platform_that_is_slow(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A daemon would wait for a platform that never answers."""
+        monkeypatch.setattr(_client, "_SLACK", 0.2)
+        with engine(b"", stays=True) as address:
+            result = watch_value(address, "fleet", 0, 0.0)
+        assert isinstance(result, Failure)
+        assert "TimeoutError" in result.failure()
+
     def test_platform_that_is_down(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             address = f"127.0.0.1:{listener.getsockname()[1]}"
