--- a/fakes/model/_entry.py
+++ b/fakes/model/_entry.py
@@ -25,11 +25,11 @@
 from mintsaddle.decisions.routing import (
     RouteRequest,
     RoutingState,
-    choose_home,
+    draw_key,
     note_load,
     welcome_back,
 )
-from mintsaddle.values import Load, OrderKey, Stamp, issue_key
+from mintsaddle.values import Load, OrderKey, Stamp
 
 _LOOK = 0.5
 
@@ -79,11 +79,8 @@
         marks = self.configuration.marks
         rng = self.world.rng
         now = self.now()
-        home = choose_home(self.routing, fleet, marks, route, now, rng)
-        boot = self.routing.view(home).boot if home else None
-        if home is None or boot is None:
-            return None
-        return issue_key(home, boot, now, rng)
+        drawn = draw_key(self.routing, fleet, marks, route, now, rng)
+        return drawn.key if drawn else None
 
     def _look(self) -> None:
         self.later(_LOOK, self._look)
--- a/mintsaddle/daemon/_node.py
+++ b/mintsaddle/daemon/_node.py
@@ -17,7 +17,6 @@
     adopt_marks,
     adopt_text,
     choose_first_peers,
-    is_behind,
     is_open,
     make_stamp,
     must_wait_for_text,
@@ -285,10 +284,6 @@
                 return
             own = self.stamp()
 
-    def is_behind(self, stamp: Stamp) -> bool:
-        """Return whether another daemon knows something newer."""
-        return is_behind(self._configuration, stamp)
-
     def _note_task_end(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/mintsaddle/decisions/admission/__init__.py
+++ b/mintsaddle/decisions/admission/__init__.py
@@ -10,7 +10,6 @@
     lose_engine,
     offer,
     start_waiting,
-    withdraw,
 )
 from mintsaddle.decisions.admission._queries import (
     CONFIRMATION_LIFE,
@@ -43,5 +42,4 @@
     "lose_engine",
     "offer",
     "start_waiting",
-    "withdraw",
 ]
--- a/mintsaddle/decisions/admission/_commands.py
+++ b/mintsaddle/decisions/admission/_commands.py
@@ -74,11 +74,6 @@
     return start_waiting(state, rules, now)
 
 
-def withdraw(state: AdmissionState, request_id: str) -> None:
-    """Take a request that never started out of the queue."""
-    state.drop_waiting(request_id)
-
-
 def confirm_engine(
     state: AdmissionState, boot: Boot, reported_limit: int | None, now: Instant
 ) -> tuple[str, ...]:
--- a/mintsaddle/decisions/arrivals/_commands.py
+++ b/mintsaddle/decisions/arrivals/_commands.py
@@ -11,7 +11,6 @@
     lose_engine,
     offer,
     start_waiting,
-    withdraw,
 )
 from mintsaddle.decisions.arrivals._messages import (
     AcceptArrival,
@@ -256,7 +255,6 @@
     actions: list[ArrivalAction] = []
     for request_id in request_ids:
         arrival = state.drop_arrival(request_id)
-        withdraw(state.admission, request_id)
         if arrival is not None:
             actions.extend(_refuse_new(state, arrival, reason, now))
     return tuple(actions)
--- a/mintsaddle/decisions/calls/_attempts.py
+++ b/mintsaddle/decisions/calls/_attempts.py
@@ -10,7 +10,7 @@
 from mintsaddle.decisions.routing import (
     RouteRequest,
     choose_endpoint,
-    choose_home,
+    draw_key,
     note_sent,
 )
 from mintsaddle.fleet import find_home, list_homes
@@ -20,7 +20,6 @@
     OrderKey,
     Reason,
     home_tag,
-    issue_key,
 )
 
 ACCEPT_PATIENCE = 0.5
@@ -61,12 +60,10 @@
             return give_up(state, facts, reason, now)
         return _send(state, facts, home, key, now)
     route = RouteRequest(state.request.service, "", state.tried)
-    home = choose_home(facts.routing, facts.fleet, facts.marks, route, now, facts.rng)
-    boot = facts.routing.view(home).boot if home else None
-    if home is None or boot is None:
+    drawn = draw_key(facts.routing, facts.fleet, facts.marks, route, now, facts.rng)
+    if drawn is None:
         return give_up(state, facts, reason, now)
-    drawn = issue_key(home, boot, now, facts.rng)
-    return _send(state, facts, home, drawn, now)
+    return _send(state, facts, drawn.home, drawn.key, now)
 
 
 def _home_of(state: CallState, facts: RouteFacts, key: OrderKey) -> str | None:
--- a/mintsaddle/decisions/calls/_endings.py
+++ b/mintsaddle/decisions/calls/_endings.py
@@ -8,7 +8,7 @@
 from mintsaddle.decisions.calls._state import Attempt, CallState, RouteFacts
 from mintsaddle.decisions.routing import (
     RouteRequest,
-    choose_home,
+    draw_key,
     note_finished,
 )
 from mintsaddle.values import (
@@ -16,7 +16,6 @@
     OrderKey,
     Outcome,
     Reason,
-    issue_key,
 )
 
 _COME_BACK = 1.0
@@ -49,11 +48,8 @@
     leaving, and would end in doubt when that home comes back.
     """
     route = RouteRequest(state.request.service, "", state.tried)
-    home = choose_home(facts.routing, facts.fleet, facts.marks, route, now, facts.rng)
-    boot = facts.routing.view(home).boot if home else None
-    if home is None or boot is None:
-        return None
-    return issue_key(home, boot, now, facts.rng)
+    drawn = draw_key(facts.routing, facts.fleet, facts.marks, route, now, facts.rng)
+    return drawn.key if drawn else None
 
 
 def _final_outcome(state: CallState, reason: Reason) -> Outcome:
--- a/mintsaddle/decisions/configuration/__init__.py
+++ b/mintsaddle/decisions/configuration/__init__.py
@@ -8,7 +8,6 @@
 from mintsaddle.decisions.configuration._gate import StartGate, is_open
 from mintsaddle.decisions.configuration._queries import (
     choose_first_peers,
-    is_behind,
     is_out,
     make_stamp,
     must_wait_for_text,
@@ -35,7 +34,6 @@
     "adopt_text",
     "choose_first_peers",
     "choose_sources",
-    "is_behind",
     "is_open",
     "is_out",
     "make_stamp",
--- a/mintsaddle/decisions/configuration/_queries.py
+++ b/mintsaddle/decisions/configuration/_queries.py
@@ -13,12 +13,6 @@
     return Stamp(vm, boot, state.text_revision, state.marks_revision)
 
 
-def is_behind(state: ConfigurationState, other: Stamp) -> bool:
-    """Return whether the sender of a message knows something newer."""
-    newer_text = other.text_revision > state.text_revision
-    return newer_text or other.marks_revision > state.marks_revision
-
-
 def must_wait_for_text(state: ConfigurationState, other: Stamp) -> bool:
     """Return whether a message has to wait until its sender was asked.
 
--- a/mintsaddle/decisions/routing/__init__.py
+++ b/mintsaddle/decisions/routing/__init__.py
@@ -11,22 +11,24 @@
     welcome_back,
 )
 from mintsaddle.decisions.routing._queries import (
+    DrawnKey,
     RouteRequest,
     choose_endpoint,
-    choose_home,
     choose_subset,
+    draw_key,
     has_free_place,
     may_retry,
 )
 from mintsaddle.decisions.routing._state import EndpointView, RoutingState
 
 __all__ = [
+    "DrawnKey",
     "EndpointView",
     "RouteRequest",
     "RoutingState",
     "choose_endpoint",
-    "choose_home",
     "choose_subset",
+    "draw_key",
     "has_free_place",
     "may_retry",
     "note_failed",
--- a/mintsaddle/decisions/routing/_queries.py
+++ b/mintsaddle/decisions/routing/_queries.py
@@ -7,7 +7,7 @@
 
 from mintsaddle.decisions.routing._state import RoutingState
 from mintsaddle.fleet import Fleet, Marks, Service
-from mintsaddle.values import Instant, rank_by_score
+from mintsaddle.values import Instant, OrderKey, issue_key, rank_by_score
 
 SUBSET = 24
 """Endpoints of a service that one entry uses, however many there are."""
@@ -112,6 +112,29 @@
     return choose_endpoint(state, fleet, marks, known, now, rng)
 
 
+class DrawnKey(NamedTuple):
+    """A key issued to a home that answers now."""
+
+    home: str
+    key: OrderKey
+
+
+def draw_key(
+    state: RoutingState,
+    fleet: Fleet,
+    marks: Marks,
+    request: RouteRequest,
+    now: Instant,
+    rng: random.Random,
+) -> DrawnKey | None:
+    """Return a fresh key for a known home, or None when none answers."""
+    home = choose_home(state, fleet, marks, request, now, rng)
+    boot = state.view(home).boot if home else None
+    if home is None or boot is None:
+        return None
+    return DrawnKey(home, issue_key(home, boot, now, rng))
+
+
 def may_retry(state: RoutingState) -> bool:
     """Return whether the retry budget allows one more."""
     return state.budget >= 1.0
--- a/mintsaddle/entry/_http.py
+++ b/mintsaddle/entry/_http.py
@@ -15,7 +15,7 @@
     FinishCall,
 )
 from mintsaddle.decisions.configuration import is_out
-from mintsaddle.decisions.routing import RouteRequest, RoutingState, choose_home
+from mintsaddle.decisions.routing import RouteRequest, RoutingState, draw_key
 from mintsaddle.engines import EVENT_STREAM
 from mintsaddle.entry._answers import (
     JSON_TYPE,
@@ -37,7 +37,7 @@
 )
 from mintsaddle.fleet import Service
 from mintsaddle.observe import HistogramName, Measure, make_logger
-from mintsaddle.values import Instant, Outcome, Reason, issue_key
+from mintsaddle.values import Instant, Outcome, Reason
 
 _Environ: TypeAlias = dict[str, Any]
 
@@ -249,13 +249,12 @@
         route = RouteRequest(service, "", frozenset())
         marks = node.configuration.marks
         now = node.now()
-        home = choose_home(self._routing, fleet, marks, route, now, node.rng)
-        boot = self._routing.view(home).boot if home else None
-        if home is None or boot is None:
+        drawn = draw_key(self._routing, fleet, marks, route, now, node.rng)
+        if drawn is None:
             return self._refuse(start, Reason.NO_ENDPOINT)
-        key = issue_key(home, boot, now, node.rng)
+        key = drawn.key
         start("201 Created", [("Content-Type", JSON_TYPE), *key_header(key)])
-        return [json.dumps({"key": key.text, "home": home}).encode()]
+        return [json.dumps({"key": key.text, "home": drawn.home}).encode()]
 
     def _record(
         self, call: EntryCall, first: list[float], gaps: list[float], whole: float
--- a/mintsaddle/fleet/_read.py
+++ b/mintsaddle/fleet/_read.py
@@ -3,7 +3,6 @@
 The check reads nothing but the text, so all daemons decide alike on it.
 """
 
-import ipaddress
 from collections.abc import Callable
 from datetime import datetime
 from typing import NamedTuple
@@ -31,7 +30,6 @@
 """An endpoint daemon has one worker thread for each request at its engine."""
 
 _MOST_SECONDS = 86_400.0
-_LARGEST_PORT = 65_535
 
 
 class _Draft(NamedTuple):
@@ -117,25 +115,12 @@
 
 def _read_entry(draft: _Draft, name: str, fields: FieldReader) -> None:
     data_centre = fields.read_text("data centre")
-    draft.entries[name] = EntryVm(name, data_centre, _read_address(fields))
+    draft.entries[name] = EntryVm(name, data_centre, fields.read_address("address"))
 
 
 def _read_endpoint(draft: _Draft, name: str, fields: FieldReader) -> None:
     data_centre = fields.read_text("data centre")
-    draft.endpoints[name] = Endpoint(name, data_centre, _read_address(fields))
-
-
-def _read_address(fields: FieldReader) -> str:
-    address = fields.read_text("address")
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) <= _LARGEST_PORT
-    except ValueError:
-        valid = False
-    if address and not valid:
-        fields.report("address", f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
-    return address
+    draft.endpoints[name] = Endpoint(name, data_centre, fields.read_address("address"))
 
 
 def _read_service(draft: _Draft, name: str, fields: FieldReader) -> None:
--- a/mintsaddle/ini/_fields.py
+++ b/mintsaddle/ini/_fields.py
@@ -1,5 +1,6 @@
 """Reading typed fields of a section, collecting what is wrong."""
 
+import ipaddress
 from collections.abc import Callable, Collection
 from typing import TypeVar
 
@@ -7,6 +8,7 @@
 from mintsaddle.values import Finding
 
 _Value = TypeVar("_Value")
+_LARGEST_PORT = 65_535
 _BOOLEANS = {"yes": True, "no": False}
 
 
@@ -65,6 +67,24 @@
         """Return a number within bounds."""
         return self._read_number(key, float, "a number", low, high, default)
 
+    def read_address(self, key: str, default: str | None = None) -> str:
+        """Return an IP and port; without a default it must stand there."""
+        address = self.read_text(key, default)
+        if address:
+            self.check_address(key, address)
+        return address
+
+    def check_address(self, key: str, address: str) -> None:
+        """Add a finding if a text is no IP and port."""
+        host, _, port = address.rpartition(":")
+        try:
+            ipaddress.ip_address(host.strip("[]"))
+            valid = 0 < int(port) <= _LARGEST_PORT
+        except ValueError:
+            valid = False
+        if not valid:
+            self.report(key, f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
+
     def report_unknown(self) -> None:
         """Add a finding for each key that nobody has read."""
         known = ", ".join(sorted(self._read))
--- a/mintsaddle/settings/_read.py
+++ b/mintsaddle/settings/_read.py
@@ -1,6 +1,5 @@
 """Reading a daemon's settings; all findings are reported together."""
 
-import ipaddress
 import logging
 
 from returns.result import Failure, Result, Success
@@ -10,7 +9,6 @@
 from mintsaddle.values import Finding, Findings
 
 _SECTION = "daemon"
-_LARGEST_PORT = 65_535
 _MOST_THREADS = 4_096
 
 
@@ -47,40 +45,22 @@
         vm=fields.read_text("vm"),
         data_centre=fields.read_text("data centre"),
         role=role,
-        address=_read_address(fields, "address", needed=True),
-        platform=_read_address(fields, "platform", needed=True),
+        address=fields.read_address("address"),
+        platform=fields.read_address("platform"),
         peers=fields.read_names("peers"),
-        http=_read_address(fields, "http", needed=is_entry),
+        http=fields.read_address("http", None if is_entry else ""),
         threads=fields.read_integer("threads", 1, _MOST_THREADS, 64),
-        engine=_read_address(fields, "engine", needed=not is_entry),
+        engine=fields.read_address("engine", "" if is_entry else None),
         grace=fields.read_number("grace", 0.0, 60.0, 2.0),
         log_level=fields.read_choice(
             "log level", logging.getLevelNamesMapping(), "INFO"
         ),
     )
     for peer in settings.peers:
-        _check_address(fields, "peers", peer)
+        fields.check_address("peers", peer)
     if is_entry and settings.engine:
         fields.report("engine", "belongs to an endpoint; this daemon is an entry")
     if not is_entry and settings.http:
         fields.report("http", "belongs to an entry; this daemon is an endpoint")
     fields.report_unknown()
     return settings
-
-
-def _read_address(fields: FieldReader, key: str, *, needed: bool) -> str:
-    address = fields.read_text(key, None if needed else "")
-    if address:
-        _check_address(fields, key, address)
-    return address
-
-
-def _check_address(fields: FieldReader, key: str, address: str) -> None:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) <= _LARGEST_PORT
-    except ValueError:
-        valid = False
-    if not valid:
-        fields.report(key, f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
--- a/mintsaddle/values/_keys.py
+++ b/mintsaddle/values/_keys.py
@@ -9,6 +9,7 @@
 import enum
 import random
 import uuid
+from functools import lru_cache
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -64,8 +65,12 @@
     """The home's run that may run it; 0 in a brought key."""
 
 
+@lru_cache(maxsize=4096)
 def home_tag(vm: str) -> int:
-    """Return the tag by which an issued key names its home."""
+    """Return the tag by which an issued key names its home.
+
+    Cached: an entry compares a key with the tags of the whole fleet.
+    """
     return stable_hash(vm) >> (64 - HOME_BITS)
 
 
