--- /dev/null
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -0,0 +1,123 @@
+"""One caller's request: what follows from each end of an attempt.
+
+Load patterns: endpoints that are full, fall silent, break off, answer for
+another request or lose their answers, and callers that repeat meanwhile. A
+request that may run once goes to a second endpoint only if the first one is
+known not to run it; all others only within the retry budget, since every
+arrival beyond the first loads endpoints that are in trouble already.
+"""
+
+import enum
+from typing import NamedTuple
+
+from mintsaddle.decisions.direct._table import Repeat, Route
+from mintsaddle.values import Instant, Outcome, Reason
+
+
+class Ending(enum.Enum):
+    """How an attempt ended that gave no usable answer."""
+
+    NOT_SENT = "not-sent"
+    """No connection was made: not a byte has left."""
+
+    NOT_RUN = "not-run"
+    """The endpoint says that it has not run the request and never will."""
+
+    MISDIRECTED = "misdirected"
+    """Another endpoint has the address by now; it has not run the request."""
+
+    BROKEN = "broken"
+    """Sent, and no whole answer of this request came back."""
+
+    FAILED = "failed"
+    """The endpoint's own whole answer says that it failed."""
+
+    SILENT = "silent"
+    """Sent, and nothing came within the time for this attempt."""
+
+
+NEVER_RAN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.MISDIRECTED})
+"""Endings after which the endpoint surely has not run the request."""
+
+
+class DirectCall(NamedTuple):
+    """One caller's request and what has become of it so far."""
+
+    request_id: str
+    route: Route
+    service: str
+    workspace: str
+    arrived_at: Instant
+    deadline: Instant
+    """When the caller's or the route's time is over, whichever is earlier."""
+
+    tried: frozenset[str] = frozenset()
+    """Endpoints that it was sent to."""
+
+    sends: int = 0
+    """Endpoints that got it, whether they ran it or not."""
+
+    may_have_run: bool = False
+    last_event: int | None = None
+    """Id of the last whole event that the caller has."""
+
+    began: bool = False
+    """Whether the caller has the answer's head already."""
+
+
+class TryAgain(NamedTuple):
+    """Send it to another endpoint."""
+
+
+class GiveUp(NamedTuple):
+    """End it; the caller hears this outcome."""
+
+    outcome: Outcome
+    reason: Reason
+
+
+def note_attempt(call: DirectCall, endpoint: str, ending: Ending) -> DirectCall:
+    """Return the call after an attempt that gave no usable answer."""
+    return call._replace(
+        tried=call.tried | {endpoint},
+        sends=call.sends + (ending is not Ending.NOT_SENT),
+        may_have_run=call.may_have_run or ending not in NEVER_RAN,
+    )
+
+
+def decide_next(
+    call: DirectCall, ending: Ending, *, has_budget: bool, now: Instant
+) -> TryAgain | GiveUp:
+    """Return what follows from the last attempt's ending.
+
+    Args:
+        call: The call, with that attempt noted.
+        ending: How the attempt ended.
+        has_budget: Whether the retry budget allows one more arrival.
+        now: The present instant.
+    """
+    if now >= call.deadline:
+        return give_up(call, Reason.TOO_LATE)
+    if call.sends >= call.route.most_attempts or not has_budget:
+        return give_up(call, _REASONS[ending])
+    if call.may_have_run and call.route.repeat is Repeat.ONCE:
+        return give_up(call, _REASONS[ending])
+    return TryAgain()
+
+
+def give_up(call: DirectCall, reason: Reason) -> GiveUp:
+    """Return the end of a call: the claim follows from what is known."""
+    if call.began:
+        return GiveUp(Outcome.IN_DOUBT, Reason.CUT_OFF)
+    outcome = Outcome.IN_DOUBT if call.may_have_run else Outcome.NOT_RUN
+    return GiveUp(outcome, reason)
+
+
+_REASONS = {
+    Ending.NOT_SENT: Reason.UNREACHABLE,
+    Ending.NOT_RUN: Reason.FULL,
+    Ending.MISDIRECTED: Reason.ENGINE_DOWN,
+    Ending.BROKEN: Reason.CUT_OFF,
+    Ending.FAILED: Reason.ENGINE_FAILED,
+    Ending.SILENT: Reason.SILENT,
+}
--- a/mintsaddle/decisions/routing/_commands.py
+++ b/mintsaddle/decisions/routing/_commands.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Iterable
 
-from mintsaddle.decisions.routing._state import BUDGET_CAP, RoutingState
+from mintsaddle.decisions.routing._state import RoutingState
 from mintsaddle.values import Boot, Instant, Load, Reason
 
-RETRY_SHARE = 0.2
-"""Retries allowed for each fresh request."""
-
 _FIRST_BLOCK = 0.5
 _LONGEST_BLOCK = 30.0
 _REFUSED_BLOCK = 1.0
@@ -21,7 +18,7 @@
     request multiplies the load by that count; a share of recent requests adds
     at most that share.
     """
-    state.replace_budget(min(BUDGET_CAP, state.budget + RETRY_SHARE))
+    state.replace_budget(min(state.budget_cap, state.budget + state.retry_share))
 
 
 def spend_retry(state: RoutingState) -> None:
--- a/mintsaddle/decisions/routing/_state.py
+++ b/mintsaddle/decisions/routing/_state.py
@@ -10,6 +10,9 @@
 BUDGET_CAP = 20.0
 """Retries that may be saved up by quiet times."""
 
+RETRY_SHARE = 0.2
+"""Retries allowed for each fresh request."""
+
 
 class EndpointView(NamedTuple):
     """An entry's possibly old view of one endpoint."""
@@ -50,11 +53,19 @@
 class RoutingState:
     """One entry's views of all endpoints and its retry budget."""
 
-    def __init__(self, vm: str, data_centre: str) -> None:
+    def __init__(
+        self,
+        vm: str,
+        data_centre: str,
+        budget_cap: float = BUDGET_CAP,
+        retry_share: float = RETRY_SHARE,
+    ) -> None:
         self._vm = vm
         self._data_centre = data_centre
         self._views: dict[str, EndpointView] = {}
-        self._budget = BUDGET_CAP
+        self._budget_cap = budget_cap
+        self._retry_share = retry_share
+        self._budget = budget_cap
 
     @property
     def vm(self) -> str:
@@ -71,6 +82,16 @@
         """Retries that may still be spent."""
         return self._budget
 
+    @property
+    def budget_cap(self) -> float:
+        """Retries that may be saved up."""
+        return self._budget_cap
+
+    @property
+    def retry_share(self) -> float:
+        """Retries that each fresh request earns."""
+        return self._retry_share
+
     def view(self, endpoint: str) -> EndpointView:
         """Return the view of an endpoint; a fresh one if nothing is known."""
         return self._views.get(endpoint, EndpointView())
@@ -82,3 +103,7 @@
     def replace_budget(self, budget: float) -> None:
         """Set the retry budget."""
         self._budget = budget
+
+    def forget(self, endpoint: str) -> None:
+        """Drop the view of an endpoint that won't come back."""
+        self._views.pop(endpoint, None)
--- /dev/null
+++ b/mintsaddle/direct/_gateway.py
@@ -0,0 +1,189 @@
+"""What the threads of one direct entry share."""
+
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+
+from mintsaddle.decisions.direct import (
+    LAPSE_GRACE,
+    Directory,
+    PublishedItem,
+    Replica,
+    apply_facts,
+    drop_lapsed,
+)
+from mintsaddle.decisions.routing import RoutingState
+from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
+from mintsaddle.platform import ENDPOINT_PREFIX, OPERATOR_PREFIX, decode_items
+from mintsaddle.settings import DirectSettings
+from mintsaddle.values import Instant
+
+ABSENCE_SECONDS = 1.0
+"""Seconds without an answer after which the platform counts as away: its
+usual answer takes 4 ms, and a watch is renewed without a pause."""
+
+_LIKELY_ENTRIES = 8
+"""Entries assumed to share the retry budget until peers have told."""
+
+_log = make_logger("directory")
+
+
+class Gateway:
+    """Beliefs, counters and the lock under which decisions change them."""
+
+    def __init__(self, settings: DirectSettings) -> None:
+        self._settings = settings
+        self._lock = threading.RLock()
+        self._rng = random.Random()
+        self._routing = RoutingState(
+            settings.vm,
+            settings.data_centre,
+            budget_cap=settings.retry_slack / _LIKELY_ENTRIES,
+            retry_share=settings.retry_share,
+        )
+        self._replicas = {
+            prefix: Replica(prefix) for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX)
+        }
+        self._directory = Directory()
+        self._book = HistogramBook()
+        self._counts: Counter[str] = Counter()
+        self._leaving = False
+
+    @property
+    def settings(self) -> DirectSettings:
+        """What the settings file said at the start."""
+        return self._settings
+
+    @property
+    def lock(self) -> threading.RLock:
+        """Held while a decision reads or changes shared state."""
+        return self._lock
+
+    @property
+    def rng(self) -> random.Random:
+        """The source of randomness for decisions; use it under the lock."""
+        return self._rng
+
+    @property
+    def routing(self) -> RoutingState:
+        """Views of endpoints and the retry budget; use it under the lock."""
+        return self._routing
+
+    @property
+    def directory(self) -> Directory:
+        """What is believed of table, endpoints and data centres."""
+        return self._directory
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this process was told to stop."""
+        return self._leaving
+
+    def now(self) -> Instant:
+        """Return the present instant.
+
+        The clock that also counts while the VM is suspended: by the steady
+        one, a request that was read before would seem to have time left. The
+        time of day isn't used: it may jump.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def mark_leaving(self) -> None:
+        """Note that this process was told to stop."""
+        self._leaving = True
+
+    def replica(self, prefix: str) -> Replica:
+        """Return the copy of what is published under a prefix."""
+        return self._replicas[prefix]
+
+    def is_fresh(self, within: float) -> bool:
+        """Return whether the operator's part was complete a short time ago."""
+        confirmed_at = self._replicas[OPERATOR_PREFIX].confirmed_at
+        return self.now() - confirmed_at <= within
+
+    def take_items(
+        self,
+        replica: Replica,
+        items: Sequence[PublishedItem],
+        position: int,
+        *,
+        is_complete: bool,
+        confirmed_at: Instant,
+        source: str,
+    ) -> None:
+        """Take over published items and what follows from them.
+
+        Args:
+            replica: The copy that they belong to.
+            items: What was read, changed or relayed.
+            position: Revision up to which nothing is missing then.
+            is_complete: Whether keys that aren't among the items are gone.
+            confirmed_at: When the items were known to be current.
+            source: Who told, for the log.
+        """
+        with self._lock:
+            now = self.now()
+            was_away = now - replica.confirmed_at > ABSENCE_SECONDS
+            if was_away and replica.position:
+                replica.expect_lapses(now + LAPSE_GRACE)
+            take = replica.replace if is_complete else replica.merge
+            changed = take(items, position)
+            replica.confirm(confirmed_at)
+            if changed:
+                self._apply(replica, changed, source, now)
+
+    def drop_lapsed(self) -> None:
+        """Forget endpoints whose announcements haven't come back in time."""
+        with self._lock:
+            self._directory = drop_lapsed(self._directory, self.now())
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        with self._lock:
+            self._counts[name] += 1
+
+    def counts(self) -> dict[str, int]:
+        """Return all counters."""
+        with self._lock:
+            return dict(self._counts)
+
+    def record(self, name: HistogramName, seconds: float) -> None:
+        """Count one value of a histogram."""
+        with self._lock:
+            self._book.record(name, seconds)
+
+    def book_lines(self) -> list[str]:
+        """Return the histograms as lines of text."""
+        with self._lock:
+            summaries = self._book.summarise()
+        return [
+            f"mintsaddle_{one.name.measure.value}_ms"
+            f'{{workspace="{one.name.workspace}",class="{one.name.work_class}",'
+            f'quantile="{quantile}"}} {value:.0f}'
+            for one in summaries
+            for quantile, value in (("0.5", one.p50), ("0.95", one.p95))
+        ]
+
+    def _apply(
+        self, replica: Replica, changed: list[PublishedItem], source: str, now: Instant
+    ) -> None:
+        before = self._directory
+        facts = decode_items(sorted(changed, key=lambda item: item.revision), now)
+        self._directory = apply_facts(before, facts, replica.lapse_until, now)
+        after = self._directory
+        for name in before.endpoints.keys() - after.endpoints.keys():
+            self._routing.forget(name)
+        _log.info(
+            "Beliefs changed %s.",
+            fields(
+                prefix=replica.prefix,
+                position=replica.position,
+                source=source,
+                version=after.table.version if after.table else 0,
+                endpoints=len(after.endpoints),
+                leaving=sum(one.leaving for one in after.endpoints.values()),
+                out=",".join(sorted(after.out)) or "none",
+            ),
+        )
--- /dev/null
+++ b/mintsaddle/direct/_run.py
@@ -0,0 +1,90 @@
+"""Running a direct entry from its start to its end."""
+
+import threading
+import time
+
+from mintsaddle.daemon import wait_for_stop
+from mintsaddle.direct._app import DirectApp
+from mintsaddle.direct._follow import start_following
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._server import CALLER_THREADS, CallerServer, serve_pages
+from mintsaddle.direct._watchdog import Watchdog
+from mintsaddle.observe import fields, make_logger
+from mintsaddle.platform import ENDPOINT_PREFIX, OPERATOR_PREFIX, READY_PATH
+from mintsaddle.settings import DirectSettings
+
+METRICS_PATH = "/metrics"
+
+ACCEPT_SECONDS = 3.0
+"""Seconds after SIGTERM for which new connections are taken: the balancer asks
+every second and stops sending after two misses."""
+
+FINISH_SHARE = 5 / 6
+"""Share of the stop time after which the process ends: work that an endpoint
+still has in the last sixth may be broken off."""
+
+_IDLE_PAUSE = 0.05
+_LIMITS_PAUSE = 0.5
+_log = make_logger("daemon")
+
+
+def run_direct(settings: DirectSettings) -> int:
+    """Run a direct entry until it is told to stop, and let answers finish."""
+    gateway = Gateway(settings)
+    watchdog = Watchdog(gateway.now)
+    app = DirectApp(gateway, watchdog, CALLER_THREADS)
+    server = CallerServer(app, settings.callers, lambda: gateway.leaving)
+    serve_pages(
+        [address for address in (settings.ready, settings.metrics) if address],
+        {
+            READY_PATH: lambda: _show_ready(gateway),
+            METRICS_PATH: lambda: _show_metrics(gateway, app),
+        },
+    )
+    watchdog.start()
+    for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX):
+        start_following(gateway, prefix)
+    threading.Thread(
+        target=_keep_limits, args=(gateway, server), name="limits", daemon=True
+    ).start()
+    server.start()
+    _log.info("Started %s.", fields(vm=settings.vm, callers=settings.callers))
+    wait_for_stop()
+    _leave(gateway, app, server)
+    _log.info("Stopped %s.", fields(vm=settings.vm, open=app.open_calls))
+    return 0
+
+
+def _leave(gateway: Gateway, app: DirectApp, server: CallerServer) -> None:
+    """Fail the readiness check, serve on for a while, finish what is open."""
+    gateway.mark_leaving()
+    told_at = gateway.now()
+    finish_at = told_at + gateway.settings.stop_seconds * FINISH_SHARE
+    time.sleep(ACCEPT_SECONDS)
+    server.close_idle()
+    while app.open_calls and gateway.now() < finish_at:
+        time.sleep(_IDLE_PAUSE)
+        server.close_idle()
+
+
+def _show_ready(gateway: Gateway) -> tuple[str, str]:
+    if gateway.leaving or gateway.directory.table is None:
+        return "503 Service Unavailable", "not serving\n"
+    return "200 OK", "serving\n"
+
+
+def _show_metrics(gateway: Gateway, app: DirectApp) -> tuple[str, str]:
+    lines = [f"mintsaddle_{name} {value}" for name, value in gateway.counts().items()]
+    lines.append(f"mintsaddle_open_calls {app.open_calls}")
+    lines += gateway.book_lines()
+    return "200 OK", "\n".join(sorted(lines)) + "\n"
+
+
+def _keep_limits(gateway: Gateway, server: CallerServer) -> None:
+    known = None
+    while True:
+        table = gateway.directory.table
+        if table is not None and table.limits != known:
+            known = table.limits
+            server.set_limits(known)
+        time.sleep(_LIMITS_PAUSE)
--- /dev/null
+++ b/mintsaddle/direct/_server.py
@@ -0,0 +1,97 @@
+"""The HTTP servers of a direct entry, by waitress."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer, create_server
+from waitress.task import WSGITask
+
+from mintsaddle.decisions.direct import CallerLimits
+
+CALLER_THREADS = 96
+"""Callers served at one time: twelve engines of 6 places and as many waiting
+streams could be held by one entry alone."""
+
+_SPARE_THREADS = 4
+"""Threads beyond that, which refuse at once what is too much."""
+
+_BACKLOG = 1024
+_MOST_CONNECTIONS = 1500
+_CLEANUP_SECONDS = 1
+_READ_BYTES = 65_536
+
+
+class _ClosingTask(WSGITask):  # type: ignore[misc]
+    """Says that the connection closes once the process is leaving."""
+
+    def build_response_header(self) -> bytes:
+        if self.channel.server.is_leaving():
+            self.request.headers["CONNECTION"] = "close"
+        head: bytes = super().build_response_header()
+        return head
+
+
+class _CallerChannel(HTTPChannel):  # type: ignore[misc]
+    task_class = _ClosingTask
+
+
+class CallerServer:
+    """Takes callers' connections."""
+
+    def __init__(self, app: Any, address: str, is_leaving: Callable[[], bool]) -> None:
+        self._server: TcpWSGIServer = create_server(
+            app,
+            listen=address,
+            threads=CALLER_THREADS + _SPARE_THREADS,
+            backlog=_BACKLOG,
+            connection_limit=_MOST_CONNECTIONS,
+            cleanup_interval=_CLEANUP_SECONDS,
+            recv_bytes=_READ_BYTES,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            ident=None,
+            clear_untrusted_proxy_headers=False,
+        )
+        self._server.channel_class = _CallerChannel
+        self._server.is_leaving = is_leaving
+
+    def start(self) -> None:
+        """Serve in a thread of its own."""
+        threading.Thread(target=self._server.run, name="callers", daemon=True).start()
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Hold callers to new limits from the next request on."""
+        adjustments = self._server.adj
+        adjustments.max_request_header_size = limits.header_bytes
+        adjustments.max_request_body_size = limits.body_bytes
+        adjustments.channel_timeout = limits.idle_seconds
+
+    def close_idle(self) -> None:
+        """Take no more connections and close those that wait for nothing."""
+        self._server.accepting = False
+        for channel in tuple(self._server.active_channels.values()):
+            if not channel.requests and channel.request is None:
+                channel.will_close = True
+        self._server.pull_trigger()
+
+
+def serve_pages(
+    addresses: Iterable[str], pages: dict[str, Callable[[], tuple[str, str]]]
+) -> None:
+    """Serve small pages, such as readiness, in a thread of their own.
+
+    Args:
+        addresses: IP and port of each listener.
+        pages: For each path a function that gives status line and text.
+    """
+
+    def app(environ: dict[str, Any], start: Any) -> list[bytes]:
+        page = pages.get(environ["PATH_INFO"])
+        status, text = page() if page else ("404 Not Found", "no such page\n")
+        start(status, [("Content-Type", "text/plain; charset=utf-8")])
+        return [text.encode()]
+
+    server = create_server(app, listen=" ".join(addresses), threads=1, ident=None)
+    threading.Thread(target=server.run, name="pages", daemon=True).start()
--- a/mintsaddle/observe/__init__.py
+++ b/mintsaddle/observe/__init__.py
@@ -7,13 +7,14 @@
     Summary,
     merge_encoded,
 )
-from mintsaddle.observe._logs import make_logger, start_logging
+from mintsaddle.observe._logs import fields, make_logger, start_logging
 
 __all__ = [
     "HistogramBook",
     "HistogramName",
     "Measure",
     "Summary",
+    "fields",
     "make_logger",
     "merge_encoded",
     "start_logging",
--- a/mintsaddle/platform/__init__.py
+++ b/mintsaddle/platform/__init__.py
@@ -1,5 +1,41 @@
-"""The platform's configuration service: read and watched, never written."""
+"""The platform, read only: its protocols and spelling, decoded once."""
 
 from mintsaddle.platform._client import PlatformValue, watch_value
+from mintsaddle.platform._items import (
+    ENDPOINT_PREFIX,
+    OPERATOR_PREFIX,
+    decode_items,
+)
+from mintsaddle.platform._messages import (
+    READY_PATH,
+    AnswerHead,
+    CallerHead,
+    make_answer_headers,
+    make_endpoint_headers,
+    make_refusal,
+    read_answer_head,
+    read_caller_head,
+)
+from mintsaddle.platform._settings import load_direct_settings, settings_path
+from mintsaddle.platform._store import StoreAnswer, StoreClient, StoreProblem
 
-__all__ = ["PlatformValue", "watch_value"]
+__all__ = [
+    "ENDPOINT_PREFIX",
+    "OPERATOR_PREFIX",
+    "READY_PATH",
+    "AnswerHead",
+    "CallerHead",
+    "PlatformValue",
+    "StoreAnswer",
+    "StoreClient",
+    "StoreProblem",
+    "decode_items",
+    "load_direct_settings",
+    "make_answer_headers",
+    "make_endpoint_headers",
+    "make_refusal",
+    "read_answer_head",
+    "read_caller_head",
+    "settings_path",
+    "watch_value",
+]
--- /dev/null
+++ b/mintsaddle/platform/_configuration.py
@@ -0,0 +1,124 @@
+"""The operator's configuration, decoded into a routing table."""
+
+import json
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from mintsaddle.decisions.direct import (
+    CallerLimits,
+    Destination,
+    DirectService,
+    KeyHolder,
+    Repeat,
+    Route,
+    RoutingTable,
+)
+from mintsaddle.values import MILLISECONDS
+
+_STREAMING = "streaming"
+_IDEMPOTENT = "idempotent"
+
+
+def decode_table(value: bytes) -> Result[RoutingTable, str]:
+    """Return the table that a published configuration holds.
+
+    Guards against a configuration that can't be read: it changes nothing, and
+    the one in force stays.
+    """
+    try:
+        return Success(_decode(json.loads(value)))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def _decode(values: Mapping[str, Any]) -> RoutingTable:
+    hosts: dict[str, list[Route]] = defaultdict(list)
+    for entry in values["routes"]:
+        route = _decode_route(entry)
+        hosts[route.host].append(route)
+    return RoutingTable(
+        version=int(values["version"]),
+        hosts={
+            host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+            for host, routes in hosts.items()
+        },
+        services={
+            service.name: service
+            for service in map(_decode_service, values["services"])
+        },
+        limits=_decode_limits(values.get("limits") or {}),
+        keys=_decode_keys(values.get("tenants")),
+    )
+
+
+def _decode_route(values: Mapping[str, Any]) -> Route:
+    # Either one service or several with weights is given.
+    weighted = values.get("weighted_backends")
+    if weighted:
+        destinations = tuple(
+            Destination(str(entry["service"]), float(entry["weight"]))
+            for entry in weighted
+            if float(entry["weight"]) > 0
+        )
+    else:
+        destinations = (Destination(str(values["service"]), 1.0),)
+    kind = values["kind"]
+    return Route(
+        name=str(values["name"]),
+        host=str(values["host"]).lower(),
+        prefix=str(values["prefix"]),
+        repeat=_decode_repeat(kind, bool(values.get("stream_resume"))),
+        is_stream=kind == _STREAMING,
+        timeout=float(values["timeout_ms"]) / MILLISECONDS,
+        objective=float(values.get("target_latency_ms") or 0) / MILLISECONDS,
+        priority=int(values.get("priority") or 0),
+        destinations=destinations,
+        most_attempts=max(1, int(values.get("max_attempts") or 1)),
+        is_open=bool(values.get("allow_anonymous")),
+    )
+
+
+def _decode_repeat(kind: str, resumable: bool) -> Repeat:
+    if kind == _IDEMPOTENT:
+        return Repeat.IDEMPOTENT
+    if kind == _STREAMING and resumable:
+        return Repeat.RESUMABLE
+    # A kind that isn't known may not be repeated: that is always safe.
+    return Repeat.ONCE
+
+
+def _decode_service(values: Mapping[str, Any]) -> DirectService:
+    return DirectService(
+        name=str(values["name"]),
+        health_path=str(values.get("health_path") or "/health"),
+        most_connections=int(values.get("max_connections") or 0),
+        cold_rate=float(values.get("cold_per_s") or 0),
+        is_engine=isinstance(values.get("engine"), dict),
+    )
+
+
+def _decode_limits(values: Mapping[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(values.get("max_header_bytes") or 16_384),
+        body_bytes=int(values.get("max_body_bytes") or 4_194_304),
+        header_seconds=float(values.get("header_timeout_ms") or 3000) / MILLISECONDS,
+        idle_seconds=float(values.get("idle_timeout_ms") or 15_000) / MILLISECONDS,
+    )
+
+
+def _decode_keys(tenants: Any) -> dict[str, KeyHolder] | None:
+    # The platform's tenant is our workspace; no list means no keys at all.
+    if not tenants:
+        return None
+    keys: dict[str, KeyHolder] = {}
+    for entry in tenants:
+        priority = entry.get("priority")
+        holder = KeyHolder(
+            str(entry["name"]), None if priority is None else int(priority)
+        )
+        for key in entry.get("api_keys") or ():
+            keys[str(key)] = holder
+    return keys
--- /dev/null
+++ b/mintsaddle/platform/_items.py
@@ -0,0 +1,111 @@
+"""The store's items, decoded into facts for the directory."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from returns.result import Failure, Success
+
+from mintsaddle.decisions.direct import (
+    DataCentreBack,
+    DataCentreOut,
+    EndpointPublished,
+    EndpointRemoved,
+    Fact,
+    Incarnation,
+    PublishedItem,
+    TablePublished,
+)
+from mintsaddle.observe import fields, make_logger
+from mintsaddle.platform._configuration import decode_table
+from mintsaddle.values import MILLISECONDS, Instant
+
+OPERATOR_PREFIX = "op/"
+"""Under it the operator publishes."""
+
+ENDPOINT_PREFIX = "servers/"
+"""Under it endpoints announce themselves."""
+
+_TABLE_KEY = "op/config"
+_OUT_PREFIX = "op/evacuate/"
+_STATES = frozenset({"ready", "draining"})
+_log = make_logger("platform")
+
+
+def decode_items(items: Iterable[PublishedItem], now: Instant) -> list[Fact]:
+    """Return the facts that changed items hold; unreadable ones are logged."""
+    facts: list[Fact] = []
+    for item in items:
+        fact = _decode_item(item, now)
+        if fact is not None:
+            facts.append(fact)
+    return facts
+
+
+def _decode_item(item: PublishedItem, now: Instant) -> Fact | None:
+    if item.key == _TABLE_KEY:
+        return _decode_table_item(item)
+    if item.key.startswith(_OUT_PREFIX):
+        name = item.key.removeprefix(_OUT_PREFIX)
+        return DataCentreBack(name) if item.value is None else DataCentreOut(name)
+    if item.key.startswith(ENDPOINT_PREFIX):
+        return _decode_endpoint(item, now)
+    return None
+
+
+def _decode_table_item(item: PublishedItem) -> Fact | None:
+    if item.value is None:
+        _log.warning("Table removed %s.", fields(revision=item.revision))
+        return None
+    match decode_table(item.value):
+        case Success(table):
+            return TablePublished(table)
+        case Failure(problem):
+            _log.warning(
+                "Table refused %s.", fields(revision=item.revision, problem=problem)
+            )
+    return None
+
+
+def _decode_endpoint(item: PublishedItem, now: Instant) -> Fact:
+    """Return the announcement, or a removal when it can't be read.
+
+    Another writer may leave fields out, write other types or garbage; such an
+    announcement names no endpoint to use.
+    """
+    name = item.key.removeprefix(ENDPOINT_PREFIX)
+    if item.value is None:
+        return EndpointRemoved(name)
+    try:
+        return EndpointPublished(_read_endpoint(name, json.loads(item.value), now))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        _log.warning(
+            "Endpoint unreadable %s.",
+            fields(endpoint=name, revision=item.revision, problem=repr(error)),
+        )
+        return EndpointRemoved(name)
+
+
+def _read_endpoint(name: str, values: dict[str, Any], now: Instant) -> Incarnation:
+    service, address, zone = values["service"], values["address"], values["zone"]
+    state, slots = values["state"], values["slots"]
+    cold_ms, born = values.get("cold_left_ms", 0), values.get("born", 0)
+    texts_good = all(isinstance(text, str) and text for text in (service, zone))
+    if not texts_good or state not in _STATES:
+        raise ValueError("service, zone or state is of no known form")
+    numbers = (slots, cold_ms, born)
+    if not all(isinstance(n, int | float) and not isinstance(n, bool) for n in numbers):
+        raise ValueError("slots, cold_left_ms or born is no number")
+    host, _, port = str(address).rpartition(":")
+    if not host or not 0 < int(port) < 65_536:
+        raise ValueError("address is no IP:PORT")
+    return Incarnation(
+        name=name,
+        service=service,
+        address=address,
+        data_centre=zone,
+        slots=max(1, int(slots)),
+        leaving=state == "draining",
+        cold_until=now + cold_ms / MILLISECONDS if cold_ms > 0 else 0.0,
+        born=int(born),
+    )
--- /dev/null
+++ b/mintsaddle/platform/_settings.py
@@ -0,0 +1,119 @@
+"""The platform's settings file, decoded into the entry's settings.
+
+The path of the file stands in an environment variable; the file is TOML.
+Fields that aren't known here are ignored: new ones may come.
+"""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from mintsaddle.settings import DirectSettings
+from mintsaddle.values import MILLISECONDS, Finding, Findings
+
+_PATH_VARIABLE = "MINTSADDLE_NODE_FILE"
+_METRICS_OFFSET = 0
+"""Port of the VM's range for the metrics; the deploy file names it."""
+
+
+def settings_path() -> str:
+    """Return the path of this process's settings file."""
+    return os.environ.get(_PATH_VARIABLE, "/etc/mintsaddle/settings.toml")
+
+
+def load_direct_settings(path: str) -> Result[DirectSettings, Findings]:
+    """Return the settings in the file, or everything wrong with it."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        values = tomllib.loads(text)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Failure((Finding(path, 0, "", "", f"can't be read: {error}"),))
+    return decode_settings(path, values)
+
+
+def decode_settings(
+    source: str, values: Mapping[str, Any]
+) -> Result[DirectSettings, Findings]:
+    """Return the settings that a parsed file holds.
+
+    Args:
+        source: Name of the file, for the findings.
+        values: The parsed TOML.
+    """
+    reader = _Reader(source, values)
+    bounds = reader.read_table("bounds")
+    listen = reader.read_table("listen")
+    platform = reader.read_table("platform")
+    host = reader.read_text("ip")
+    ports = values.get("port_range") or []
+    settings = DirectSettings(
+        vm=reader.read_text("node_name"),
+        data_centre=reader.read_text("zone"),
+        callers=listen.read_text("front"),
+        ready=listen.read_text("ready_addr"),
+        control=listen.read_text("control"),
+        metrics=f"{host}:{ports[0] + _METRICS_OFFSET}" if ports else "",
+        peers=tuple(str(address) for address in values.get("seeds") or ()),
+        store=platform.read_text("address"),
+        stop_seconds=bounds.read_number("grace_s"),
+        retry_share=bounds.read_number("retry_budget_ratio"),
+        retry_slack=bounds.read_number("retry_slack"),
+        retry_window=bounds.read_number("budget_window_s"),
+        cold_factor=bounds.read_number("cold_overshoot"),
+        cold_slack=bounds.read_number("cold_slack"),
+        stall=bounds.read_number("stall_ms") / MILLISECONDS,
+        first_start=bool(values.get("bootstrap")),
+    )
+    findings = (
+        *reader.findings,
+        *bounds.findings,
+        *listen.findings,
+        *platform.findings,
+    )
+    return Failure(findings) if findings else Success(settings)
+
+
+class _Reader:
+    """Reads the fields of one table and collects what is wrong with them."""
+
+    def __init__(self, source: str, values: Mapping[str, Any], name: str = "") -> None:
+        self._source = source
+        self._values = values
+        self._name = name
+        self._findings: list[Finding] = []
+
+    @property
+    def findings(self) -> Findings:
+        """What was wrong so far."""
+        return tuple(self._findings)
+
+    def read_table(self, key: str) -> "_Reader":
+        """Return a reader of a table within this one."""
+        value = self._values.get(key)
+        if not isinstance(value, dict):
+            self._report(key, "is missing; a table is needed")
+            value = {}
+        return _Reader(self._source, value, key)
+
+    def read_text(self, key: str) -> str:
+        """Return a text that must not be empty."""
+        value = self._values.get(key)
+        if isinstance(value, str) and value:
+            return value
+        self._report(key, "is missing; a text is needed")
+        return ""
+
+    def read_number(self, key: str) -> float:
+        """Return a number that must not be negative."""
+        value = self._values.get(key)
+        if isinstance(value, int | float) and value >= 0:
+            return float(value)
+        self._report(key, "is missing; a number of 0 or more is needed")
+        return 0.0
+
+    def _report(self, key: str, problem: str) -> None:
+        self._findings.append(Finding(self._source, 0, self._name, key, problem))
--- /dev/null
+++ b/mintsaddle/platform/_store.py
@@ -0,0 +1,160 @@
+"""The one client of the platform's store: reading and watching by prefix."""
+
+import base64
+import enum
+import http.client
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+from returns.result import Failure, Result, Success
+
+from mintsaddle.decisions.direct import PublishedItem
+from mintsaddle.values import MILLISECONDS
+
+READ_SECONDS = 1.0
+"""Seconds for one answer: 250 times the store's usual 4 ms, so that a slow
+store is waited for and a silent connection costs one second only."""
+
+_LARGEST_ANSWER = 4 * 1_048_576
+_MOST_PAGES = 200
+"""Pages of one reading; 100,000 items at the store's 500 a page."""
+
+
+class StoreProblem(enum.Enum):
+    """Why the store gave nothing."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    UNREADABLE = "unreadable"
+    HISTORY_GONE = "history-gone"
+
+
+class StoreAnswer(NamedTuple):
+    """Items of one reading or watch."""
+
+    items: tuple[PublishedItem, ...]
+    position: int
+    """Revision up to which nothing is missing."""
+
+
+class StoreClient:
+    """A kept connection to the store, for one thread."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._connection: http.client.HTTPConnection | None = None
+
+    def read_all(self, prefix: str) -> Result[StoreAnswer, StoreProblem]:
+        """Return all items under a prefix.
+
+        Pages are no snapshot, so the first page's revision counts: what
+        changed while later pages were read comes again by the watch.
+        """
+        items: list[PublishedItem] = []
+        position = -1
+        after = ""
+        for _ in range(_MOST_PAGES):
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            match self._get("kv-range", query, READ_SECONDS):
+                case Failure(problem):
+                    return Failure(problem)
+                case Success(answer):
+                    page = _read_items(answer.get("items"))
+                    if page is None or not isinstance(answer.get("at"), int):
+                        return Failure(StoreProblem.UNREADABLE)
+                    position = answer["at"] if position < 0 else position
+                    items.extend(page)
+                    if not answer.get("has_more") or not page:
+                        return Success(StoreAnswer(tuple(items), position))
+                    after = page[-1].key
+        return Failure(StoreProblem.UNREADABLE)
+
+    def watch(
+        self, prefix: str, position: int, wait: float
+    ) -> Result[StoreAnswer, StoreProblem]:
+        """Wait for changes after a revision.
+
+        Args:
+            prefix: Keys that begin so are watched.
+            position: The last revision that is known.
+            wait: Seconds that the store may hold the call.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(position),
+            "wait_ms": str(int(wait * MILLISECONDS)),
+        }
+        match self._get("kv-watch", query, wait + READ_SECONDS):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(answer):
+                items = _read_items(answer.get("events"))
+                if items is None or not isinstance(answer.get("at"), int):
+                    return Failure(StoreProblem.UNREADABLE)
+                return Success(StoreAnswer(items, max(position, answer["at"])))
+        raise AssertionError("a result is a success or a failure")
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _get(
+        self, call: str, query: Mapping[str, str], seconds: float
+    ) -> Result[dict[str, Any], StoreProblem]:
+        connection = self._connection
+        if connection is None:
+            connection = http.client.HTTPConnection(self._address, timeout=seconds)
+            self._connection = connection
+        try:
+            if connection.sock is None:
+                connection.timeout = READ_SECONDS
+                connection.connect()
+            connection.sock.settimeout(seconds)
+            connection.request("GET", f"/mintsaddle/{call}?{urlencode(query)}")
+            response = connection.getresponse()
+            body = response.read(_LARGEST_ANSWER)
+        except (OSError, http.client.HTTPException):
+            # A connection on which an answer was lost gives nothing any more.
+            self.close()
+            return Failure(StoreProblem.UNREACHABLE)
+        return self._read_answer(response, body)
+
+    def _read_answer(
+        self, response: http.client.HTTPResponse, body: bytes
+    ) -> Result[dict[str, Any], StoreProblem]:
+        if response.status == http.client.GONE:
+            return Failure(StoreProblem.HISTORY_GONE)
+        if response.status != http.client.OK:
+            self.close()
+            return Failure(StoreProblem.REFUSED)
+        try:
+            answer = json.loads(body)
+        except ValueError:
+            answer = None
+        if not isinstance(answer, dict):
+            self.close()
+            return Failure(StoreProblem.UNREADABLE)
+        return Success(answer)
+
+
+def _read_items(values: Any) -> tuple[PublishedItem, ...] | None:
+    """Return the items of an answer; None when it isn't a list of items."""
+    if not isinstance(values, list):
+        return None
+    try:
+        return tuple(_read_item(value) for value in values)
+    except (ValueError, TypeError, KeyError):
+        return None
+
+
+def _read_item(value: Mapping[str, Any]) -> PublishedItem:
+    key, revision = str(value["key"]), int(value["revision"])
+    if value.get("tombstoned"):
+        return PublishedItem(key, revision, None)
+    return PublishedItem(key, revision, base64.b64decode(value["value"]))
--- a/mintsaddle/settings/__init__.py
+++ b/mintsaddle/settings/__init__.py
@@ -1,6 +1,7 @@
-"""The settings of one daemon: a small INI file, checked as a whole."""
+"""A daemon's settings: an INI file, checked as a whole."""
 
+from mintsaddle.settings._direct import DirectSettings
 from mintsaddle.settings._read import read_settings
 from mintsaddle.settings._settings import Role, Settings
 
-__all__ = ["Role", "Settings", "read_settings"]
+__all__ = ["DirectSettings", "Role", "Settings", "read_settings"]
