Count a removal at once unless the platform was away; let entries relay

Ruled out: a late watch, a lost event. Change: only a failed call counts as absence. Entries exchange beliefs over gRPC, so that one that the store turns away still hears of changes. Cut streams close quietly instead of with a traceback each.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -153,7 +153,9 @@
         program = "import sys; from mintsaddle.daemon import main; sys.exit(main())"
         command = [sys.executable, "-c", program, "--settings", str(settings)]
         with Path(self._folder.name, f"{name}.log").open("a") as log:
-            process = subprocess.Popen(command, stderr=log, text=True)
+            process = subprocess.Popen(
+                command, stdout=log, stderr=subprocess.STDOUT, text=True
+            )
         self._processes[name] = process
 
     def fleet_text(self, extra: str = "") -> str:
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -24,6 +24,11 @@
     drop_lapsed,
     usable_endpoints,
 )
+from mintsaddle.decisions.direct._membership import (
+    ALIVE_SECONDS,
+    KnownEntry,
+    Membership,
+)
 from mintsaddle.decisions.direct._placement import choose_incarnation
 from mintsaddle.decisions.direct._replica import PublishedItem, Replica
 from mintsaddle.decisions.direct._table import (
@@ -39,6 +44,7 @@
 )
 
 __all__ = [
+    "ALIVE_SECONDS",
     "LAPSE_GRACE",
     "NEVER_RAN",
     "CallerLimits",
@@ -55,6 +61,8 @@
     "GiveUp",
     "Incarnation",
     "KeyHolder",
+    "KnownEntry",
+    "Membership",
     "PublishedItem",
     "Repeat",
     "Replica",
--- a/mintsaddle/decisions/routing/_state.py
+++ b/mintsaddle/decisions/routing/_state.py
@@ -104,6 +104,11 @@
         """Set the retry budget."""
         self._budget = budget
 
+    def replace_budget_cap(self, cap: float) -> None:
+        """Set how many retries may be saved up."""
+        self._budget_cap = cap
+        self._budget = min(self._budget, cap)
+
     def forget(self, endpoint: str) -> None:
         """Drop the view of an endpoint that won't come back."""
         self._views.pop(endpoint, None)
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -22,8 +22,12 @@
 _ID_FIELD = b"id:"
 
 
-class StreamCutError(Exception):
-    """An event stream ended before its end."""
+class StreamCutError(ConnectionError):
+    """An event stream ended before its end.
+
+    A connection error, so that the server closes the caller's connection
+    quietly and without the last chunk: a cut stream never looks complete.
+    """
 
 
 class Event:
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -38,6 +38,7 @@
         match result:
             case Success(answer):
                 if not is_well:
+                    gateway.note_regained(prefix)
                     _log.info("Platform regained %s.", fields(prefix=prefix))
                 # A watch's answer is current as it is sent, a reading as it
                 # is asked for.
@@ -59,6 +60,7 @@
                         "Platform lost %s.", fields(prefix=prefix, why=problem.value)
                     )
                 is_well = False
+                gateway.note_lost(prefix)
                 threading.Event().wait(PAUSE_SECONDS * (0.5 + gateway.rng.random()))
         gateway.drop_lapsed()
 
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -20,10 +20,6 @@
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
 
-ABSENCE_SECONDS = 1.0
-"""Seconds without an answer after which the platform counts as away: its
-usual answer takes 4 ms, and a watch is renewed without a pause."""
-
 _LIKELY_ENTRIES = 8
 """Entries assumed to share the retry budget until peers have told."""
 
@@ -50,6 +46,8 @@
         self._book = HistogramBook()
         self._counts: Counter[str] = Counter()
         self._leaving = False
+        self._lost: set[str] = set()
+        self._kept: list[object] = []
 
     @property
     def settings(self) -> DirectSettings:
@@ -81,6 +79,11 @@
         """Whether this process was told to stop."""
         return self._leaving
 
+    @property
+    def is_platform_lost(self) -> bool:
+        """Whether the platform gives this entry nothing at present."""
+        return bool(self._lost)
+
     def now(self) -> Instant:
         """Return the present instant.
 
@@ -98,6 +101,39 @@
         """Return the copy of what is published under a prefix."""
         return self._replicas[prefix]
 
+    def replica_or_none(self, prefix: str) -> Replica | None:
+        """Return the copy under a prefix that a peer has named."""
+        return self._replicas.get(prefix)
+
+    def replicas(self) -> tuple[Replica, ...]:
+        """Return all copies."""
+        return tuple(self._replicas.values())
+
+    def note_lost(self, prefix: str) -> None:
+        """Note that the platform gives nothing for a prefix."""
+        with self._lock:
+            self._lost.add(prefix)
+
+    def note_regained(self, prefix: str) -> None:
+        """Note that the platform gives something again.
+
+        Announcements that lapsed in the meantime get their grace from here:
+        they are taken over with the answer that follows.
+        """
+        with self._lock:
+            self._lost.discard(prefix)
+            self._replicas[prefix].expect_lapses(self.now() + LAPSE_GRACE)
+
+    def set_entries(self, number: int) -> None:
+        """Note how many entries share limits; the larger number counts."""
+        with self._lock:
+            share = self._settings.retry_slack / max(number, _LIKELY_ENTRIES)
+            self._routing.replace_budget_cap(share)
+
+    def keep(self, *things: object) -> None:
+        """Hold what would otherwise be collected while it is in use."""
+        self._kept.extend(things)
+
     def is_fresh(self, within: float) -> bool:
         """Return whether the operator's part was complete a short time ago."""
         confirmed_at = self._replicas[OPERATOR_PREFIX].confirmed_at
@@ -125,9 +161,6 @@
         """
         with self._lock:
             now = self.now()
-            was_away = now - replica.confirmed_at > ABSENCE_SECONDS
-            if was_away and replica.position:
-                replica.expect_lapses(now + LAPSE_GRACE)
             take = replica.replace if is_complete else replica.merge
             changed = take(items, position)
             replica.confirm(confirmed_at)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -4,9 +4,11 @@
 import time
 
 from mintsaddle.daemon import wait_for_stop
+from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._follow import start_following
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._peers import start_peers
 from mintsaddle.direct._server import CALLER_THREADS, CallerServer, serve_pages
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
@@ -44,6 +46,7 @@
     watchdog.start()
     for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX):
         start_following(gateway, prefix)
+    start_peers(gateway, Membership(settings.vm, settings.control, settings.peers))
     threading.Thread(
         target=_keep_limits, args=(gateway, server), name="limits", daemon=True
     ).start()
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -83,7 +83,7 @@
 """What the caller gets."""
 
 
-class CallerLeftError(Exception):
+class CallerLeftError(ConnectionError):
     """The caller has hung up; nobody reads an answer."""
 
 
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -53,6 +53,8 @@
             asyncore_use_poll=True,
             ident=None,
             clear_untrusted_proxy_headers=False,
+            # Cut streams and callers that leave are logged by the app.
+            log_socket_errors=False,
         )
         self._server.channel_class = _CallerChannel
         self._server.is_leaving = is_leaving
--- /dev/null
+++ b/mintsaddle/direct/tests/test_gateway.py
@@ -0,0 +1,78 @@
+import pytest
+
+from mintsaddle.decisions.direct import PublishedItem
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.platform import ENDPOINT_PREFIX
+from mintsaddle.settings import DirectSettings
+
+ANNOUNCED = (
+    b'{"service":"desk","address":"10.0.0.9:80","zone":"a","version":"v1",'
+    b'"slots":6,"state":"ready","sequence":1,"cold_left_ms":0,"born":5}'
+)
+
+SETTINGS = DirectSettings(
+    vm="entry-1",
+    data_centre="a",
+    callers="127.0.0.1:1",
+    ready="127.0.0.1:2",
+    control="127.0.0.1:3",
+    metrics="",
+    peers=(),
+    store="127.0.0.1:4",
+    stop_seconds=8.0,
+    retry_share=0.2,
+    retry_slack=90.0,
+    retry_window=10.0,
+    cold_factor=1.5,
+    cold_slack=5.0,
+    stall=1.5,
+    first_start=True,
+)
+
+
+@pytest.fixture
+def gateway() -> Gateway:
+    gateway = Gateway(SETTINGS)
+    take(gateway, PublishedItem("servers/i-1", 5, ANNOUNCED))
+    return gateway
+
+
+def take(gateway: Gateway, *items: PublishedItem) -> None:
+    gateway.take_items(
+        gateway.replica(ENDPOINT_PREFIX),
+        items,
+        max(item.revision for item in items),
+        is_complete=False,
+        confirmed_at=gateway.now(),
+        source="test",
+    )
+
+
+class TestRemovals:
+    def test_a_removal_after_a_long_quiet_watch_counts_at_once(
+        self, gateway: Gateway
+    ) -> None:
+        """A caller's request runs at a desk that left over two seconds ago.
+
+        The endpoint leaves without saying so first: its entry is removed. The
+        watch that tells of it had waited quietly for longer than a second,
+        which was taken for an absence of the platform, so the endpoint was
+        kept for two seconds more.
+        """
+        replica = gateway.replica(ENDPOINT_PREFIX)
+        assert replica.lapse_until == 0.0
+
+        take(gateway, PublishedItem("servers/i-1", 6, None))
+
+        assert "i-1" not in gateway.directory.endpoints
+
+    def test_a_lapse_while_the_platform_was_away_gets_its_grace(
+        self, gateway: Gateway
+    ) -> None:
+        gateway.note_lost(ENDPOINT_PREFIX)
+        gateway.note_regained(ENDPOINT_PREFIX)
+
+        take(gateway, PublishedItem("servers/i-1", 6, None))
+
+        assert "i-1" in gateway.directory.endpoints
+        assert "i-1" in gateway.directory.lapsed
--- a/mintsaddle/transport/proto/peer_grpc.py
+++ b/mintsaddle/transport/proto/peer_grpc.py
@@ -146,3 +146,31 @@
             mintsaddle.transport.proto.peer_pb2.CallRequest,
             mintsaddle.transport.proto.peer_pb2.CallReply,
         )
+
+
+class EntryPeersBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Exchange(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.EntryHello, mintsaddle.transport.proto.peer_pb2.EntryNews]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/mintsaddle.v1.EntryPeers/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.EntryHello,
+                mintsaddle.transport.proto.peer_pb2.EntryNews,
+            ),
+        }
+
+
+class EntryPeersStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Exchange = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/Exchange',
+            mintsaddle.transport.proto.peer_pb2.EntryHello,
+            mintsaddle.transport.proto.peer_pb2.EntryNews,
+        )
