Change expert maps on real groups, by one entry and prepare, hold, arm, release

Popularity stays for about 3.4 s (counts read each second in a trial: cosine 0.97 to 0.99 between seconds, then a jump). Change: decisions/expert_maps: _spread (copies of hot experts in free places), _watch (only while the group is the bottleneck), _armed_switch (the protocol); direct/_maps carries it out from the entry that is chosen for the group.

--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -18,6 +18,21 @@
 back."""
 
 
+class RankPlace(NamedTuple):
+    """An engine's place in a group that runs in lock-step."""
+
+    group: str
+    epoch: int
+    """Grows each time that the group forms anew."""
+
+    rank: int
+    size: int
+    """Ranks of the group."""
+
+    is_open: bool
+    """Whether the group takes work."""
+
+
 class Incarnation(NamedTuple):
     """One run of an endpoint, as it announces itself."""
 
@@ -37,6 +52,9 @@
     born: int
     """When the run started, in Unix milliseconds; 0 when it isn't told."""
 
+    place: RankPlace | None = None
+    """Its place in a rank group; None when it belongs to none."""
+
 
 class TablePublished(NamedTuple):
     """The operator has published a table."""
--- a/mintsaddle/decisions/direct/_table.py
+++ b/mintsaddle/decisions/direct/_table.py
@@ -53,6 +53,20 @@
     """Whether callers need no key."""
 
 
+class ExpertModel(NamedTuple):
+    """How the experts of a service's engines are laid out."""
+
+    layers: int
+    experts: int
+    """Experts of a layer."""
+
+    places: int
+    """Experts of a layer that one rank can hold."""
+
+    new_places: int
+    """Experts of a layer that one rank can load for one map."""
+
+
 class DirectService(NamedTuple):
     """A service whose endpoints an entry calls itself."""
 
@@ -67,6 +81,9 @@
     is_engine: bool
     """Whether it is a model engine."""
 
+    experts: ExpertModel | None = None
+    """Layout of its experts; None when it has none."""
+
 
 class CallerLimits(NamedTuple):
     """What a caller may send, and how long it may take."""
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -1,5 +1,23 @@
 """Which rank holds which experts, and how a group changes that in step."""
 
+from mintsaddle.decisions.expert_maps._armed_switch import (
+    OVER,
+    ArmedSwitch,
+    MapOrder,
+    OrderAct,
+    RankReport,
+    SwitchStage,
+    Verdict,
+    begin_switch,
+    choose_step,
+    hold_at,
+    must_read_first,
+    next_map_orders,
+    note_answers,
+    note_reports,
+    ranks_to_read,
+    withdraw_held,
+)
 from mintsaddle.decisions.expert_maps._maps import (
     ExpertMap,
     Popularity,
@@ -21,6 +39,11 @@
     RankVerdict,
     judge_order,
 )
+from mintsaddle.decisions.expert_maps._spread import (
+    SpreadLimits,
+    slowest_share,
+    spread_experts,
+)
 from mintsaddle.decisions.expert_maps._switch import (
     GroupAct,
     GroupOrder,
@@ -32,30 +55,51 @@
     note_reply,
     start_switch,
 )
+from mintsaddle.decisions.expert_maps._watch import MapWatch
 
 __all__ = [
-    "HORIZON_INTERVALS",
+    "ArmedSwitch",
     "ExpertMap",
     "GroupAct",
     "GroupOrder",
+    "HORIZON_INTERVALS",
+    "MapOrder",
+    "MapWatch",
+    "OVER",
+    "OrderAct",
     "PlanCost",
     "Popularity",
     "PopularityCounts",
     "RankReading",
     "RankReply",
+    "RankReport",
     "RankState",
     "RankVerdict",
+    "SpreadLimits",
     "SwitchPhase",
+    "SwitchStage",
     "SwitchState",
+    "Verdict",
+    "begin_switch",
+    "choose_step",
     "count_moved",
+    "hold_at",
     "is_complete",
     "judge_order",
     "make_first_map",
     "measure_skew",
+    "must_read_first",
+    "next_map_orders",
     "next_orders",
+    "note_answers",
     "note_reply",
+    "note_reports",
     "plan_afresh",
     "plan_moves",
+    "ranks_to_read",
+    "withdraw_held",
+    "slowest_share",
+    "spread_experts",
     "start_switch",
     "step_load",
 ]
--- /dev/null
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -0,0 +1,449 @@
+"""Switching a map on engines that don't compare theirs with each other.
+
+The engines know five acts: prepare (load a map's weights), hold (the group
+doesn't begin a step until it is released), arm (use a prepared map from a step
+on), disarm and release. Any answer may be lost, and an order without an answer
+may be carried out seconds later. Nothing on the engines' side keeps a step
+from beginning with two maps, so the order of the acts has to:
+
+* The hold stands before the first arm is sent, and it is released only when
+  every rank is armed, or when none is and none can become so any more.
+* An unanswered arm is sent again until it is answered: the group waits. Copies
+  that come late find that the step has begun, and are refused.
+* A switch is withdrawn when a rank refuses to be armed. Then all ranks are
+  disarmed and fenced: each prepares a higher version of the old map, which
+  takes the place of the new one, so that a late arm is refused.
+* Every order names the group's epoch. When a rank dies the group forms anew
+  with its first map and nothing armed or held: the switch is void.
+
+A coordinator that dies leaves the group held. Whoever notices withdraws its
+switch with ``withdraw_held``: it holds the same step at another rank, so that
+a first coordinator that still runs can't let the step begin meanwhile. Who
+withdraws reads before each round that its own hold still stands: another one
+may have ended the matter, and what is armed then belongs to a newer switch.
+Going on with the switch instead was shown to mix maps: reports don't tell for
+which step a rank is armed.
+"""
+
+import enum
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from mintsaddle.decisions.expert_maps._maps import ExpertMap
+from mintsaddle.values import Instant
+
+COPY_PATIENCE = 8.0
+"""Seconds for all ranks to load: 12 weights of 0.14 s each take 1.7 s, and an
+order that is carried out late does so within a few seconds."""
+
+LEAD_SECONDS = 0.25
+"""Seconds until the step that is held: reports are 0.2 s old."""
+
+LEAD_STEPS = 3
+"""Steps more, for the time that the orders themselves take."""
+
+MOST_HOLDS = 3
+"""Steps tried before the switch is given up: each was passed too soon."""
+
+
+class OrderAct(enum.Enum):
+    """What a rank's engine is told."""
+
+    PREPARE = "prepare"
+    HOLD = "hold"
+    ARM = "arm"
+    DISARM = "disarm"
+    RELEASE = "release"
+
+
+class Verdict(enum.Enum):
+    """How a rank's engine answered an order."""
+
+    BEGUN = "begun"
+    """It has begun what it was told."""
+
+    HOLDS = "holds"
+    """The state that was asked for held already."""
+
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """No answer: it may have been carried out, or may be later."""
+
+
+class MapOrder(NamedTuple):
+    """One order to one rank."""
+
+    rank: int
+    act: OrderAct
+    epoch: int
+
+    version: int = 0
+    step: int = 0
+    layers: tuple[tuple[tuple[int, ...], ...], ...] = ()
+    """For prepare: experts by layer and rank."""
+
+
+class RankReport(NamedTuple):
+    """What a rank's engine says of itself; up to 0.2 s old."""
+
+    rank: int
+    epoch: int
+    is_open: bool
+    is_busy: bool
+    """Whether it is loading weights."""
+
+    step: int
+    """The last step that was begun."""
+
+    running: int
+    """Requests that it is writing."""
+
+    version: int
+    """Version of the map in use."""
+
+    prepared: int | None
+    armed: int | None
+    """Version that it will switch to."""
+
+    held: int | None
+    """Step that doesn't begin before a release."""
+
+
+class SwitchStage(enum.Enum):
+    """How far a switch is."""
+
+    PREPARE = "prepare"
+    HOLD = "hold"
+    ARM = "arm"
+    DISARM = "disarm"
+    FENCE = "fence"
+    RELEASE = "release"
+    DONE = "done"
+    FAILED = "failed"
+    VOID = "void"
+    """The group has formed anew meanwhile."""
+
+
+OVER = frozenset({SwitchStage.DONE, SwitchStage.FAILED, SwitchStage.VOID})
+"""Stages after which no order follows."""
+
+
+_WITHDRAWING = frozenset({SwitchStage.DISARM, SwitchStage.FENCE})
+
+
+class ArmedSwitch(NamedTuple):
+    """One switch, as its coordinator sees it."""
+
+    epoch: int
+    ranks: int
+    old_map: ExpertMap
+    new_map: ExpertMap
+    stage: SwitchStage
+    give_up_at: Instant
+    """When the loading of weights is given up."""
+
+    settled: frozenset[int] = frozenset()
+    """Ranks that the present stage is through with."""
+
+    begun: frozenset[int] = frozenset()
+    """Ranks that load a map; a report tells when they are through."""
+
+    refused: frozenset[int] = frozenset()
+    """Ranks that refused the last order; a report has to tell why."""
+
+    holder: int = 0
+    """Rank at which this coordinator holds the step."""
+
+    holders: frozenset[int] = frozenset()
+    """Ranks at which the step is held, by whomever."""
+
+    step: int = 0
+    """The step that is held and at which the map changes; 0: to be chosen."""
+
+    holds: int = 0
+    """Steps tried so far."""
+
+    is_foreign: bool = False
+    """Whether another coordinator began it."""
+
+    doomed: tuple[int, ...] = ()
+    """For each rank the version that it has to be disarmed of; 0: none."""
+
+    fence: int = 0
+    """Version of the old map that takes the place of the new one."""
+
+    succeeded: bool = False
+    """Whether all ranks were armed."""
+
+    @property
+    def version(self) -> int:
+        """Version of the new map."""
+        return self.new_map.version
+
+
+def begin_switch(
+    old_map: ExpertMap, new_map: ExpertMap, reports: Sequence[RankReport], now: Instant
+) -> ArmedSwitch:
+    """Return a switch to a new map.
+
+    Args:
+        old_map: The map in use.
+        new_map: The map to use; its version is higher than all that ranks had.
+        reports: A report of every rank, in order.
+        now: The present instant.
+    """
+    return ArmedSwitch(
+        epoch=reports[0].epoch,
+        ranks=len(reports),
+        old_map=old_map,
+        new_map=new_map,
+        stage=SwitchStage.PREPARE,
+        give_up_at=now + COPY_PATIENCE,
+        holder=new_map.version % len(reports),
+        doomed=(new_map.version,) * len(reports),
+        fence=new_map.version + 1,
+    )
+
+
+def withdraw_held(
+    old_map: ExpertMap, reports: Sequence[RankReport], now: Instant
+) -> ArmedSwitch | None:
+    """Return the withdrawal of a switch whose coordinator has gone.
+
+    None if no step is held.
+
+    Args:
+        old_map: The map in use.
+        reports: A report of every rank, in order.
+        now: The present instant.
+    """
+    held = [report for report in reports if report.held is not None]
+    if not held:
+        return None
+    step = held[0].held
+    assert step is not None
+    told = [
+        version
+        for report in reports
+        for version in (report.version, report.prepared or 0, report.armed or 0)
+    ]
+    free = [report.rank for report in reports if report.held is None]
+    return ArmedSwitch(
+        epoch=held[0].epoch,
+        ranks=len(reports),
+        old_map=old_map,
+        new_map=ExpertMap(max(told), ()),
+        stage=SwitchStage.HOLD,
+        give_up_at=now + COPY_PATIENCE,
+        holder=free[0] if free else 0,
+        holders=frozenset(report.rank for report in held if report.held == step),
+        step=step,
+        is_foreign=True,
+        doomed=tuple(report.armed or 0 for report in reports),
+        fence=max(told) + 1,
+    )
+
+
+def next_map_orders(switch: ArmedSwitch) -> tuple[MapOrder, ...]:
+    """Return the orders to send now; unanswered ones come again."""
+    waiting = [rank for rank in range(switch.ranks) if rank not in switch.settled]
+    match switch.stage:
+        case SwitchStage.PREPARE | SwitchStage.FENCE:
+            ranks = [rank for rank in waiting if rank not in switch.begun]
+            return tuple(_order(switch, rank, OrderAct.PREPARE) for rank in ranks)
+        case SwitchStage.HOLD:
+            return (_order(switch, switch.holder, OrderAct.HOLD),)
+        case SwitchStage.ARM:
+            return tuple(_order(switch, rank, OrderAct.ARM) for rank in waiting)
+        case SwitchStage.DISARM:
+            ranks = [rank for rank in waiting if switch.doomed[rank]]
+            return tuple(_order(switch, rank, OrderAct.DISARM) for rank in ranks)
+        case SwitchStage.RELEASE:
+            ranks = sorted(switch.holders - switch.settled)
+            return tuple(_order(switch, rank, OrderAct.RELEASE) for rank in ranks)
+        case _:
+            return ()
+
+
+def must_read_first(switch: ArmedSwitch) -> bool:
+    """Return whether fresh reports are needed before the next orders."""
+    return switch.stage in _WITHDRAWING
+
+
+def ranks_to_read(switch: ArmedSwitch) -> tuple[int, ...]:
+    """Return the ranks whose reports can bring the present stage on."""
+    match switch.stage:
+        case SwitchStage.HOLD:
+            return (switch.holder,)
+        case SwitchStage.RELEASE:
+            return tuple(sorted(switch.holders - switch.settled))
+        case _:
+            waiting = set(range(switch.ranks)) - switch.settled
+            if switch.stage in _WITHDRAWING:
+                waiting.add(switch.holder)
+            return tuple(sorted(waiting))
+
+
+def note_answers(
+    switch: ArmedSwitch, answers: Mapping[MapOrder, Verdict], now: Instant
+) -> ArmedSwitch:
+    """Return the switch after a round of answers."""
+    stage = switch.stage
+    for order, verdict in answers.items():
+        # What was asked in a stage that a refusal has ended counts no more.
+        if switch.stage is stage:
+            switch = _note_answer(switch, order, verdict)
+    return _advance(switch, now)
+
+
+def note_reports(
+    switch: ArmedSwitch, reports: Sequence[RankReport], now: Instant
+) -> ArmedSwitch:
+    """Return the switch after reports of some ranks.
+
+    They settle what an unanswered or refused order has left open, so they have
+    to be surely newer than that order.
+    """
+    for report in reports:
+        if report.epoch != switch.epoch or not report.is_open:
+            return switch._replace(stage=SwitchStage.VOID)
+        switch = _note_report(switch, report)
+    return _advance(switch, now)
+
+
+def choose_step(report_step: int, step_seconds: float) -> int:
+    """Return the step to hold: soon, but surely not begun yet."""
+    return report_step + LEAD_STEPS + round(LEAD_SECONDS / max(0.01, step_seconds))
+
+
+def hold_at(switch: ArmedSwitch, step: int) -> ArmedSwitch:
+    """Return the switch with the step that it is to hold."""
+    return switch._replace(step=step, holds=switch.holds + 1)
+
+
+def _order(switch: ArmedSwitch, rank: int, act: OrderAct) -> MapOrder:
+    version, layers = switch.version, switch.new_map.layers
+    if switch.stage is SwitchStage.FENCE:
+        version, layers = switch.fence, switch.old_map.layers
+    if switch.stage is SwitchStage.DISARM:
+        version = switch.doomed[rank]
+    if act is not OrderAct.PREPARE:
+        layers = ()
+    return MapOrder(rank, act, switch.epoch, version, switch.step, layers)
+
+
+def _note_answer(switch: ArmedSwitch, order: MapOrder, verdict: Verdict) -> ArmedSwitch:
+    rank = order.rank
+    switch = switch._replace(refused=switch.refused - {rank})
+    if verdict is Verdict.UNKNOWN:
+        return switch
+    if verdict is Verdict.REFUSED:
+        # A step that was passed is chosen anew, and a map that can't be armed
+        # is withdrawn; why all else was refused only a report can tell.
+        if order.act is OrderAct.HOLD and not switch.is_foreign:
+            return switch._replace(step=0)
+        if order.act is OrderAct.ARM and switch.stage is SwitchStage.ARM:
+            return _enter(switch, SwitchStage.DISARM)
+        return switch._replace(refused=switch.refused | {rank})
+    match order.act:
+        case OrderAct.HOLD:
+            return switch._replace(holders=switch.holders | {rank})
+        case OrderAct.PREPARE:
+            return switch._replace(begun=switch.begun | {rank})
+        case _:
+            return _settle(switch, rank)
+
+
+def _note_report(switch: ArmedSwitch, report: RankReport) -> ArmedSwitch:
+    rank = report.rank
+    is_refused = rank in switch.refused
+    if _has_lost_hold(switch, report):
+        return switch._replace(stage=SwitchStage.FAILED)
+    match switch.stage:
+        case SwitchStage.PREPARE if report.prepared == switch.version:
+            return _settle(switch, rank)
+        case SwitchStage.PREPARE if is_refused and not report.is_busy:
+            # Another coordinator has prepared a higher version there.
+            return switch._replace(stage=SwitchStage.FAILED)
+        case SwitchStage.FENCE if report.armed is not None:
+            # One's own withdrawal leaves what a newer switch has armed: that
+            # one's map has taken the place of the withdrawn one.
+            if switch.is_foreign or report.armed == switch.version:
+                return _doom(switch, rank, report.armed)
+            return _settle(switch, rank)
+        case SwitchStage.FENCE if (report.prepared or 0) > switch.version:
+            return _settle(switch, rank)
+        case SwitchStage.FENCE if is_refused:
+            # It has had a higher version that isn't there any more.
+            return switch._replace(fence=switch.fence + 1, begun=frozenset())
+        case SwitchStage.HOLD if report.held == switch.step:
+            return switch._replace(holders=switch.holders | {rank})
+        case SwitchStage.HOLD if report.step >= switch.step > 0:
+            if switch.is_foreign:
+                return switch._replace(stage=SwitchStage.FAILED)
+            return switch._replace(step=0)
+        case SwitchStage.DISARM if is_refused and report.armed is None:
+            return _settle(switch, rank)
+        case SwitchStage.RELEASE if is_refused and report.held != switch.step:
+            return _settle(switch, rank)
+        case SwitchStage.RELEASE if report.step >= switch.step:
+            return _settle(switch, rank)
+        case _:
+            return switch
+
+
+def _has_lost_hold(switch: ArmedSwitch, report: RankReport) -> bool:
+    is_own = report.rank == switch.holder and switch.stage in _WITHDRAWING
+    return is_own and report.held != switch.step
+
+
+def _doom(switch: ArmedSwitch, rank: int, version: int) -> ArmedSwitch:
+    """Return the switch with a rank that was armed by somebody after all."""
+    doomed = list(switch.doomed)
+    doomed[rank] = version
+    others = frozenset(range(switch.ranks)) - {rank}
+    entered = _enter(switch, SwitchStage.DISARM)
+    return entered._replace(doomed=tuple(doomed), settled=others)
+
+
+def _settle(switch: ArmedSwitch, rank: int) -> ArmedSwitch:
+    return switch._replace(settled=switch.settled | {rank})
+
+
+def _advance(switch: ArmedSwitch, now: Instant) -> ArmedSwitch:
+    """Return the switch in its next stage, if the present one is through."""
+    everyone = frozenset(range(switch.ranks))
+    is_through = switch.settled == everyone
+    match switch.stage:
+        case SwitchStage.PREPARE if is_through:
+            return _enter(switch, SwitchStage.HOLD)
+        case SwitchStage.PREPARE if now >= switch.give_up_at:
+            return switch._replace(stage=SwitchStage.FAILED)
+        case SwitchStage.HOLD if switch.holder in switch.holders:
+            is_foreign = switch.is_foreign
+            stage = SwitchStage.DISARM if is_foreign else SwitchStage.ARM
+            return _advance(_enter(switch, stage), now)
+        case SwitchStage.HOLD if not switch.step and switch.holds >= MOST_HOLDS:
+            return switch._replace(stage=SwitchStage.FAILED)
+        case SwitchStage.ARM if is_through:
+            done = switch._replace(succeeded=True)
+            return _enter(done, SwitchStage.RELEASE)
+        case SwitchStage.DISARM if switch.settled >= _doomed_ranks(switch):
+            return _enter(switch, SwitchStage.FENCE)
+        case SwitchStage.FENCE if is_through:
+            return _enter(switch, SwitchStage.RELEASE)
+        case SwitchStage.RELEASE if switch.holders <= switch.settled:
+            stage = SwitchStage.DONE if switch.succeeded else SwitchStage.FAILED
+            return switch._replace(stage=stage)
+        case _:
+            return switch
+
+
+def _doomed_ranks(switch: ArmedSwitch) -> frozenset[int]:
+    return frozenset(rank for rank, version in enumerate(switch.doomed) if version)
+
+
+def _enter(switch: ArmedSwitch, stage: SwitchStage) -> ArmedSwitch:
+    return switch._replace(
+        stage=stage, settled=frozenset(), begun=frozenset(), refused=frozenset()
+    )
--- /dev/null
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -0,0 +1,292 @@
+"""The switch of engines that don't compare maps, against late orders."""
+
+import random
+from collections.abc import Callable
+from typing import TypeAlias
+
+import pytest
+
+from mintsaddle.decisions.expert_maps import (
+    OVER,
+    ArmedSwitch,
+    ExpertMap,
+    MapOrder,
+    OrderAct,
+    RankReport,
+    SwitchStage,
+    Verdict,
+    _armed_switch,
+    begin_switch,
+    choose_step,
+    hold_at,
+    make_first_map,
+    must_read_first,
+    next_map_orders,
+    note_answers,
+    note_reports,
+    ranks_to_read,
+    withdraw_held,
+)
+
+Advance: TypeAlias = Callable[[ArmedSwitch, float], ArmedSwitch]
+
+RANKS = 3
+FIRST_MAP = make_first_map(0, RANKS, 6, 1, 2)
+
+
+class Engine:
+    """One rank's engine, as the platform's page describes it."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.highest = 0
+        self.prepared: int | None = None
+        self.armed: tuple[int, int] | None = None
+        self.held: int | None = None
+
+    def obey(self, order: MapOrder, epoch: int, step: int) -> Verdict:
+        if order.epoch != epoch:
+            return Verdict.REFUSED
+        match order.act:
+            case OrderAct.PREPARE:
+                if order.version <= self.highest or self.armed:
+                    return Verdict.REFUSED
+                self.highest = self.prepared = order.version
+            case OrderAct.HOLD:
+                if self.held == order.step:
+                    return Verdict.HOLDS
+                if step >= order.step or self.held is not None:
+                    return Verdict.REFUSED
+                self.held = order.step
+            case OrderAct.ARM:
+                if self.armed == (order.version, order.step):
+                    return Verdict.HOLDS
+                if self.prepared != order.version or step >= order.step:
+                    return Verdict.REFUSED
+                self.armed = (order.version, order.step)
+            case OrderAct.DISARM:
+                if self.version == order.version:
+                    return Verdict.REFUSED
+                if self.armed is None or self.armed[0] != order.version:
+                    return Verdict.HOLDS
+                self.armed = None
+            case OrderAct.RELEASE:
+                if self.held != order.step:
+                    return Verdict.REFUSED
+                self.held = None
+        return Verdict.BEGUN
+
+
+class Group:
+    """The engines of a group, and the steps that they run together."""
+
+    def __init__(self) -> None:
+        self.engines = [Engine() for _ in range(RANKS)]
+        self.epoch = 1
+        self.step = 1
+        self.late: list[MapOrder] = []
+
+    def begin_step(self) -> None:
+        """Begin the next step, unless it is held; change maps that are due."""
+        upcoming = self.step + 1
+        if any(engine.held == upcoming for engine in self.engines):
+            return
+        self.step = upcoming
+        for engine in self.engines:
+            if engine.armed and engine.armed[1] == upcoming:
+                engine.version = engine.armed[0]
+                engine.armed = None
+        versions = {engine.version for engine in self.engines}
+        assert len(versions) == 1, f"step {upcoming} begins with maps {versions}"
+
+    def form_anew(self) -> None:
+        """A rank died and is back: the first map, nothing armed or held."""
+        self.epoch += 1
+        self.engines = [Engine() for _ in range(RANKS)]
+
+    def obey(self, order: MapOrder) -> Verdict:
+        return self.engines[order.rank].obey(order, self.epoch, self.step)
+
+    def report(self, rank: int) -> RankReport:
+        engine = self.engines[rank]
+        return RankReport(
+            rank=rank,
+            epoch=self.epoch,
+            is_open=True,
+            is_busy=False,
+            step=self.step,
+            running=1,
+            version=engine.version,
+            prepared=engine.prepared,
+            armed=engine.armed[0] if engine.armed else None,
+            held=engine.held,
+        )
+
+
+class Story:
+    """A group, coordinators and a network, moved on by one random source."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.group = Group()
+        self.switches: list[ArmedSwitch | None] = [None, None]
+        self.version = 0
+        self.loss = self.rng.choice([0.0, 0.1, 0.4])
+        self.late_share = self.rng.choice([0.0, 0.3])
+
+    def run(self, events: int) -> int:
+        """Play some events; return how many switches went through."""
+        done = 0
+        for _ in range(events):
+            index = 0 if self.rng.random() < 0.8 else 1
+            switch = self.switches[index]
+            if switch is None or switch.stage in OVER:
+                self._begin(index)
+            else:
+                self._move_on(index, switch)
+            self._disturb()
+            moved = self.switches[index]
+            if moved is not None and moved.stage is SwitchStage.DONE:
+                done += 1
+                self.switches[index] = None
+        return done
+
+    def _begin(self, index: int) -> None:
+        reports = [self.group.report(rank) for rank in range(RANKS)]
+        held = withdraw_held(FIRST_MAP, reports, now=0.0)
+        if held is not None and self.rng.random() < 0.3:
+            self.switches[index] = held
+        elif held is None and self.rng.random() < (0.5 if index == 0 else 0.1):
+            told = [engine.highest for engine in self.group.engines]
+            self.version = max(self.version, *told) + 1
+            new_map = ExpertMap(self.version, FIRST_MAP.layers)
+            self.switches[index] = begin_switch(FIRST_MAP, new_map, reports, now=0.0)
+
+    def _move_on(self, index: int, switch: ArmedSwitch) -> None:
+        if switch.stage is SwitchStage.HOLD and not switch.step:
+            switch = hold_at(switch, choose_step(self.group.step, 1.0))
+        if must_read_first(switch):
+            reports = [self.group.report(rank) for rank in ranks_to_read(switch)]
+            switch = note_reports(switch, reports, now=0.0)
+        answers = {order: self._send(order) for order in next_map_orders(switch)}
+        switch = note_answers(switch, answers, now=0.0)
+        if set(answers.values()) - {Verdict.BEGUN} or not answers:
+            reports = [self.group.report(rank) for rank in ranks_to_read(switch)]
+            switch = note_reports(switch, reports, now=0.0)
+        self.switches[index] = switch
+
+    def _send(self, order: MapOrder) -> Verdict:
+        """Send an order: it may be lost, carried out late, or not answered."""
+        if self.rng.random() >= self.loss:
+            return self.group.obey(order)
+        fate = self.rng.random()
+        if fate < self.late_share:
+            self.group.late.append(order)
+        elif fate < 0.7:
+            self.group.obey(order)
+        return Verdict.UNKNOWN
+
+    def _disturb(self) -> None:
+        if self.group.late and self.rng.random() < 0.1:
+            late = self.group.late
+            self.group.obey(late.pop(self.rng.randrange(len(late))))
+        if self.rng.random() < 0.5:
+            self.group.begin_step()
+        if self.rng.random() < 0.005:
+            self.group.form_anew()
+        if self.rng.random() < 0.02:
+            # A coordinator dies.
+            self.switches[self.rng.randrange(2)] = None
+
+
+def play(seeds: int = 600) -> int:
+    return sum(Story(seed).run(150) for seed in range(seeds))
+
+
+def release_with_one_missing(switch: ArmedSwitch, now: float) -> ArmedSwitch:
+    if switch.stage is SwitchStage.ARM and len(switch.settled) >= RANKS - 1:
+        switch = switch._replace(settled=frozenset(range(RANKS)))
+    return ADVANCE(switch, now)
+
+
+def release_without_a_fence(switch: ArmedSwitch, now: float) -> ArmedSwitch:
+    moved = ADVANCE(switch, now)
+    if moved.stage is SwitchStage.FENCE:
+        return moved._replace(stage=SwitchStage.RELEASE)
+    return moved
+
+
+def arm_without_a_hold(switch: ArmedSwitch, now: float) -> ArmedSwitch:
+    if switch.stage is SwitchStage.HOLD and switch.step:
+        holders = switch.holders | {switch.holder}
+        switch = switch._replace(holders=holders)
+    return ADVANCE(switch, now)
+
+
+ADVANCE = _armed_switch._advance
+PERMISSIVE = [release_with_one_missing, release_without_a_fence, arm_without_a_hold]
+
+
+class TestArmedSwitch:
+    def test_no_step_begins_with_two_maps(self) -> None:
+        """Streams of a group turn to garbage after a change of the map.
+
+        One rank's arm got no answer, the switch was released all the same, and
+        the step began with the new map on some ranks and the old one on the
+        others; or the arm was carried out late, after it had been given up.
+        """
+        assert play() > 600
+
+    @pytest.mark.parametrize("variant", PERMISSIVE)
+    def test_each_guard_is_needed(
+        self, variant: Advance, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_armed_switch, "_advance", variant)
+        with pytest.raises(AssertionError, match="begins with maps"):
+            play()
+
+    def test_a_switch_goes_through_when_all_answer(self) -> None:
+        group = Group()
+        reports = [group.report(rank) for rank in range(RANKS)]
+        new_map = ExpertMap(1, FIRST_MAP.layers)
+        switch = begin_switch(FIRST_MAP, new_map, reports, now=0.0)
+        for _ in range(10):
+            if switch.stage is SwitchStage.HOLD and not switch.step:
+                switch = hold_at(switch, choose_step(group.step, 1.0))
+            answers = {order: group.obey(order) for order in next_map_orders(switch)}
+            switch = note_answers(switch, answers, now=0.0)
+            reports = [group.report(rank) for rank in ranks_to_read(switch)]
+            switch = note_reports(switch, reports, now=0.0)
+        for _ in range(10):
+            group.begin_step()
+        assert switch.stage is SwitchStage.DONE
+        assert [engine.version for engine in group.engines] == [1] * RANKS
+
+    def test_a_held_group_is_freed_by_another_coordinator(self) -> None:
+        """A whole group stands still after one entry lost power.
+
+        The entry had held a step and armed one of the ranks; nobody else knew.
+        """
+        group = Group()
+        for engine in group.engines:
+            engine.highest = engine.prepared = 4
+        group.engines[1].held = 3
+        group.engines[2].armed = (4, 3)
+        group.begin_step()
+        group.begin_step()
+        assert group.step == 2
+
+        late_arm = MapOrder(0, OrderAct.ARM, group.epoch, 4, 3)
+        reports = [group.report(rank) for rank in range(RANKS)]
+        switch = withdraw_held(FIRST_MAP, reports, now=0.0)
+        assert switch is not None
+        while switch.stage not in OVER:
+            answers = {order: group.obey(order) for order in next_map_orders(switch)}
+            switch = note_answers(switch, answers, now=0.0)
+            reports = [group.report(rank) for rank in ranks_to_read(switch)]
+            switch = note_reports(switch, reports, now=0.0)
+        group.begin_step()
+
+        assert group.step == 3
+        assert [engine.version for engine in group.engines] == [0] * RANKS
+        assert group.obey(late_arm) is Verdict.REFUSED
--- /dev/null
+++ b/mintsaddle/direct/_maps.py
@@ -0,0 +1,300 @@
+"""Seeing to the expert maps of rank groups, one duty for each group."""
+
+import threading
+import time
+from collections.abc import Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+from returns.result import Failure, Success
+
+from mintsaddle.decisions.direct import ExpertModel, Incarnation, Membership
+from mintsaddle.decisions.expert_maps import (
+    OVER,
+    ArmedSwitch,
+    ExpertMap,
+    MapOrder,
+    MapWatch,
+    RankReport,
+    SpreadLimits,
+    SwitchStage,
+    Verdict,
+    begin_switch,
+    choose_step,
+    hold_at,
+    make_first_map,
+    must_read_first,
+    next_map_orders,
+    note_answers,
+    note_reports,
+    ranks_to_read,
+    withdraw_held,
+)
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.observe import fields, make_logger
+from mintsaddle.platform import (
+    read_expert_counts,
+    read_rank_experts,
+    read_rank_report,
+    send_map_order,
+)
+
+LOOK_SECONDS = 0.5
+"""Seconds between two looks at a group: popularity changes every few seconds,
+and a look costs one report and the counts of a few ranks."""
+
+SAMPLE_RANKS = 3
+"""Ranks whose counts are read in a look. Requests are spread over all ranks
+alike, so three of twelve show the whole; reading each costs a pause."""
+
+REPORT_AGE_SECONDS = 0.3
+"""Seconds after an order until a report shows what it did: reports are up to
+0.2 s old."""
+
+_COPY_LOOK_SECONDS = 0.15
+_ROUND_SECONDS = 0.05
+_log = make_logger("maps")
+
+
+class _Group(NamedTuple):
+    """The ranks of one group, in order."""
+
+    name: str
+    epoch: int
+    ranks: tuple[Incarnation, ...]
+    model: ExpertModel
+
+
+class MapKeeper:
+    """Watches the groups that this entry sees to; one thread."""
+
+    def __init__(self, gateway: Gateway, membership: Membership) -> None:
+        self._gateway = gateway
+        self._membership = membership
+        self._pool = ThreadPoolExecutor(12, "orders")
+        self._watches: dict[str, MapWatch] = {}
+        self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
+        self._highest_version = 0
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(target=self._run, name="maps", daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            time.sleep(LOOK_SECONDS)
+            if self._gateway.leaving:
+                return
+            for group in self._find_groups():
+                duty = f"maps {group.name}"
+                if self._membership.is_chosen(duty, self._gateway.now()):
+                    self._look_at(group)
+                else:
+                    self._watches.pop(group.name, None)
+
+    def _find_groups(self) -> list[_Group]:
+        """Return the groups whose ranks are all announced in one epoch."""
+        directory = self._gateway.directory
+        if directory.table is None:
+            return []
+        found: dict[str, dict[int, Incarnation]] = {}
+        for one in directory.endpoints.values():
+            if one.place is not None:
+                found.setdefault(one.place.group, {})[one.place.rank] = one
+        groups = []
+        for name, ranks in found.items():
+            service = directory.table.services.get(next(iter(ranks.values())).service)
+            model = service.experts if service else None
+            places = [one.place for one in ranks.values() if one.place is not None]
+            is_whole = sorted(ranks) == list(range(places[0].size))
+            if model is not None and is_whole:
+                ordered = tuple(ranks[rank] for rank in sorted(ranks))
+                epoch = max(place.epoch for place in places)
+                groups.append(_Group(name, epoch, ordered, model))
+        return groups
+
+    def _look_at(self, group: _Group) -> None:
+        gateway = self._gateway
+        report = self._read_report(group, 0)
+        if report is None or not report.is_open:
+            self._watches.pop(group.name, None)
+            return
+        watch = self._watches.get(group.name)
+        if watch is None or watch.epoch != report.epoch:
+            watch = MapWatch(report.epoch, group.model.layers, group.model.experts)
+            self._watches[group.name] = watch
+            self._recover(group)
+        watch.note_step(report.step, report.running, gateway.now())
+        if watch.is_stuck(gateway.now()):
+            self._recover(group)
+            return
+        if not watch.is_busy:
+            return
+        self._count(group, watch)
+        current = self._current_map(group, report)
+        if current is None:
+            return
+        limits = SpreadLimits(group.model.places, group.model.new_places)
+        planned = watch.plan(current, limits)
+        if planned is not None:
+            self._switch(group, watch, current, planned)
+
+    def _count(self, group: _Group, watch: MapWatch) -> None:
+        """Read the counts of a few ranks, the same ones each time."""
+        ranks = range(0, len(group.ranks), max(1, len(group.ranks) // SAMPLE_RANKS))
+        model = group.model
+        for rank in ranks:
+            address = group.ranks[rank].address
+            match read_expert_counts(address, model.layers, model.experts):
+                case Success(counts):
+                    watch.note_counts(rank, counts)
+                case Failure(problem):
+                    _log.info(
+                        "Counts missing %s.",
+                        fields(group=group.name, rank=rank, why=problem),
+                    )
+        watch.finish_counts()
+
+    def _current_map(self, group: _Group, report: RankReport) -> ExpertMap | None:
+        """Return the map in use, as set here or as the ranks tell."""
+        if report.version == 0:
+            model = group.model
+            ranks = len(group.ranks)
+            slots = -(-model.experts // ranks)
+            return make_first_map(0, ranks, model.experts, model.layers, slots)
+        epoch, known = self._maps.get(group.name, (0, None))
+        if known and (epoch, known.version) == (report.epoch, report.version):
+            return known
+        held = list(
+            self._pool.map(lambda one: read_rank_experts(one.address), group.ranks)
+        )
+        by_rank = [result.value_or(None) for result in held]
+        if any(experts is None for experts in by_rank):
+            return None
+        layers = tuple(
+            tuple(experts[layer] for experts in by_rank if experts is not None)
+            for layer in range(group.model.layers)
+        )
+        return ExpertMap(report.version, layers)
+
+    def _switch(
+        self, group: _Group, watch: MapWatch, current: ExpertMap, planned: ExpertMap
+    ) -> None:
+        reports = self._read_reports(group)
+        if reports is None or any(report.held is not None for report in reports):
+            return
+        versions = [
+            version
+            for report in reports
+            for version in (report.version, report.prepared, report.armed)
+            if version is not None
+        ]
+        self._highest_version = max(self._highest_version, *versions) + 1
+        new_map = planned._replace(version=self._highest_version)
+        switch = begin_switch(current, new_map, reports, self._gateway.now())
+        began_at = self._gateway.now()
+        switch = self._carry_out(group, switch, watch.step_seconds)
+        if switch.stage is SwitchStage.DONE:
+            self._maps[group.name] = (switch.epoch, new_map)
+        watch.note_switch()
+        _log.info(
+            "Switch over %s.",
+            fields(
+                group=group.name,
+                version=new_map.version,
+                stage=switch.stage.value,
+                step=switch.step,
+                epoch=switch.epoch,
+                seconds=self._gateway.now() - began_at,
+            ),
+        )
+
+    def _recover(self, group: _Group) -> None:
+        """Bring a switch to its end whose coordinator has gone."""
+        reports = self._read_reports(group)
+        if reports is None:
+            return
+        if all(report.held is None for report in reports):
+            return
+        current = self._current_map(group, reports[0])
+        if current is None:
+            return
+        switch = withdraw_held(current, reports, self._gateway.now())
+        if switch is None:
+            return
+        _log.warning(
+            "Group held %s.",
+            fields(group=group.name, step=switch.step, version=switch.version),
+        )
+        switch = self._carry_out(group, switch, 0.1)
+        _log.info("Group freed %s.", fields(group=group.name, stage=switch.stage.value))
+
+    def _carry_out(
+        self, group: _Group, switch: ArmedSwitch, step_seconds: float
+    ) -> ArmedSwitch:
+        """Send orders and read reports until the switch is over."""
+        while switch.stage not in OVER:
+            if switch.stage is SwitchStage.HOLD and not switch.step:
+                reports = self._read_reports(group)
+                if reports is None:
+                    return switch._replace(stage=SwitchStage.FAILED)
+                newest = max(report.step for report in reports)
+                step = choose_step(newest, step_seconds)
+                switch = hold_at(switch, step)
+            if must_read_first(switch):
+                time.sleep(REPORT_AGE_SECONDS)
+                switch = self._settle(group, switch)
+            stage = switch.stage
+            orders = next_map_orders(switch)
+            answers = self._send(group, orders)
+            switch = note_answers(switch, answers, self._gateway.now())
+            if switch.stage in OVER:
+                break
+            is_unsure = {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values())
+            if is_unsure or stage is SwitchStage.PREPARE:
+                time.sleep(REPORT_AGE_SECONDS if is_unsure else _COPY_LOOK_SECONDS)
+                switch = self._settle(group, switch)
+            else:
+                time.sleep(0 if switch.stage is not stage else _ROUND_SECONDS)
+        return switch
+
+    def _settle(self, group: _Group, switch: ArmedSwitch) -> ArmedSwitch:
+        """Learn from reports what orders did that weren't plainly accepted."""
+        reports = list(
+            self._pool.map(
+                lambda rank: self._read_report(group, rank), ranks_to_read(switch)
+            )
+        )
+        known = [report for report in reports if report is not None]
+        return note_reports(switch, known, self._gateway.now())
+
+    def _send(
+        self, group: _Group, orders: Sequence[MapOrder]
+    ) -> Mapping[MapOrder, Verdict]:
+        verdicts = self._pool.map(
+            lambda order: send_map_order(group.ranks[order.rank].address, order),
+            orders,
+        )
+        return dict(zip(orders, verdicts, strict=True))
+
+    def _read_report(self, group: _Group, rank: int) -> RankReport | None:
+        match read_rank_report(group.ranks[rank].address, rank):
+            case Success(RankReport() as report):
+                return report
+            case Failure(problem):
+                _log.info(
+                    "Report missing %s.",
+                    fields(group=group.name, rank=rank, why=problem),
+                )
+        return None
+
+    def _read_reports(self, group: _Group) -> list[RankReport] | None:
+        """Return a report of every rank, or None if one is missing."""
+        ranks = range(len(group.ranks))
+        reports = self._pool.map(lambda rank: self._read_report(group, rank), ranks)
+        known = [report for report in reports if report is not None]
+        if len(known) < len(group.ranks):
+            return None
+        if len({report.epoch for report in known}) > 1:
+            return None
+        return known
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -8,6 +8,7 @@
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._follow import start_following
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._maps import MapKeeper
 from mintsaddle.direct._peers import start_peers
 from mintsaddle.direct._server import CALLER_THREADS, CallerServer, serve_pages
 from mintsaddle.direct._watchdog import Watchdog
@@ -46,7 +47,9 @@
     watchdog.start()
     for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX):
         start_following(gateway, prefix)
-    start_peers(gateway, Membership(settings.vm, settings.control, settings.peers))
+    membership = Membership(settings.vm, settings.control, settings.peers)
+    start_peers(gateway, membership)
+    MapKeeper(gateway, membership).start()
     threading.Thread(
         target=_keep_limits, args=(gateway, server), name="limits", daemon=True
     ).start()
--- a/mintsaddle/direct/tests/test_gateway.py
+++ b/mintsaddle/direct/tests/test_gateway.py
@@ -1,3 +1,5 @@
+"""Taking published items over."""
+
 import pytest
 
 from mintsaddle.decisions.direct import PublishedItem
--- a/mintsaddle/platform/__init__.py
+++ b/mintsaddle/platform/__init__.py
@@ -16,6 +16,12 @@
     read_answer_head,
     read_caller_head,
 )
+from mintsaddle.platform._ranks import (
+    read_expert_counts,
+    read_rank_experts,
+    read_rank_report,
+    send_map_order,
+)
 from mintsaddle.platform._settings import load_direct_settings, settings_path
 from mintsaddle.platform._store import StoreAnswer, StoreClient, StoreProblem
 
@@ -36,6 +42,10 @@
     "make_refusal",
     "read_answer_head",
     "read_caller_head",
+    "read_expert_counts",
+    "read_rank_experts",
+    "read_rank_report",
+    "send_map_order",
     "settings_path",
     "watch_value",
 ]
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -11,6 +11,7 @@
     CallerLimits,
     Destination,
     DirectService,
+    ExpertModel,
     KeyHolder,
     Repeat,
     Route,
@@ -97,6 +98,20 @@
         most_connections=int(values.get("max_connections") or 0),
         cold_rate=float(values.get("cold_per_s") or 0),
         is_engine=isinstance(values.get("engine"), dict),
+        experts=_decode_experts(values.get("engine") or {}),
+    )
+
+
+def _decode_experts(engine: Mapping[str, Any]) -> ExpertModel | None:
+    if not engine.get("experts"):
+        return None
+    return ExpertModel(
+        # The platform's set is our layer.
+        layers=int(engine["sets"]),
+        experts=int(engine["experts"]),
+        places=int(engine["places"]),
+        # What the platform calls spare is what one map may bring anew.
+        new_places=int(engine["spare"]),
     )
 
 
--- a/mintsaddle/platform/_items.py
+++ b/mintsaddle/platform/_items.py
@@ -14,6 +14,7 @@
     Fact,
     Incarnation,
     PublishedItem,
+    RankPlace,
     TablePublished,
 )
 from mintsaddle.observe import fields, make_logger
@@ -108,4 +109,18 @@
         leaving=state == "draining",
         cold_until=now + cold_ms / MILLISECONDS if cold_ms > 0 else 0.0,
         born=int(born),
+        place=_read_place(values),
+    )
+
+
+def _read_place(values: dict[str, Any]) -> RankPlace | None:
+    group = values.get("group")
+    if not isinstance(group, dict):
+        return None
+    return RankPlace(
+        group=f"{values['service']}/{group['name']}",
+        epoch=int(group["epoch"]),
+        rank=int(group["rank"]),
+        size=int(values["size"]),
+        is_open=group["state"] == "open",
     )
