Wait at the entry while a group is down; spread times to come back

Ruled out: trying other ranks: they belong to the same group. Change: the first refusal for a group's sake speaks for all its ranks; requests wait up to the caller's patience, reports tell when the group is back, refused callers get a spread time of up to a third of what they have left.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -25,6 +25,11 @@
     drop_lapsed,
     usable_endpoints,
 )
+from mintsaddle.decisions.direct._groups import (
+    GroupBeliefs,
+    advise_retry,
+    hold_until,
+)
 from mintsaddle.decisions.direct._membership import (
     ALIVE_SECONDS,
     KnownEntry,
@@ -62,6 +67,7 @@
     "ExpertModel",
     "Fact",
     "GiveUp",
+    "GroupBeliefs",
     "Incarnation",
     "KeyHolder",
     "KnownEntry",
@@ -74,12 +80,14 @@
     "RoutingTable",
     "TablePublished",
     "TryAgain",
+    "advise_retry",
     "apply_facts",
     "choose_incarnation",
     "choose_service",
     "decide_next",
     "drop_lapsed",
     "give_up",
+    "hold_until",
     "match_route",
     "note_attempt",
     "usable_endpoints",
--- a/mintsaddle/decisions/direct/_table.py
+++ b/mintsaddle/decisions/direct/_table.py
@@ -42,6 +42,9 @@
     objective: float
     """Seconds within which an answer, or its first event, is on time."""
 
+    longest_pause: float
+    """Seconds between two events of a stream that is still on time."""
+
     priority: int
     """Rank under load; 0 is the most urgent."""
 
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -10,6 +10,7 @@
     KeyHolder,
     Route,
     RoutingTable,
+    advise_retry,
     choose_service,
     match_route,
 )
@@ -35,6 +36,20 @@
 """Seconds for which the table is trusted to say that a key or route doesn't
 exist; a watch that is well confirms it every 2.5 s."""
 
+_SECONDS_UNKNOWN = 3.0
+"""Seconds that a caller is taken to wait if it doesn't say."""
+
+_ROOM_USUALLY = 0.5
+"""Seconds until there is room after most refusals: a stream ends every 0.3 s
+on a dozen engines of six places."""
+
+_ROOM_SECONDS = {
+    # A lost rank is away for seconds; the group then forms in 0.6 s.
+    Reason.GROUP_DOWN: 4.0,
+    # Endpoints of a service without any take over a second to announce.
+    Reason.NO_ENDPOINT: 1.5,
+}
+
 _NO_KEY = KeyHolder("", None)
 _log = make_logger("calls")
 
@@ -147,7 +162,7 @@
         self, start: StartResponse, call: DirectCall, outcome: Outcome, reason: Reason
     ) -> Iterable[bytes]:
         self._log_end(call, f"{outcome.value}:{reason.value}", 0)
-        retry_after = 1.0
+        retry_after = self._advise(call.deadline - self._gateway.now(), reason)
         status, headers = make_refusal(outcome, reason, call.request_id, retry_after)
         start(status, [*headers, ("Content-Length", "0")])
         return ()
@@ -160,7 +175,11 @@
         _log.info(
             "Refused %s.", fields(request=head.request_id or "-", reason=reason.value)
         )
-        status, headers = make_refusal(Outcome.NOT_RUN, reason, head.request_id, 1.0)
+        left = head.seconds_left or _SECONDS_UNKNOWN
+        retry_after = self._advise(left, reason)
+        status, headers = make_refusal(
+            Outcome.NOT_RUN, reason, head.request_id, retry_after
+        )
         start(status, [*headers, ("Content-Length", "0")])
         return ()
 
@@ -184,6 +203,11 @@
         start(status, [("Content-Length", "0")])
         return ()
 
+    def _advise(self, seconds_left: float, reason: Reason) -> float:
+        wished = _ROOM_SECONDS.get(reason, _ROOM_USUALLY)
+        with self._gateway.lock:
+            return advise_retry(seconds_left, wished, self._gateway.rng)
+
     def _record(self, call: DirectCall, measure: Measure) -> None:
         name = HistogramName(call.workspace or "none", call.route.name, measure)
         self._gateway.record(name, self._gateway.now() - call.arrived_at)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -9,6 +9,7 @@
 from mintsaddle.decisions.direct import (
     LAPSE_GRACE,
     Directory,
+    GroupBeliefs,
     PublishedItem,
     Replica,
     apply_facts,
@@ -43,6 +44,8 @@
             prefix: Replica(prefix) for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX)
         }
         self._directory = Directory()
+        self._groups = GroupBeliefs()
+        self._groups_changed = threading.Condition(self._lock)
         self._book = HistogramBook()
         self._counts: Counter[str] = Counter()
         self._leaving = False
@@ -74,6 +77,16 @@
         """What is believed of table, endpoints and data centres."""
         return self._directory
 
+    @property
+    def groups(self) -> GroupBeliefs:
+        """Which groups take no work; use it under the lock."""
+        return self._groups
+
+    @property
+    def groups_changed(self) -> threading.Condition:
+        """Told when a group goes down or comes back; holds the lock."""
+        return self._groups_changed
+
     @property
     def leaving(self) -> bool:
         """Whether this process was told to stop."""
@@ -172,6 +185,20 @@
         with self._lock:
             self._directory = drop_lapsed(self._directory, self.now())
 
+    def note_group(self, group: str, epoch: int, is_open: bool) -> None:
+        """Take over what a rank or its announcement says of its group."""
+        with self._groups_changed:
+            self._groups.note_report(group, epoch, is_open, self.now())
+            self._groups_changed.notify_all()
+
+    def note_group_refusal(self, group: str, epoch: int) -> None:
+        """Note that a rank refused a request for its group's sake."""
+        with self._groups_changed:
+            if not self._groups.is_down(group):
+                _log.warning("Group lost %s.", fields(group=group, epoch=epoch))
+            self._groups.note_refusal(group, epoch, self.now())
+            self._groups_changed.notify_all()
+
     def count(self, name: str) -> None:
         """Add one to a counter."""
         with self._lock:
@@ -206,6 +233,9 @@
         facts = decode_items(sorted(changed, key=lambda item: item.revision), now)
         self._directory = apply_facts(before, facts, replica.lapse_until, now)
         after = self._directory
+        for one in after.endpoints.values():
+            if one.place is not None and one is not before.endpoints.get(one.name):
+                self.note_group(one.place.group, one.place.epoch, one.place.is_open)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
         _log.info(
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -8,6 +8,7 @@
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._follow import start_following
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._groups import start_asking
 from mintsaddle.direct._maps import MapKeeper
 from mintsaddle.direct._peers import start_peers
 from mintsaddle.direct._server import CALLER_THREADS, CallerServer, serve_pages
@@ -50,6 +51,7 @@
     membership = Membership(settings.vm, settings.control, settings.peers)
     start_peers(gateway, membership)
     MapKeeper(gateway, membership).start()
+    start_asking(gateway)
     threading.Thread(
         target=_keep_limits, args=(gateway, server), name="limits", daemon=True
     ).start()
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -13,6 +13,7 @@
     choose_incarnation,
     decide_next,
     give_up,
+    hold_until,
     note_attempt,
     usable_endpoints,
 )
@@ -45,6 +46,9 @@
 """Seconds past the deadline in which the endpoint's own answer to it is still
 waited for; it works until that very instant, and one way takes 1 ms."""
 
+_LOOK_SECONDS = 0.2
+"""Seconds between two looks whether a waiting caller has left."""
+
 _RUN_UNKNOWN = 0
 """Boot under which loads are noted: an incarnation's name says the run."""
 
@@ -147,8 +151,8 @@
             when another endpoint may be tried.
         """
         endpoint = self._choose()
-        if endpoint is None:
-            return give_up(self._call, Reason.NO_ENDPOINT)
+        if isinstance(endpoint, Reason):
+            return give_up(self._call, endpoint)
         exchange = Exchange(endpoint.address)
         end_at = self._call.deadline + OWN_ANSWER_SECONDS
         watched = Watched(exchange, self._is_gone, end_at)
@@ -159,18 +163,36 @@
         self._close(endpoint, exchange, watched)
         return self._go_on(endpoint, ending)
 
-    def _choose(self) -> Incarnation | None:
+    def _choose(self) -> Incarnation | Reason:
+        """Return the endpoint to try, or why there is none.
+
+        While the service's groups are all down the request waits here: sent
+        there, it would stall and be refused.
+        """
         gateway = self._gateway
-        with gateway.lock:
+        wait_until = hold_until(self._call)
+        with gateway.groups_changed:
+            while True:
+                usable = usable_endpoints(gateway.directory, self._call.service)
+                working = [one for one in usable if gateway.groups.takes_work(one)]
+                if working or not usable:
+                    break
+                left = wait_until - gateway.now()
+                if left <= 0:
+                    return Reason.GROUP_DOWN
+                gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
+                if self._is_gone():
+                    raise CallerLeftError
             endpoint = choose_incarnation(
                 gateway.routing,
-                usable_endpoints(gateway.directory, self._call.service),
+                working,
                 self._call.tried,
                 gateway.now(),
                 gateway.rng,
             )
-            if endpoint is not None:
-                note_sent(gateway.routing, endpoint.name)
+            if endpoint is None:
+                return Reason.NO_ENDPOINT
+            note_sent(gateway.routing, endpoint.name)
         return endpoint
 
     def _open(
@@ -203,6 +225,9 @@
         if head.is_misdirected:
             return Ending.MISDIRECTED, None
         if head.never_ran:
+            place = endpoint.place
+            if head.at_fault and place is not None:
+                self._gateway.note_group_refusal(place.group, place.epoch)
             return Ending.NOT_RUN, None
         if not head.is_ours:
             return Ending.BROKEN, None
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -75,6 +75,7 @@
         is_stream=kind == _STREAMING,
         timeout=float(values["timeout_ms"]) / MILLISECONDS,
         objective=float(values.get("target_latency_ms") or 0) / MILLISECONDS,
+        longest_pause=float(values.get("gap_aim_ms") or 0) / MILLISECONDS,
         priority=int(values.get("priority") or 0),
         destinations=destinations,
         most_attempts=max(1, int(values.get("max_attempts") or 1)),
--- a/mintsaddle/values/_outcomes.py
+++ b/mintsaddle/values/_outcomes.py
@@ -45,6 +45,7 @@
     ENGINE_DOWN = "engine-down"
     ENGINE_FAILED = "engine-failed"
     NO_ENDPOINT = "no-endpoint"
+    GROUP_DOWN = "group-down"
     SILENT = "silent"
     BEHIND = "behind"
     NOT_SERVED = "not-served"
