--- /dev/null
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -0,0 +1,254 @@
+"""Decisions of direct delivery, one class a subject."""
+
+import random
+
+import pytest
+
+from mintsaddle.decisions.direct import (
+    ALIVE_SECONDS,
+    DataCentreBack,
+    DataCentreOut,
+    Destination,
+    DirectCall,
+    Directory,
+    Ending,
+    EndpointPublished,
+    EndpointRemoved,
+    GiveUp,
+    GroupBeliefs,
+    Incarnation,
+    KnownEntry,
+    Membership,
+    PublishedItem,
+    RankPlace,
+    Repeat,
+    Replica,
+    Route,
+    TryAgain,
+    advise_retry,
+    apply_facts,
+    choose_incarnation,
+    choose_service,
+    decide_next,
+    drop_lapsed,
+    hold_until,
+    note_attempt,
+    usable_endpoints,
+)
+from mintsaddle.decisions.routing import RoutingState, note_failed, note_sent
+from mintsaddle.values import Outcome
+
+ROUTE = Route(
+    name="route",
+    host="host",
+    prefix="/",
+    repeat=Repeat.IDEMPOTENT,
+    is_stream=False,
+    timeout=8.0,
+    objective=0.4,
+    longest_pause=0.12,
+    priority=1,
+    destinations=(Destination("desk", 1.0),),
+    most_attempts=2,
+    is_open=False,
+)
+
+
+def make_call(repeat: Repeat = Repeat.IDEMPOTENT, attempts: int = 2) -> DirectCall:
+    route = ROUTE._replace(repeat=repeat, most_attempts=attempts)
+    return DirectCall("id", route, "desk", "north", arrived_at=0.0, deadline=8.0)
+
+
+def make_endpoint(name: str, **other: object) -> Incarnation:
+    plain = Incarnation(name, "desk", f"{name}:1", "a", 6, False, 0.0, 1)
+    return plain._replace(**other)  # type: ignore[arg-type]
+
+
+class TestCalls:
+    @pytest.mark.parametrize(
+        ("repeat", "ending", "next_step"),
+        [
+            (Repeat.IDEMPOTENT, Ending.BROKEN, TryAgain()),
+            (Repeat.RESUMABLE, Ending.BROKEN, TryAgain()),
+            (Repeat.ONCE, Ending.NOT_RUN, TryAgain()),
+            (Repeat.ONCE, Ending.NOT_SENT, TryAgain()),
+            (Repeat.ONCE, Ending.MISDIRECTED, TryAgain()),
+        ],
+    )
+    def test_what_may_go_to_another_endpoint_does(
+        self, repeat: Repeat, ending: Ending, next_step: TryAgain
+    ) -> None:
+        call = note_attempt(make_call(repeat), "e-1", ending)
+        assert decide_next(call, ending, has_budget=True, now=1.0) == next_step
+
+    @pytest.mark.parametrize("ending", [Ending.BROKEN, Ending.SILENT, Ending.FAILED])
+    def test_what_may_have_run_once_is_in_doubt(self, ending: Ending) -> None:
+        call = note_attempt(make_call(Repeat.ONCE), "e-1", ending)
+        decision = decide_next(call, ending, has_budget=True, now=1.0)
+        assert isinstance(decision, GiveUp)
+        assert decision.outcome is Outcome.IN_DOUBT
+
+    def test_a_later_refusal_does_not_undo_the_doubt(self) -> None:
+        """A caller is told "not run" of an order that has run.
+
+        The first endpoint ran it and was cut off; the second one refused.
+        """
+        call = note_attempt(make_call(), "e-1", Ending.BROKEN)
+        call = note_attempt(call, "e-2", Ending.NOT_RUN)
+        decision = decide_next(call, Ending.NOT_RUN, has_budget=True, now=1.0)
+        assert isinstance(decision, GiveUp)
+        assert decision.outcome is Outcome.IN_DOUBT
+
+    def test_without_budget_or_time_nothing_is_repeated(self) -> None:
+        call = note_attempt(make_call(), "e-1", Ending.NOT_RUN)
+        for has_budget, now in ((False, 1.0), (True, 8.0)):
+            decision = decide_next(call, Ending.NOT_RUN, has_budget=has_budget, now=now)
+            assert isinstance(decision, GiveUp)
+            assert decision.outcome is Outcome.NOT_RUN
+
+
+class TestDirectory:
+    def test_a_data_centre_that_is_out_has_no_usable_endpoints(self) -> None:
+        published = EndpointPublished(make_endpoint("e-1"))
+        directory = apply_facts(Directory(), [published], 0.0, 1.0)
+        directory = apply_facts(directory, [DataCentreOut("a")], 0.0, 1.0)
+        assert usable_endpoints(directory, "desk") == ()
+        directory = apply_facts(directory, [DataCentreBack("a")], 0.0, 1.0)
+        assert [one.name for one in usable_endpoints(directory, "desk")] == ["e-1"]
+
+    def test_lapsed_endpoints_are_used_for_their_grace_only(self) -> None:
+        """All endpoints vanish for a moment after the store was away.
+
+        Their entries lapsed meanwhile, and are back a second later.
+        """
+        published = EndpointPublished(make_endpoint("e-1"))
+        known = apply_facts(Directory(), [published], 0.0, 1.0)
+        lapsed = apply_facts(known, [EndpointRemoved("e-1")], 3.0, 1.0)
+        assert len(usable_endpoints(lapsed, "desk")) == 1
+        assert usable_endpoints(drop_lapsed(lapsed, 3.0), "desk") == ()
+        back = apply_facts(lapsed, [published], 3.0, 2.0)
+        assert len(usable_endpoints(drop_lapsed(back, 3.0), "desk")) == 1
+
+    def test_a_leaving_endpoint_gets_no_grace(self) -> None:
+        leaving = EndpointPublished(make_endpoint("e-1", leaving=True))
+        known = apply_facts(Directory(), [leaving], 0.0, 1.0)
+        gone = apply_facts(known, [EndpointRemoved("e-1")], 3.0, 1.0)
+        assert dict(gone.endpoints) == {}
+
+
+class TestReplica:
+    def test_older_news_change_nothing_whoever_brings_them(self) -> None:
+        """An endpoint that has left gets work again.
+
+        A peer that was cut off relays its old announcement after the removal.
+        """
+        replica = Replica("p/")
+        replica.merge([PublishedItem("p/1", 5, b"old")], 5)
+        replica.merge([PublishedItem("p/1", 7, None)], 7)
+        assert replica.merge([PublishedItem("p/1", 5, b"old")], 6) == []
+        assert replica.position == 7
+
+    def test_a_complete_reading_removes_what_it_lacks(self) -> None:
+        replica = Replica("p/")
+        replica.merge([PublishedItem("p/1", 5, b"x"), PublishedItem("p/2", 6, b"y")], 6)
+        changed = replica.replace([PublishedItem("p/2", 6, b"y")], 9)
+        assert changed == [PublishedItem("p/1", 9, None)]
+
+    def test_a_peer_gets_what_it_is_missing_removals_included(self) -> None:
+        replica = Replica("p/")
+        replica.merge([PublishedItem("p/1", 5, b"x"), PublishedItem("p/2", 6, b"y")], 6)
+        replica.merge([PublishedItem("p/1", 8, None)], 8)
+        assert replica.changes_since(6) == [PublishedItem("p/1", 8, None)]
+
+
+class TestPlacement:
+    def test_the_least_utilised_endpoint_is_chosen(self) -> None:
+        state = RoutingState("entry", "a")
+        ends = [make_endpoint("e-1"), make_endpoint("e-2")]
+        note_sent(state, "e-1")
+        chosen = choose_incarnation(state, ends, frozenset(), 0.0, random.Random(1))
+        assert chosen is ends[1]
+
+    def test_a_failed_endpoint_rests_unless_it_is_the_last(self) -> None:
+        state = RoutingState("entry", "a")
+        ends = [make_endpoint("e-1"), make_endpoint("e-2")]
+        note_failed(state, "e-1", 0.0)
+        for tried, expected in ((frozenset(), "e-2"), (frozenset({"e-2"}), "e-1")):
+            chosen = choose_incarnation(state, ends, tried, 0.1, random.Random(1))
+            assert chosen is not None
+            assert chosen.name == expected
+
+    def test_the_own_data_centre_breaks_ties(self) -> None:
+        state = RoutingState("entry", "b")
+        ends = [make_endpoint("e-1"), make_endpoint("e-2", data_centre="b")]
+        for seed in range(5):
+            chosen = choose_incarnation(
+                state, ends, frozenset(), 0.0, random.Random(seed)
+            )
+            assert chosen is ends[1]
+
+
+class TestServices:
+    def test_weights_share_the_requests(self) -> None:
+        route = ROUTE._replace(
+            destinations=(Destination("a", 90.0), Destination("b", 10.0))
+        )
+        chosen = [choose_service(route, str(number)) for number in range(2000)]
+        assert 130 < chosen.count("b") < 280
+        assert choose_service(route, "7") == choose_service(route, "7")
+
+
+class TestGroups:
+    def test_one_refusal_speaks_for_all_ranks(self) -> None:
+        """While a rank is lost, every caller's request stalls at another one.
+
+        Each of the twelve ranks refuses for the group's sake; a request that
+        is sent to the next rank is refused there too.
+        """
+        beliefs = GroupBeliefs()
+        place = RankPlace("llm/g", 1, 0, 12, is_open=True)
+        other = make_endpoint("e-2", place=place._replace(rank=1))
+        beliefs.note_refusal("llm/g", 1, 10.0)
+        assert not beliefs.takes_work(other)
+        beliefs.note_report("llm/g", 1, True, 10.1)
+        assert not beliefs.takes_work(other)
+        beliefs.note_report("llm/g", 2, True, 10.2)
+        assert beliefs.takes_work(other)
+
+    def test_a_false_alarm_ends_in_the_same_epoch(self) -> None:
+        beliefs = GroupBeliefs()
+        beliefs.note_refusal("llm/g", 1, 10.0)
+        beliefs.note_report("llm/g", 1, True, 10.6)
+        assert not beliefs.is_down("llm/g")
+
+    def test_nobody_is_held_longer_than_callers_wait(self) -> None:
+        assert hold_until(make_call()) == pytest.approx(1.75)
+        late = make_call()._replace(arrived_at=0.0, deadline=1.0)
+        assert hold_until(late) == pytest.approx(0.75)
+
+    def test_refused_callers_come_back_spread_out_and_in_time(self) -> None:
+        rng = random.Random(1)
+        times = [advise_retry(6.0, 4.0, rng) for _ in range(100)]
+        assert max(times) <= 2.0
+        assert max(times) - min(times) > 0.3
+
+
+class TestMembership:
+    def test_the_silent_are_forgotten_and_seeds_are_asked_again(self) -> None:
+        members = Membership("e-1", "a:1", ["a:1", "a:2"])
+        members.note(KnownEntry("e-2", "a:2", 10.0))
+        rng = random.Random(1)
+        assert members.choose_peers(11.0, rng, is_searching=False) == ("a:2",)
+        later = 10.0 + ALIVE_SECONDS + 1.0
+        assert members.alive(later) == ()
+        assert members.choose_peers(later, rng, is_searching=False) == ("a:2",)
+
+    def test_exactly_one_of_those_who_know_each_other_is_chosen(self) -> None:
+        names = ["e-1", "e-2", "e-3"]
+        chosen = []
+        for name in names:
+            members = Membership(name, name, [])
+            for other in names:
+                members.note(KnownEntry(other, other, 1.0))
+            chosen.append(members.is_chosen("maps g", 1.0))
+        assert chosen.count(True) == 1
--- /dev/null
+++ b/mintsaddle/platform/tests/standins.py
@@ -0,0 +1,491 @@
+"""Small stand-ins of the platform's store and endpoints, and a site of them.
+
+They speak what the platform's pages say, as far as the tests need it.
+"""
+
+import base64
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+WAIT_SECONDS = 10.0
+"""Seconds within which what a test waits for has to happen."""
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        AssertionError: It didn't in time.
+    """
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"no {what} within {WAIT_SECONDS:g} s")
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_: object) -> None:
+        """Keep the test's output quiet."""
+
+    def send_json(self, status: int, values: object) -> None:
+        body = json.dumps(values).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, *_: object) -> None:
+        """Callers that hang up are part of the tests."""
+
+
+class Store:
+    """The platform's store: items by key, readable and watchable."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.revision = 1
+        self.history_from = 0
+        self.is_down = False
+        self.changed = threading.Condition()
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                store.answer(self)
+
+        self._server = _Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def put(self, key: str, value: object) -> None:
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            item = {
+                "key": key,
+                "value": base64.b64encode(raw).decode(),
+                "revision": self.revision,
+                "created_at": self.revision,
+                "lease": 0,
+            }
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
+    def delete(self, key: str) -> None:
+        with self.changed:
+            self.revision += 1
+            del self.items[key]
+            self.events.append(
+                {"key": key, "revision": self.revision, "tombstoned": True}
+            )
+            self.changed.notify_all()
+
+    def forget_history(self) -> None:
+        with self.changed:
+            self.events.clear()
+            self.history_from = self.revision
+            self.changed.notify_all()
+
+    def answer(self, handler: _Handler) -> None:
+        if self.is_down:
+            handler.close_connection = True
+            return
+        parts = urlsplit(handler.path)
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if parts.path.endswith("kv-range"):
+            with self.changed:
+                items = [
+                    item
+                    for key, item in sorted(self.items.items())
+                    if key.startswith(query["prefix"]) and key > query.get("after", "")
+                ]
+                answer = {"items": items[:2], "has_more": len(items) > 2}
+                answer["at"] = self.revision
+            handler.send_json(200, answer)
+        else:
+            self._answer_watch(handler, query)
+
+    def _answer_watch(self, handler: _Handler, query: dict[str, str]) -> None:
+        after = int(query["after"])
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while not (events := self._events(query["prefix"], after)):
+                left = deadline - time.monotonic()
+                if left <= 0 or after < self.history_from or self.is_down:
+                    break
+                self.changed.wait(min(left, 0.1))
+            at = self.revision
+        if self.is_down:
+            handler.close_connection = True
+        elif after < self.history_from:
+            handler.send_json(410, {})
+        else:
+            handler.send_json(200, {"events": events, "at": at})
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+
+Act = Callable[["Endpoint", _Handler], None]
+"""What an endpoint does with one request."""
+
+
+class Endpoint:
+    """An endpoint; acts are taken from a list, then it answers well."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.acts: list[Act] = []
+        self.requests: list[dict[str, str]] = []
+        self.freed = threading.Event()
+        endpoint = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                endpoint.take(self)
+
+            def do_POST(self) -> None:
+                endpoint.take(self)
+
+        self._server = _Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def take(self, handler: _Handler) -> None:
+        length = int(handler.headers.get("Content-Length") or 0)
+        handler.rfile.read(length)
+        self.requests.append({"target": handler.path, **dict(handler.headers.items())})
+        act = self.acts.pop(0) if self.acts else answer_well
+        act(self, handler)
+
+
+def _send_head(
+    endpoint: Endpoint, handler: _Handler, status: int, **headers: str
+) -> None:
+    handler.send_response(status)
+    handler.send_header(
+        "X-Mintsaddle-Attempt-Id", handler.headers["X-Mintsaddle-Attempt-Id"]
+    )
+    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    for name, value in headers.items():
+        handler.send_header(name.replace("_", "-"), value)
+    handler.end_headers()
+
+
+def answer_well(endpoint: Endpoint, handler: _Handler) -> None:
+    body = f"whole answer of {endpoint.name}".encode()
+    _send_head(endpoint, handler, 200, Content_Length=str(len(body)))
+    handler.wfile.write(body)
+
+
+def answer_for_another(endpoint: Endpoint, handler: _Handler) -> None:
+    handler.headers.replace_header("X-Mintsaddle-Attempt-Id", "another")
+    answer_well(endpoint, handler)
+
+
+def refuse(endpoint: Endpoint, handler: _Handler) -> None:
+    handler.send_response(503)
+    handler.send_header("X-Mintsaddle-Not-Executed", "1")
+    handler.send_header("Content-Length", "0")
+    handler.end_headers()
+
+
+def cut(endpoint: Endpoint, handler: _Handler) -> None:
+    handler.close_connection = True
+
+
+def cut_short(endpoint: Endpoint, handler: _Handler) -> None:
+    _send_head(endpoint, handler, 200, Content_Length="100")
+    handler.wfile.write(b"half an answer")
+    handler.close_connection = True
+
+
+def stay_silent(endpoint: Endpoint, handler: _Handler) -> None:
+    """Answer nothing; note when the caller's side closes the connection."""
+    handler.connection.settimeout(WAIT_SECONDS)
+    if not handler.connection.recv(1):
+        endpoint.freed.set()
+    handler.close_connection = True
+
+
+def stream(first: int, last: int, *, is_whole: bool = True) -> Act:
+    """Return an act that streams events; cut in the middle of one if told."""
+
+    def act(endpoint: Endpoint, handler: _Handler) -> None:
+        _send_head(
+            endpoint,
+            handler,
+            200,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+        )
+        for number in range(first, last + 1):
+            _send_chunk(handler, b"id: %d\ndata: piece\n\n" % number)
+        if is_whole:
+            handler.wfile.write(b"0\r\n\r\n")
+        else:
+            _send_chunk(handler, b"id: %d\nda" % (last + 1))
+            handler.close_connection = True
+
+    return act
+
+
+def _send_chunk(handler: _Handler, data: bytes) -> None:
+    handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+    handler.wfile.flush()
+
+
+def announce(
+    endpoint: Endpoint, service: str, zone: str = "a", **other: object
+) -> dict[str, object]:
+    """Return the announcement of an endpoint."""
+    return {
+        "service": service,
+        "address": endpoint.address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+        **other,
+    }
+
+
+def make_configuration(version: int = 1, **other: object) -> dict[str, object]:
+    """Return a configuration with a route of each kind."""
+    kinds = {
+        "lookup": {"kind": "idempotent", "max_attempts": 2},
+        "order": {"kind": "non_idempotent", "max_attempts": 1},
+        "letter": {"kind": "streaming", "stream_resume": True, "max_attempts": 2},
+    }
+    routes = [
+        {
+            "name": name,
+            "host": "desk.example",
+            "prefix": f"/{name}/",
+            "timeout_ms": 3000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": "desk",
+            "allow_anonymous": False,
+            **rules,
+        }
+        for name, rules in kinds.items()
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "desk", "health_path": "/health", "max_connections": 9}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "north", "api_keys": ["good-key"]}],
+        **other,
+    }
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free at the moment."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Entry:
+    """A real entry process."""
+
+    def __init__(
+        self, folder: Path, name: str, store: str, seeds: list[str] | None = None
+    ) -> None:
+        front, ready, control, metrics = free_ports(4)
+        self.front, self.ready, self.metrics = front, ready, metrics
+        self.control = f"127.0.0.1:{control}"
+        settings = folder / f"{name}.toml"
+        settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                front=front,
+                ready=ready,
+                control=control,
+                metrics=metrics,
+                store=store,
+                seeds=json.dumps(seeds or []),
+            )
+        )
+        self._log = (folder / f"{name}.log").open("w+")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "mintsaddle.platform"],
+            env={**os.environ, "MINTSADDLE_NODE_FILE": str(settings)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def stop(self) -> None:
+        """End the process, whatever it does."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
+        self._log.close()
+
+    def terminate(self) -> None:
+        """Tell it to stop."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def log(self) -> str:
+        """Return what it has logged."""
+        self._log.seek(0)
+        return self._log.read()
+
+    def is_ready(self) -> bool:
+        """Return whether it says that it serves."""
+        try:
+            connection = http.client.HTTPConnection(f"127.0.0.1:{self.ready}")
+            connection.request("GET", "/mintsaddle/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def open(
+        self, method: str, path: str, **headers: str
+    ) -> http.client.HTTPConnection:
+        """Send a request; the answer isn't read yet."""
+        connection = http.client.HTTPConnection(
+            f"127.0.0.1:{self.front}", timeout=WAIT_SECONDS
+        )
+        sent = {
+            "Host": "desk.example",
+            "Api-Key": "good-key",
+            "X-Mintsaddle-Attempt-Id": "attempt-1",
+            "X-Mintsaddle-Deadline-Ms": "3000",
+        }
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        connection.request(method, path, headers=sent)
+        return connection
+
+    def call(
+        self, method: str, path: str, **headers: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Return status, headers and body of a request."""
+        response = self.open(method, path, **headers).getresponse()
+        return response.status, dict(response.headers), response.read()
+
+
+_SETTINGS = """
+node_name = "{name}"
+zone = "a"
+ip = "127.0.0.1"
+port_range = [{metrics},{metrics}]
+seeds = {seeds}
+bootstrap = true
+[listen]
+front = "127.0.0.1:{front}"
+ready_addr = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_slack = 90
+budget_window_s = 10
+cold_overshoot = 1.5
+cold_slack = 5
+stall_ms = 1500
+[platform]
+address = "{store}"
+"""
+
+
+class Site:
+    """A store, two endpoints of one service, and an entry."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.store = Store()
+        self.endpoints = [Endpoint("e-1"), Endpoint("e-2")]
+        self.entries: list[Entry] = []
+
+    @property
+    def entry(self) -> Entry:
+        """The first entry."""
+        return self.entries[0]
+
+    def start(self) -> None:
+        """Publish all and wait until the entry serves."""
+        self.store.put("op/config", make_configuration())
+        for endpoint in self.endpoints:
+            self.store.put(f"servers/{endpoint.name}", announce(endpoint, "desk"))
+        self.add_entry(self.store.address)
+        wait_for(self.entry.is_ready, "ready entry")
+        wait_for(lambda: "endpoints=2" in self.entry.log(), "known endpoints")
+
+    def add_entry(self, store: str, seeds: list[str] | None = None) -> Entry:
+        """Start one more entry."""
+        name = f"entry-{len(self.entries) + 1}"
+        entry = Entry(self._folder, name, store, seeds)
+        self.entries.append(entry)
+        return entry
+
+    def script(self, *acts: Act) -> None:
+        """Let whichever endpoint is asked next do the next act."""
+        acts_left = list(acts)
+
+        def next_act(endpoint: Endpoint, handler: _Handler) -> None:
+            act = acts_left.pop(0) if acts_left else answer_well
+            act(endpoint, handler)
+
+        for endpoint in self.endpoints:
+            endpoint.acts = [next_act] * len(acts)
+
+    def requests(self) -> list[dict[str, str]]:
+        """Return what all endpoints have got."""
+        return [one for endpoint in self.endpoints for one in endpoint.requests]
+
+
+def run_site(folder: Path) -> Iterator[Site]:
+    """Give a running site, and stop its processes in the end."""
+    site = Site(folder)
+    try:
+        site.start()
+        yield site
+    finally:
+        for entry in site.entries:
+            entry.stop()
--- /dev/null
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -0,0 +1,214 @@
+"""A real entry process among stand-ins of the store and of endpoints."""
+
+import http.client
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests.standins import Site, wait_for
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    yield from standins.run_site(tmp_path)
+
+
+class TestRepeats:
+    def test_a_lookup_is_repeated_elsewhere_after_a_cut(self, site: Site) -> None:
+        site.script(standins.cut)
+        status, headers, body = site.entry.call("GET", "/lookup/1")
+        assert (status, len(site.requests())) == (200, 2)
+        asked = {one["X-Mintsaddle-Expect-Instance"] for one in site.requests()}
+        assert asked == {"e-1", "e-2"}
+        assert headers["X-Mintsaddle-Response-Stamp"] in ("by-e-1", "by-e-2")
+        assert body.startswith(b"whole answer of e-")
+
+    def test_an_order_is_not_repeated_after_a_cut(self, site: Site) -> None:
+        """A redirection is registered twice and billed twice.
+
+        The first desk registers it and its answer is lost on the way; the
+        entry sends the order to the second desk.
+        """
+        site.script(standins.cut)
+        status, _, _ = site.entry.call("POST", "/order/1")
+        assert (status, len(site.requests())) == (502, 1)
+
+    def test_an_order_that_was_refused_is_said_not_to_have_run(
+        self, site: Site
+    ) -> None:
+        site.script(standins.refuse)
+        status, headers, _ = site.entry.call("POST", "/order/1")
+        assert (status, len(site.requests())) == (503, 1)
+        assert float(headers["Retry-After"]) > 0
+
+    @pytest.mark.parametrize(
+        "act", [standins.cut_short, standins.answer_for_another], ids=["short", "other"]
+    )
+    def test_what_is_not_the_whole_own_answer_is_not_passed_on(
+        self, site: Site, act: standins.Act
+    ) -> None:
+        site.script(act)
+        status, headers, _ = site.entry.call("POST", "/order/1")
+        assert status == 502
+        assert "X-Mintsaddle-Response-Stamp" not in headers
+
+
+class TestStreams:
+    def test_a_cut_stream_goes_on_after_its_last_whole_event(self, site: Site) -> None:
+        """A letter lacks a sentence, or has one twice.
+
+        The engine breaks off in the middle of an event; another one goes on.
+        """
+        site.script(standins.stream(1, 3, is_whole=False), standins.stream(4, 5))
+        status, _, body = site.entry.call("POST", "/letter/1")
+        assert status == 200
+        ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+        assert ids == [b"id: %d" % number for number in range(1, 6)]
+        assert site.requests()[-1].get("Last-Event-Id", "3") == "3"
+
+    def test_a_stream_that_cannot_go_on_does_not_look_complete(
+        self, site: Site
+    ) -> None:
+        site.script(standins.stream(1, 2, is_whole=False), standins.refuse)
+        response = site.entry.open("POST", "/letter/1").getresponse()
+        with pytest.raises(http.client.IncompleteRead):
+            response.read()
+
+    def test_a_caller_that_leaves_frees_its_endpoint(self, site: Site) -> None:
+        """Engines stay full of work that nobody waits for.
+
+        A caller hangs up before the first event; its entry waits in a read of
+        the engine's answer and doesn't notice.
+        """
+        site.script(standins.stay_silent)
+        connection = site.entry.open("POST", "/letter/1")
+        wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
+        connection.close()
+        left_at = time.monotonic()
+        wait_for(
+            lambda: any(endpoint.freed.is_set() for endpoint in site.endpoints),
+            "freed endpoint",
+        )
+        assert time.monotonic() - left_at < 0.5
+
+
+class TestRules:
+    def test_who_calls_is_named_by_the_key(self, site: Site) -> None:
+        site.entry.call("GET", "/lookup/%41?b=%2F", X_Mintsaddle_Tenant="forged")
+        (request,) = site.requests()
+        assert request["X-Mintsaddle-Tenant"] == "north"
+        assert request["target"] == "/lookup/%41?b=%2F"
+        assert "Api-Key" not in request
+        assert int(request["X-Mintsaddle-Deadline-Ms"]) <= 3000
+
+    def test_unknown_keys_and_routes_are_denied(self, site: Site) -> None:
+        assert site.entry.call("GET", "/lookup/1", Api_Key="bad")[0] == 401
+        assert site.entry.call("GET", "/nowhere/1")[0] == 404
+        assert site.requests() == []
+
+    def test_a_deadline_is_kept(self, site: Site) -> None:
+        site.script(standins.stay_silent)
+        began_at = time.monotonic()
+        status, _, _ = site.entry.call(
+            "POST", "/order/1", X_Mintsaddle_Deadline_Ms="400"
+        )
+        assert status == 504
+        assert 0.35 < time.monotonic() - began_at < 0.9
+
+
+class TestPublished:
+    def test_a_leaving_endpoint_gets_nothing_new(self, site: Site) -> None:
+        leaving = standins.announce(site.endpoints[0], "desk", state="draining")
+        site.store.put("servers/e-1", leaving)
+        wait_for(lambda: "leaving=1" in site.entry.log(), "news of the leaving")
+        for _ in range(6):
+            assert site.entry.call("GET", "/lookup/1")[0] == 200
+        assert site.endpoints[0].requests == []
+
+    def test_a_data_centre_that_is_out_gets_nothing_new(self, site: Site) -> None:
+        site.store.put(
+            "servers/e-1", standins.announce(site.endpoints[0], "desk", zone="b")
+        )
+        site.store.put("op/evacuate/b", {})
+        wait_for(lambda: "out=b" in site.entry.log(), "news of the mark")
+        for _ in range(6):
+            site.entry.call("GET", "/lookup/1")
+        assert site.endpoints[0].requests == []
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xff\x00",
+            b"[]",
+            b'{"service": 5}',
+            b'{"service":"desk","address":"nowhere","zone":"a","state":"ready"}',
+        ],
+    )
+    def test_garbage_names_no_endpoint_and_stops_nothing(
+        self, site: Site, value: bytes
+    ) -> None:
+        site.store.put("servers/bad", value)
+        site.store.put("op/config", b"{")
+        wait_for(lambda: "Table refused" in site.entry.log(), "refused table")
+        assert site.entry.call("GET", "/lookup/1")[0] == 200
+
+    def test_a_lost_history_is_read_again(self, site: Site) -> None:
+        site.store.delete("servers/e-1")
+        site.store.forget_history()
+        wait_for(lambda: "endpoints=1" in site.entry.log(), "news of the removal")
+
+    def test_service_goes_on_while_the_store_is_down(self, site: Site) -> None:
+        site.store.is_down = True
+        wait_for(lambda: "Platform lost" in site.entry.log(), "loss of the store")
+        assert site.entry.call("GET", "/lookup/1")[0] == 200
+        site.store.is_down = False
+        wait_for(lambda: "Platform regained" in site.entry.log(), "its return")
+
+    def test_an_entry_that_the_store_turns_away_hears_from_a_peer(
+        self, site: Site
+    ) -> None:
+        """Callers of one entry are refused, or sent to an endpoint that left.
+
+        The store serves all entries but one; changes reach that one only by
+        the others.
+        """
+        away = standins.Store()
+        away.is_down = True
+        other = site.add_entry(away.address, [site.entry.control])
+        wait_for(other.is_ready, "entry that was told by a peer")
+        site.store.put("op/config", make_newer())
+        wait_for(lambda: "version=2" in other.log(), "relayed table")
+
+    def test_an_entry_that_knows_no_table_promises_only_not_run(
+        self, site: Site
+    ) -> None:
+        away = standins.Store()
+        away.is_down = True
+        other = site.add_entry(away.address)
+        wait_for(lambda: "Started" in other.log(), "start")
+        status, headers, _ = other.call("GET", "/nowhere/1")
+        assert status == 503
+        assert "Retry-After" in headers
+        assert not other.is_ready()
+
+
+def make_newer() -> dict[str, object]:
+    return standins.make_configuration(version=2)
+
+
+class TestStop:
+    def test_a_stop_cuts_nobody(self, site: Site) -> None:
+        """A counter's letter breaks off while an entry is replaced."""
+        site.script(standins.stay_silent)
+        waiting = site.entry.open("POST", "/order/1", X_Mintsaddle_Deadline_Ms="900")
+        wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
+        site.entry.terminate()
+        wait_for(lambda: not site.entry.is_ready(), "failed readiness check")
+        status, headers, _ = site.entry.call("GET", "/lookup/1")
+        assert status == 200
+        assert headers["Connection"] == "close"
+        assert waiting.getresponse().status == 504
+        assert site.entry.process.wait(standins.WAIT_SECONDS) == 0
--- /dev/null
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -0,0 +1,193 @@
+"""The platform's spelling, decoded into the product's types and back."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+import mintsaddle
+from mintsaddle.decisions.direct import (
+    DataCentreBack,
+    DataCentreOut,
+    EndpointPublished,
+    EndpointRemoved,
+    PublishedItem,
+    RankPlace,
+    Repeat,
+)
+from mintsaddle.platform import (
+    decode_items,
+    make_endpoint_headers,
+    make_refusal,
+    read_caller_head,
+)
+from mintsaddle.platform._configuration import decode_table
+from mintsaddle.platform._settings import decode_settings
+from mintsaddle.platform.tests.standins import make_configuration
+from mintsaddle.values import Outcome, Reason
+
+PACKAGE = Path(mintsaddle.__file__).parent
+PLATFORM_NAMES = re.compile(
+    r"x-mintsaddle-|kv-(key|range|watch)|op/(config|evacuate)|servers/"
+    r"|MINTSADDLE_NODE_FILE|weighted_backends|Api-Key|At-Server|cold_left_ms",
+    re.IGNORECASE,
+)
+
+
+class TestBoundary:
+    def test_the_platforms_names_stay_in_its_folder(self) -> None:
+        outside = [
+            str(path)
+            for path in PACKAGE.rglob("*.py")
+            if PACKAGE / "platform" not in path.parents
+            and PLATFORM_NAMES.search(path.read_text())
+        ]
+        assert outside == []
+
+    def test_the_adapter_is_under_an_eighth_of_the_package(self) -> None:
+        def count_lines(folder: Path) -> int:
+            return sum(
+                len(path.read_text().splitlines())
+                for path in folder.rglob("*.py")
+                if "tests" not in path.parts and "proto" not in path.parts
+            )
+
+        assert count_lines(PACKAGE / "platform") * 8 < count_lines(PACKAGE)
+
+
+class TestTable:
+    def test_kinds_say_what_may_be_repeated(self) -> None:
+        table = decode_table(json.dumps(make_configuration()).encode()).unwrap()
+        routes = {route.name: route for route in table.hosts["desk.example"]}
+        assert routes["lookup"].repeat is Repeat.IDEMPOTENT
+        assert routes["order"].repeat is Repeat.ONCE
+        assert routes["letter"].repeat is Repeat.RESUMABLE
+        assert routes["letter"].is_stream
+
+    def test_a_kind_that_is_not_known_is_not_repeated(self) -> None:
+        values: dict[str, Any] = make_configuration()
+        values["routes"][0]["kind"] = "brand-new"
+        table = decode_table(json.dumps(values).encode()).unwrap()
+        names = {route.name: route for route in table.hosts["desk.example"]}
+        assert names["lookup"].repeat is Repeat.ONCE
+
+    @pytest.mark.parametrize("value", [b"", b"[]", b'{"version": 1}', b"\xff"])
+    def test_garbage_is_refused(self, value: bytes) -> None:
+        assert isinstance(decode_table(value), Failure)
+
+
+class TestItems:
+    def decode(self, key: str, value: object) -> list[object]:
+        raw = None if value is None else json.dumps(value).encode()
+        return list(decode_items([PublishedItem(key, 1, raw)], now=100.0))
+
+    def announcement(self, **other: object) -> dict[str, object]:
+        return {
+            "service": "llm",
+            "address": "10.0.0.1:80",
+            "zone": "a",
+            "state": "ready",
+            "slots": 6,
+            **other,
+        }
+
+    def test_an_announcement_names_an_endpoint_and_its_rank(self) -> None:
+        group = {"name": "g", "epoch": 2, "rank": 3, "state": "broken"}
+        value = self.announcement(cold_left_ms=500, group=group, size=4)
+        (fact,) = self.decode("servers/i-1", value)
+        assert isinstance(fact, EndpointPublished)
+        assert fact.incarnation.cold_until == 100.5
+        assert fact.incarnation.place == RankPlace("llm/g", 2, 3, 4, is_open=False)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "dancing"},
+            {"service": 7},
+            {"address": "10.0.0.1"},
+            {"slots": "six"},
+            {"zone": None},
+        ],
+    )
+    def test_an_announcement_of_another_form_names_none(
+        self, change: dict[str, object]
+    ) -> None:
+        facts = self.decode("servers/i-1", self.announcement(**change))
+        assert facts == [EndpointRemoved("i-1")]
+
+    def test_data_centres_go_out_and_come_back(self) -> None:
+        assert self.decode("op/evacuate/a", {}) == [DataCentreOut("a")]
+        assert self.decode("op/evacuate/a", None) == [DataCentreBack("a")]
+
+
+class TestHeads:
+    def test_only_what_concerns_the_endpoint_is_passed_on(self) -> None:
+        environ = {
+            "HTTP_HOST": "desk.example",
+            "HTTP_API_KEY": "secret",
+            "HTTP_X_MINTSADDLE_TENANT": "forged",
+            "HTTP_CONNECTION": "keep-alive, X-Hop",
+            "HTTP_X_HOP": "1",
+            "HTTP_X_OTHER": "2",
+            "HTTP_X_MINTSADDLE_DEADLINE_MS": "9000",
+        }
+        sent = dict(make_endpoint_headers(environ, "i-1", "north", 1.5, 12))
+        assert sent == {
+            "Host": "desk.example",
+            "X-Other": "2",
+            "X-Mintsaddle-Deadline-Ms": "1500",
+            "X-Mintsaddle-Expect-Instance": "i-1",
+            "X-Mintsaddle-Tenant": "north",
+            "Last-Event-Id": "12",
+        }
+
+    def test_a_head_without_anything_is_read(self) -> None:
+        head = read_caller_head({})
+        assert (head.request_id, head.key) == ("", "")
+        assert (head.seconds_left, head.last_event) == (None, None)
+
+    @pytest.mark.parametrize(
+        ("outcome", "reason", "status"),
+        [
+            (Outcome.NOT_RUN, Reason.FULL, "503"),
+            (Outcome.IN_DOUBT, Reason.TOO_LATE, "504"),
+            (Outcome.IN_DOUBT, Reason.CUT_OFF, "502"),
+        ],
+    )
+    def test_only_what_did_not_run_is_said_so(
+        self, outcome: Outcome, reason: Reason, status: str
+    ) -> None:
+        line, headers = make_refusal(outcome, reason, "r", 0.5)
+        assert line.startswith(status)
+        assert ("Retry-After" in dict(headers)) == (status == "503")
+
+
+class TestSettings:
+    def test_all_findings_are_reported_together(self) -> None:
+        result = decode_settings("file", {"bounds": {"grace_s": "long"}})
+        assert isinstance(result, Failure)
+        keys = {finding.key for finding in result.failure()}
+        assert {"node_name", "zone", "listen", "platform", "grace_s"} <= keys
+
+    def test_fields_that_are_not_known_are_ignored(self) -> None:
+        values = {
+            "node_name": "n",
+            "zone": "a",
+            "ip": "10.0.0.1",
+            "brand_new": 1,
+            "listen": {"front": "f", "ready_addr": "r", "control": "c"},
+            "platform": {"address": "p"},
+            "bounds": {
+                "grace_s": 8,
+                "retry_budget_ratio": 0.2,
+                "retry_slack": 90,
+                "budget_window_s": 10,
+                "cold_overshoot": 1.5,
+                "cold_slack": 5,
+                "stall_ms": 1500,
+            },
+        }
+        assert isinstance(decode_settings("file", values), Success)
