Handle SIGHUP, keep cold endpoints' share, answer silence, bound the log

Change: signals are caught before anything is served and settings read again; ColdGate gives each entry its share; half of the time goes to a first attempt; log lines go through a bounded buffer and one writer; ready only once all that is published has been read.

--- a/mintsaddle/daemon/_main.py
+++ b/mintsaddle/daemon/_main.py
@@ -10,7 +10,6 @@
   --help           Show this page.
 """
 
-import logging
 import os
 import sys
 from pathlib import Path
@@ -19,7 +18,7 @@
 from docopt import docopt
 from returns.result import Failure, Result, Success
 
-from mintsaddle.observe import start_logging
+from mintsaddle.observe import start_logging, stop_logging
 from mintsaddle.settings import Role, Settings, read_settings
 from mintsaddle.values import Finding, Findings, render_findings
 
@@ -67,7 +66,7 @@
     start_logging(settings.log_level)
     run = run_entry if settings.role is Role.ENTRY else run_endpoint
     code = run(settings)
-    logging.shutdown()
+    stop_logging()
     # All work is done. A helper thread may still wait in a watch of the
     # platform, and Python would wait for it: a stop would take up to 25 s.
     os._exit(code)
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -6,10 +6,12 @@
     Ending,
     GiveUp,
     TryAgain,
+    attempt_until,
     decide_next,
     give_up,
     note_attempt,
 )
+from mintsaddle.decisions.direct._cold import ColdGate
 from mintsaddle.decisions.direct._directory import (
     LAPSE_GRACE,
     DataCentreBack,
@@ -55,6 +57,7 @@
     "LAPSE_GRACE",
     "NEVER_RAN",
     "CallerLimits",
+    "ColdGate",
     "DataCentreBack",
     "DataCentreOut",
     "Destination",
@@ -82,6 +85,7 @@
     "TryAgain",
     "advise_retry",
     "apply_facts",
+    "attempt_until",
     "choose_incarnation",
     "choose_service",
     "decide_next",
--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -36,6 +36,9 @@
     """Sent, and nothing came within the time for this attempt."""
 
 
+SHARE_OF_FIRST = 0.5
+"""Share of the time left that an idempotent call's first attempt gets."""
+
 NEVER_RAN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.MISDIRECTED})
 """Endings after which the endpoint surely has not run the request."""
 
@@ -76,6 +79,19 @@
     reason: Reason
 
 
+def attempt_until(call: DirectCall, now: Instant) -> Instant:
+    """Return until when the next attempt's answer is waited for.
+
+    An idempotent call leaves time for a second attempt, since an endpoint may
+    have run it and lost the answer. All others wait to their end: silence is
+    no reason to give up what may be running.
+    """
+    is_last = call.sends + 1 >= call.route.most_attempts
+    if is_last or call.route.repeat is not Repeat.IDEMPOTENT:
+        return call.deadline
+    return now + (call.deadline - now) * SHARE_OF_FIRST
+
+
 def note_attempt(call: DirectCall, endpoint: str, ending: Ending) -> DirectCall:
     """Return the call after an attempt that gave no usable answer."""
     return call._replace(
--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -145,9 +145,28 @@
                 out.add(name)
             case DataCentreBack(name):
                 out.discard(name)
+                _cool_down(endpoints, table, name, now)
     return Directory(table, endpoints, frozenset(out), lapsed)
 
 
+def _cool_down(
+    endpoints: dict[str, Incarnation],
+    table: RoutingTable | None,
+    data_centre: str,
+    now: Instant,
+) -> None:
+    """Take the endpoints of a data centre that is back as cold.
+
+    They may have become so while they got nothing, and say so only with their
+    next announcement: all entries would find them the least loaded meanwhile.
+    """
+    services = table.services if table else {}
+    for name, one in endpoints.items():
+        if one.data_centre == data_centre and one.service in services:
+            until = now + services[one.service].cold_seconds
+            endpoints[name] = one._replace(cold_until=max(one.cold_until, until))
+
+
 def drop_lapsed(directory: Directory, now: Instant) -> Directory:
     """Return the directory without endpoints whose time is over."""
     over = [name for name, until in directory.lapsed.items() if now >= until]
--- a/mintsaddle/decisions/direct/_table.py
+++ b/mintsaddle/decisions/direct/_table.py
@@ -84,6 +84,9 @@
     is_engine: bool
     """Whether it is a model engine."""
 
+    cold_seconds: float = 0.0
+    """Seconds for which an endpoint is cold after its start."""
+
     experts: ExpertModel | None = None
     """Layout of its experts; None when it has none."""
 
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -6,11 +6,14 @@
 
 from mintsaddle.decisions.direct import (
     ALIVE_SECONDS,
+    CallerLimits,
+    ColdGate,
     DataCentreBack,
     DataCentreOut,
     Destination,
     DirectCall,
     Directory,
+    DirectService,
     Ending,
     EndpointPublished,
     EndpointRemoved,
@@ -24,9 +27,12 @@
     Repeat,
     Replica,
     Route,
+    RoutingTable,
+    TablePublished,
     TryAgain,
     advise_retry,
     apply_facts,
+    attempt_until,
     choose_incarnation,
     choose_service,
     decide_next,
@@ -107,6 +113,18 @@
             assert decision.outcome is Outcome.NOT_RUN
 
 
+class TestSilence:
+    def test_an_idempotent_call_leaves_time_for_a_second_attempt(self) -> None:
+        call = make_call()
+        assert attempt_until(call, 0.0) == 4.0
+        again = note_attempt(call, "e-1", Ending.SILENT)
+        assert attempt_until(again, 4.0) == 8.0
+
+    def test_what_may_run_once_waits_to_its_end(self) -> None:
+        for repeat in (Repeat.ONCE, Repeat.RESUMABLE):
+            assert attempt_until(make_call(repeat), 0.0) == 8.0
+
+
 class TestDirectory:
     def test_a_data_centre_that_is_out_has_no_usable_endpoints(self) -> None:
         published = EndpointPublished(make_endpoint("e-1"))
@@ -188,6 +206,56 @@
             assert chosen is ends[1]
 
 
+class TestColdEndpoints:
+    SERVICE = DirectService("desk", "/health", 100, 26.0, True, cold_seconds=3.0)
+
+    def test_all_entries_together_keep_to_what_a_cold_endpoint_bears(self) -> None:
+        """Engines that have just come back fall over, again and again.
+
+        Each of seven entries finds them the least loaded and sends all that it
+        has, within what it alone would be allowed.
+        """
+        endpoint = make_endpoint("e-1", cold_until=10.0)
+        gates = [ColdGate(1.5, 5.0) for _ in range(7)]
+        sent = 0
+        for gate in gates:
+            for _ in range(50):
+                if gate.allows(endpoint, self.SERVICE, len(gates), 0.5):
+                    gate.note_sent(endpoint, 0.5)
+                    sent += 1
+        assert 7 <= sent <= 26 * 1.5 + 5
+
+    def test_a_share_below_one_a_second_is_one_in_a_longer_time(self) -> None:
+        endpoint = make_endpoint("e-1", cold_until=100.0)
+        service = self.SERVICE._replace(cold_rate=1.0)
+        gate = ColdGate(1.0, 1.0)
+        sent = 0
+        for tick in range(1000):
+            now = tick * 0.02
+            if gate.allows(endpoint, service, 16, now):
+                gate.note_sent(endpoint, now)
+                sent += 1
+        assert sent == 2
+
+    def test_a_warm_endpoint_is_not_limited(self) -> None:
+        gate = ColdGate(1.5, 5.0)
+        endpoint = make_endpoint("e-1", cold_until=10.0)
+        for _ in range(100):
+            gate.note_sent(endpoint, 9.9)
+        assert not gate.allows(endpoint, self.SERVICE, 1, 9.9)
+        assert gate.allows(endpoint, self.SERVICE, 1, 10.0)
+
+    def test_a_data_centre_that_is_back_counts_as_cold(self) -> None:
+        table = RoutingTable(
+            1, {}, {"desk": self.SERVICE}, CallerLimits(1, 1, 1.0, 1.0), None
+        )
+        known = apply_facts(Directory(), [TablePublished(table)], 0.0, 1.0)
+        published = EndpointPublished(make_endpoint("e-1"))
+        known = apply_facts(known, [published], 0.0, 1.0)
+        back = apply_facts(known, [DataCentreBack("a")], 0.0, 20.0)
+        assert back.endpoints["e-1"].cold_until == 23.0
+
+
 class TestServices:
     def test_weights_share_the_requests(self) -> None:
         route = ROUTE._replace(
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -8,14 +8,16 @@
 
 from mintsaddle.decisions.direct import (
     LAPSE_GRACE,
+    ColdGate,
     Directory,
     GroupBeliefs,
+    Incarnation,
     PublishedItem,
     Replica,
     apply_facts,
     drop_lapsed,
 )
-from mintsaddle.decisions.routing import RoutingState
+from mintsaddle.decisions.routing import RoutingState, note_sent
 from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
 from mintsaddle.platform import ENDPOINT_PREFIX, OPERATOR_PREFIX, decode_items
 from mintsaddle.settings import DirectSettings
@@ -46,6 +48,8 @@
         self._directory = Directory()
         self._groups = GroupBeliefs()
         self._groups_changed = threading.Condition(self._lock)
+        self._entries = _LIKELY_ENTRIES
+        self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
         self._book = HistogramBook()
         self._counts: Counter[str] = Counter()
         self._leaving = False
@@ -87,6 +91,12 @@
         """Told when a group goes down or comes back; holds the lock."""
         return self._groups_changed
 
+    @property
+    def knows_all(self) -> bool:
+        """Whether everything published has been read once."""
+        has_read = all(replica.position for replica in self._replicas.values())
+        return has_read and self._directory.table is not None
+
     @property
     def leaving(self) -> bool:
         """Whether this process was told to stop."""
@@ -142,6 +152,7 @@
         with self._lock:
             share = self._settings.retry_slack / max(number, _LIKELY_ENTRIES)
             self._routing.replace_budget_cap(share)
+            self._entries = max(number, _LIKELY_ENTRIES)
 
     def keep(self, *things: object) -> None:
         """Hold what would otherwise be collected while it is in use."""
@@ -185,6 +196,25 @@
         with self._lock:
             self._directory = drop_lapsed(self._directory, self.now())
 
+    def takes_work(self, endpoint: Incarnation) -> bool:
+        """Return whether an endpoint may get a request now; under the lock."""
+        table = self._directory.table
+        service = table.services.get(endpoint.service) if table else None
+        if service is None or not self._groups.takes_work(endpoint):
+            return False
+        return self._cold_gate.allows(endpoint, service, self._entries, self.now())
+
+    def note_chosen(self, endpoint: Incarnation) -> None:
+        """Count a request that is about to be sent; under the lock."""
+        note_sent(self._routing, endpoint.name)
+        self._cold_gate.note_sent(endpoint, self.now())
+
+    def replace_settings(self, settings: DirectSettings) -> None:
+        """Take over limits from a settings file that has changed."""
+        with self._lock:
+            self._settings = settings
+            self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
+
     def note_group(self, group: str, epoch: int, is_open: bool) -> None:
         """Take over what a rank or its announcement says of its group."""
         with self._groups_changed:
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -1,9 +1,11 @@
 """Running a direct entry from its start to its end."""
 
+import signal
 import threading
 import time
+from collections.abc import Callable
+from typing import NamedTuple
 
-from mintsaddle.daemon import wait_for_stop
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._follow import start_following
@@ -27,13 +29,25 @@
 """Share of the stop time after which the process ends: work that an endpoint
 still has in the last sixth may be broken off."""
 
+RELOAD_SECONDS = 5.0
+"""Seconds between two readings of the settings file; it is small."""
+
 _IDLE_PAUSE = 0.05
+_SIGNAL_POLL = 0.25
 _LIMITS_PAUSE = 0.5
 _log = make_logger("daemon")
 
 
-def run_direct(settings: DirectSettings) -> int:
-    """Run a direct entry until it is told to stop, and let answers finish."""
+def run_direct(
+    settings: DirectSettings, reload: Callable[[], DirectSettings | None]
+) -> int:
+    """Run a direct entry until it is told to stop, and let answers finish.
+
+    Args:
+        settings: What the settings file says at the start.
+        reload: Reads the file again; None when it has findings.
+    """
+    signals = _catch_signals()
     gateway = Gateway(settings)
     watchdog = Watchdog(gateway.now)
     app = DirectApp(gateway, watchdog, CALLER_THREADS)
@@ -57,12 +71,54 @@
     ).start()
     server.start()
     _log.info("Started %s.", fields(vm=settings.vm, callers=settings.callers))
-    wait_for_stop()
+    _wait_for_stop(gateway, signals, reload)
     _leave(gateway, app, server)
     _log.info("Stopped %s.", fields(vm=settings.vm, open=app.open_calls))
     return 0
 
 
+class _Signals(NamedTuple):
+    """What the process was told."""
+
+    stop: threading.Event
+    changed: threading.Event
+    """Set when the settings file may have changed."""
+
+
+def _catch_signals() -> _Signals:
+    """Catch signals from the start on: unhandled, SIGHUP ends a process."""
+    signals = _Signals(threading.Event(), threading.Event())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: signals.stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: signals.changed.set())
+    return signals
+
+
+def _wait_for_stop(
+    gateway: Gateway, signals: _Signals, reload: Callable[[], DirectSettings | None]
+) -> None:
+    """Return once told to stop; read the settings again meanwhile.
+
+    They may also change without a signal.
+    """
+    read_at = gateway.now()
+    # A wait without a limit would keep Python from running the handlers.
+    while not signals.stop.wait(_SIGNAL_POLL):
+        if signals.changed.is_set() or gateway.now() - read_at >= RELOAD_SECONDS:
+            signals.changed.clear()
+            read_at = gateway.now()
+            _reload(gateway, reload)
+
+
+def _reload(gateway: Gateway, reload: Callable[[], DirectSettings | None]) -> None:
+    settings = reload()
+    if settings is None:
+        _log.warning("Settings refused; those in force stay.")
+    elif settings != gateway.settings:
+        gateway.replace_settings(settings)
+        _log.info("Reloaded %s.", fields(vm=settings.vm))
+
+
 def _leave(gateway: Gateway, app: DirectApp, server: CallerServer) -> None:
     """Fail the readiness check, serve on for a while, finish what is open."""
     gateway.mark_leaving()
@@ -76,7 +132,7 @@
 
 
 def _show_ready(gateway: Gateway) -> tuple[str, str]:
-    if gateway.leaving or gateway.directory.table is None:
+    if gateway.leaving or not gateway.knows_all:
         return "503 Service Unavailable", "not serving\n"
     return "200 OK", "serving\n"
 
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -10,6 +10,7 @@
     GiveUp,
     Incarnation,
     Repeat,
+    attempt_until,
     choose_incarnation,
     decide_next,
     give_up,
@@ -22,7 +23,6 @@
     note_failed,
     note_finished,
     note_load,
-    note_sent,
     spend_retry,
 )
 from mintsaddle.direct._exchange import (
@@ -154,7 +154,8 @@
         if isinstance(endpoint, Reason):
             return give_up(self._call, endpoint)
         exchange = Exchange(endpoint.address)
-        end_at = self._call.deadline + OWN_ANSWER_SECONDS
+        until = attempt_until(self._call, self._gateway.now())
+        end_at = until + OWN_ANSWER_SECONDS
         watched = Watched(exchange, self._is_gone, end_at)
         self._watchdog.add(watched)
         ending, attempt = self._open(endpoint, exchange, watched)
@@ -174,12 +175,16 @@
         with gateway.groups_changed:
             while True:
                 usable = usable_endpoints(gateway.directory, self._call.service)
-                working = [one for one in usable if gateway.groups.takes_work(one)]
+                working = [one for one in usable if gateway.takes_work(one)]
                 if working or not usable:
                     break
                 left = wait_until - gateway.now()
                 if left <= 0:
-                    return Reason.GROUP_DOWN
+                    return (
+                        Reason.GROUP_DOWN
+                        if gateway.groups.down_groups()
+                        else Reason.FULL
+                    )
                 gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
                 if self._is_gone():
                     raise CallerLeftError
@@ -192,7 +197,7 @@
             )
             if endpoint is None:
                 return Reason.NO_ENDPOINT
-            note_sent(gateway.routing, endpoint.name)
+            gateway.note_chosen(endpoint)
         return endpoint
 
     def _open(
@@ -215,11 +220,10 @@
                 message.body,
                 left + 2 * OWN_ANSWER_SECONDS,
             )
-        except TimeoutError:
-            return Ending.SILENT, None
         except (OSError, http.client.HTTPException, ValueError) as error:
             self._log_broken(endpoint, error)
-            return Ending.BROKEN, None
+            is_silent = self._gateway.now() >= watched.end_at
+            return Ending.SILENT if is_silent else Ending.BROKEN, None
         head = read_answer_head(response, call.request_id, endpoint.slots)
         self._note_head(endpoint, head)
         if head.is_misdirected:
--- a/mintsaddle/observe/__init__.py
+++ b/mintsaddle/observe/__init__.py
@@ -7,7 +7,7 @@
     Summary,
     merge_encoded,
 )
-from mintsaddle.observe._logs import fields, make_logger, start_logging
+from mintsaddle.observe._logs import fields, make_logger, start_logging, stop_logging
 
 __all__ = [
     "HistogramBook",
@@ -18,4 +18,5 @@
     "make_logger",
     "merge_encoded",
     "start_logging",
+    "stop_logging",
 ]
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -99,6 +99,7 @@
         most_connections=int(values.get("max_connections") or 0),
         cold_rate=float(values.get("cold_per_s") or 0),
         is_engine=isinstance(values.get("engine"), dict),
+        cold_seconds=float(values.get("cold_start_s") or 0),
         experts=_decode_experts(values.get("engine") or {}),
     )
 
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -341,6 +341,7 @@
         self.front, self.ready, self.metrics = front, ready, metrics
         self.control = f"127.0.0.1:{control}"
         settings = folder / f"{name}.toml"
+        self._settings = settings
         settings.write_text(
             _SETTINGS.format(
                 name=name,
@@ -371,6 +372,12 @@
         """Tell it to stop."""
         self.process.send_signal(signal.SIGTERM)
 
+    def change_settings(self, old: str, new: str) -> None:
+        """Change a line of its settings file."""
+        text = self._settings.read_text()
+        assert old in text
+        self._settings.write_text(text.replace(old, new))
+
     def log(self) -> str:
         """Return what it has logged."""
         self._log.seek(0)
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -1,6 +1,7 @@
 """A real entry process among stand-ins of the store and of endpoints."""
 
 import http.client
+import signal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -199,6 +200,44 @@
     return standins.make_configuration(version=2)
 
 
+class TestReload:
+    def test_a_changed_file_is_read_again_and_cuts_nobody(self, site: Site) -> None:
+        """An entry dies when its settings change.
+
+        The signal that says so ends a process that doesn't handle it.
+        """
+        site.entry.change_settings("retry_slack = 90", "retry_slack = 45")
+        site.entry.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "Reloaded" in site.entry.log(), "reload")
+        site.entry.change_settings("grace_s = 8", "grace_s = -1")
+        site.entry.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "Settings refused" in site.entry.log(), "refusal")
+        assert site.entry.call("GET", "/lookup/1")[0] == 200
+
+
+class TestSilentEndpoints:
+    def test_a_lookup_goes_elsewhere_in_time(self, site: Site) -> None:
+        """A lookup fails at its deadline though another desk is idle.
+
+        The first desk has run it and its answer was lost without a reset.
+        """
+        site.script(standins.stay_silent)
+        status, _, _ = site.entry.call(
+            "GET", "/lookup/1", X_Mintsaddle_Deadline_Ms="1200"
+        )
+        assert (status, len(site.requests())) == (200, 2)
+
+
+class TestMetrics:
+    def test_counters_and_latencies_are_served(self, site: Site) -> None:
+        site.entry.call("GET", "/lookup/1")
+        connection = http.client.HTTPConnection(f"127.0.0.1:{site.entry.metrics}")
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        assert "mintsaddle_ended_answered 1" in text
+        assert 'mintsaddle_first_ms{workspace="north",class="lookup"' in text
+
+
 class TestStop:
     def test_a_stop_cuts_nobody(self, site: Site) -> None:
         """A counter's letter breaks off while an entry is replaced."""
