Free a held group sooner when the entry that held it is gone

Ruled out: a hold without a holder (holds were all one keeper's, by the logs). Change: a duty passes on after 2.5 s or an unanswered question, the next three in line ask its holder in every round; unanswered arms are sent again at once; orders wait 0.12 s for an answer; withdrawals pause once only.

--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -14,6 +14,15 @@
 ALIVE_SECONDS = 5.0
 """Seconds without a word after which an entry counts as gone: five rounds."""
 
+DUTY_SECONDS = 2.5
+"""Seconds without a word after which an entry's duties pass to another one.
+A duty bears two entries that both see to it; nobody doing so is worse: a group
+that is held then stands still, and callers leave streams after 2 s."""
+
+WATCHERS = 3
+"""Entries next in line for a duty that ask its holder in every round; however
+many entries there are, its holder answers no more than these."""
+
 FAN_OUT = 2
 """Peers asked in each round; news reach 340 entries in about 8 rounds."""
 
@@ -37,6 +46,7 @@
         self._address = address
         self._seeds = tuple(seed for seed in seeds if seed != address)
         self._entries: dict[str, KnownEntry] = {}
+        self._suspects: set[str] = set()
 
     @property
     def vm(self) -> str:
@@ -54,6 +64,14 @@
         if entry.vm != self._vm and (known is None or entry.heard_at > known.heard_at):
             self._entries[entry.vm] = entry
 
+    def note_answer(self, address: str) -> None:
+        """Note that an entry has answered."""
+        self._suspects.discard(address)
+
+    def note_silence(self, address: str) -> None:
+        """Note that an entry didn't answer: its duties pass to another one."""
+        self._suspects.add(address)
+
     def remove(self, vm: str) -> None:
         """Forget an entry that says that it is leaving."""
         self._entries.pop(vm, None)
@@ -68,7 +86,12 @@
         return tuple(self._entries.values())
 
     def choose_peers(
-        self, now: Instant, rng: random.Random, *, is_searching: bool
+        self,
+        now: Instant,
+        rng: random.Random,
+        duties: Iterable[str] = (),
+        *,
+        is_searching: bool,
     ) -> tuple[str, ...]:
         """Return the addresses to ask in this round.
 
@@ -80,16 +103,31 @@
         if not addresses:
             return tuple(strangers)
         fan_out = SEARCH_FAN_OUT if is_searching else FAN_OUT
-        chosen = rng.sample(addresses, min(fan_out, len(addresses)))
+        chosen = set(rng.sample(addresses, min(fan_out, len(addresses))))
+        chosen.update(self._holders_to_watch(duties, now))
         if strangers:
-            chosen.append(rng.choice(strangers))
+            chosen.add(rng.choice(strangers))
         return tuple(chosen)
 
+    def _holders_to_watch(self, duties: Iterable[str], now: Instant) -> list[str]:
+        addresses = {entry.vm: entry.address for entry in self.alive(now)}
+        addresses[self._vm] = self._address
+        watched = []
+        for duty in duties:
+            first, *others = rank_by_score(duty, addresses)
+            if self._vm in others[:WATCHERS]:
+                watched.append(addresses[first])
+        return watched
+
     def is_chosen(self, duty: str, now: Instant) -> bool:
         """Return whether this entry is the one to see to a duty.
 
         Entries with different views may both think so: a duty has to bear
         that.
         """
-        names = [self._vm, *(entry.vm for entry in self.alive(now))]
+        names = [self._vm]
+        for entry in self.alive(now):
+            is_late = now - entry.heard_at > DUTY_SECONDS
+            if not is_late and entry.address not in self._suspects:
+                names.append(entry.vm)
         return rank_by_score(duty, names)[0] == self._vm
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -311,6 +311,25 @@
         assert members.alive(later) == ()
         assert members.choose_peers(later, rng, is_searching=False) == ("a:2",)
 
+    def test_a_duty_passes_on_when_its_holder_is_silent(self) -> None:
+        """A group stands still for ten seconds after one entry lost power.
+
+        The entry held a step; the others took five seconds to notice.
+        """
+        names = ["e-1", "e-2", "e-3"]
+        members = {name: Membership(name, name, []) for name in names}
+        for one in members.values():
+            for name in names:
+                one.note(KnownEntry(name, name, 1.0))
+        (holder,) = [n for n in names if members[n].is_chosen("maps g", 1.0)]
+        others = [members[name] for name in names if name != holder]
+        rng = random.Random(1)
+        for one in others:
+            asked = one.choose_peers(1.0, rng, ["maps g"], is_searching=False)
+            assert holder in asked
+            one.note_silence(holder)
+        assert [one.is_chosen("maps g", 1.5) for one in others].count(True) == 1
+
     def test_exactly_one_of_those_who_know_each_other_is_chosen(self) -> None:
         names = ["e-1", "e-2", "e-3"]
         chosen = []
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -29,6 +29,11 @@
 _log = make_logger("directory")
 
 
+def map_duty(group: str) -> str:
+    """Return the name of the duty to see to a group's expert map."""
+    return f"maps {group}"
+
+
 class Gateway:
     """Beliefs, counters and the lock under which decisions change them."""
 
@@ -147,6 +152,11 @@
             self._lost.discard(prefix)
             self._replicas[prefix].expect_lapses(self.now() + LAPSE_GRACE)
 
+    def duties(self) -> set[str]:
+        """Return the names of the duties that some entry has to see to."""
+        places = (one.place for one in self._directory.endpoints.values())
+        return {map_duty(place.group) for place in places if place is not None}
+
     def set_entries(self, number: int) -> None:
         """Note how many entries share limits; the larger number counts."""
         with self._lock:
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -30,7 +30,7 @@
     ranks_to_read,
     withdraw_held,
 )
-from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._gateway import Gateway, map_duty
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
     read_expert_counts,
@@ -86,7 +86,7 @@
             if self._gateway.leaving:
                 return
             for group in self._find_groups():
-                duty = f"maps {group.name}"
+                duty = map_duty(group.name)
                 if self._membership.is_chosen(duty, self._gateway.now()):
                     self._look_at(group)
                 else:
@@ -233,6 +233,7 @@
         self, group: _Group, switch: ArmedSwitch, step_seconds: float
     ) -> ArmedSwitch:
         """Send orders and read reports until the switch is over."""
+        is_withdrawing = False
         while switch.stage not in OVER:
             if switch.stage is SwitchStage.HOLD and not switch.step:
                 reports = self._read_reports(group)
@@ -242,7 +243,9 @@
                 step = choose_step(newest, step_seconds)
                 switch = hold_at(switch, step)
             if must_read_first(switch):
-                time.sleep(REPORT_AGE_SECONDS)
+                # Old reports only in the first round wouldn't show the hold.
+                time.sleep(_ROUND_SECONDS if is_withdrawing else REPORT_AGE_SECONDS)
+                is_withdrawing = True
                 switch = self._settle(group, switch)
             stage = switch.stage
             orders = next_map_orders(switch)
@@ -250,6 +253,10 @@
             switch = note_answers(switch, answers, self._gateway.now())
             if switch.stage in OVER:
                 break
+            if stage is SwitchStage.ARM or must_read_first(switch):
+                # The group may be standing still: what wasn't answered is sent
+                # again at once, and no report is needed.
+                continue
             is_unsure = {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values())
             if is_unsure or stage is SwitchStage.PREPARE:
                 time.sleep(REPORT_AGE_SECONDS if is_unsure else _COPY_LOOK_SECONDS)
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -63,8 +63,9 @@
         while True:
             is_searching = self._gateway.is_platform_lost
             now = self._gateway.now()
+            duties = self._gateway.duties()
             peers = self._membership.choose_peers(
-                now, self._gateway.rng, is_searching=is_searching
+                now, self._gateway.rng, duties, is_searching=is_searching
             )
             await asyncio.gather(*(self._ask(address) for address in peers))
             self._gateway.set_entries(1 + len(self._membership.alive(now)))
@@ -79,11 +80,13 @@
             # Whatever grpclib raises, the peer is tried again over a fresh
             # connection in a later round.
             self._channels.drop(address)
+            self._membership.note_silence(address)
             if address not in self._silent:
                 self._silent.add(address)
                 name = type(error).__name__
                 _log.info("Peer lost %s.", fields(address=address, error=name))
             return
+        self._membership.note_answer(address)
         if address in self._silent:
             self._silent.discard(address)
             _log.info("Peer regained %s.", fields(address=address))
--- a/mintsaddle/observe/_logs.py
+++ b/mintsaddle/observe/_logs.py
@@ -74,6 +74,8 @@
 def start_logging(level: str) -> None:
     """Send the program's logs to standard output, by a thread of their own."""
     handler = _BoundedHandler()
+    # The writer adds date and level; else both would be there twice.
+    handler.setFormatter(logging.Formatter("%(message)s"))
     writer = _Writer(handler)
     writer.start()
     _writers.append(writer)
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -12,6 +12,11 @@
 """Seconds for an engine's answer, which needs no place there: a round trip
 takes 2 ms and a step up to 0.15 s."""
 
+ORDER_SECONDS = 0.12
+"""Seconds for the answer to an order: a group may be waiting for it. Answers
+come within 5 ms mostly and 45 ms at most; one that comes later counts as lost,
+and the order is sent again, which changes nothing."""
+
 _REPORT_PATH = "/mintsaddle/report"
 _COUNTS_PATH = "/mintsaddle/picked"
 _ORDER_PATH = "/mintsaddle/order"
@@ -73,7 +78,7 @@
 def send_map_order(address: str, order: MapOrder) -> Verdict:
     """Give a rank's engine an order; return how it answered."""
     body = json.dumps(_encode_order(order), separators=(",", ":")).encode()
-    match _call(address, "POST", _ORDER_PATH, body):
+    match _call(address, "POST", _ORDER_PATH, body, ORDER_SECONDS):
         case Success((status, _)):
             # 421 and 503 come from an engine that has nothing of ours.
             return _VERDICTS.get(status, Verdict.REFUSED)
@@ -93,9 +98,13 @@
 
 
 def _call(
-    address: str, method: str, path: str, body: bytes = b""
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    seconds: float = CALL_SECONDS,
 ) -> Result[tuple[int, bytes], str]:
-    connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
+    connection = http.client.HTTPConnection(address, timeout=seconds)
     headers = {"Content-Type": "application/json"} if body else {}
     try:
         connection.request(method, path, body or None, headers)
