Trace one request over many logs; log what decided each choice

Cause: a failed request could be followed only by hand, and the log didn't say which endpoint was chosen, by what load and by a table of which age. Ruled out: a request id of ours: the caller's attempt id is on every line. Change: mintsaddle trace ID LOG...; a line for each choice with its inputs.

--- a/mintsaddle/cli/_main.py
+++ b/mintsaddle/cli/_main.py
@@ -6,6 +6,7 @@
   mintsaddle explain TEXT SERVICE [--json]
   mintsaddle status ADDRESS [--json]
   mintsaddle histograms ADDRESS... [--json]
+  mintsaddle trace ID LOG... [--json]
   mintsaddle --help
 
 Commands:
@@ -14,6 +15,7 @@
   explain     Show where a service's work goes as each data centre is out.
   status      Show what a daemon does and why.
   histograms  Show latencies by workspace and class, merged over daemons.
+  trace       Gather a request's story from logs; a LOG of - is standard input.
 
 Options:
   --json  Print JSON for programs.
@@ -31,6 +33,7 @@
 from mintsaddle.cli._output import Output
 from mintsaddle.cli._remote import show_histograms, show_status
 from mintsaddle.cli._texts import check_text, explain_text, plan_texts
+from mintsaddle.cli._trace import trace_request
 
 EXIT_BAD_NEWS = 1
 EXIT_NO_ANSWER = 2
@@ -64,4 +67,6 @@
         return explain_text(options["TEXT"], options["SERVICE"])
     if options["status"]:
         return show_status(options["ADDRESS"][0])
+    if options["trace"]:
+        return trace_request(options["ID"], options["LOG"])
     return show_histograms(tuple(options["ADDRESS"]))
--- /dev/null
+++ b/mintsaddle/cli/tests/test_trace.py
@@ -0,0 +1,76 @@
+"""One request's story from the logs of several entries."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from mintsaddle.cli import main
+
+LOG = """\
+2026-05-01 10:00:00,000 INFO [daemon] Started vm=entry-1 callers=10.0.0.1:80.
+2026-05-01 10:00:01,000 INFO [calls] Chosen request=r-1 endpoint=i-1 load=2.
+2026-05-01 10:00:01,500 WARNING [directory] Group lost group=llm/g epoch=1.
+2026-05-01 10:00:01,600 INFO [calls] Attempt failed request=r-1 ending=not-run.
+2026-05-01 10:00:02,900 INFO [calls] Ended request=r-1 ending=not-run:group-down.
+2026-05-01 10:00:03,000 INFO [calls] Ended request=r-2 ending=cut status=200.
+2026-05-01 10:00:03,100 INFO [calls] Refused request=r-3 reason=behind.
+2026-05-01 10:00:04,000 INFO [calls] Chosen request=r-4 endpoint=i-1 load=2.
+a line of another program
+2026-05-01 10:00:0
+"""
+
+
+@pytest.fixture
+def log(tmp_path: Path) -> str:
+    path = tmp_path / "entry-1.log"
+    path.write_text(LOG)
+    return str(path)
+
+
+class TestTrace:
+    def test_the_story_holds_what_was_believed_meanwhile(
+        self, log: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["trace", "r-1", log]) == 0
+        shown = capsys.readouterr().out
+        assert shown.index("Chosen") < shown.index("Group lost") < shown.index("Ended")
+        assert "group was down" in shown
+        assert "r-2" not in shown
+
+    @pytest.mark.parametrize(
+        ("request_id", "cause"),
+        [
+            ("r-2", "could not go on elsewhere"),
+            ("r-3", "knew no table"),
+            ("r-4", "not in these logs"),
+        ],
+    )
+    def test_each_kind_of_end_has_its_cause(
+        self, log: str, request_id: str, cause: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["trace", request_id, log, "--json"]) == 0
+        summary = json.loads(capsys.readouterr().out)["summary"]
+        told = {row["what"]: row["is"] for row in summary}
+        assert cause in told["cause"]
+        assert told["lines of another form"] == "2"
+
+    def test_an_id_that_no_log_knows_gets_a_way_out(
+        self, log: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["trace", "r-9", log]) == 2
+        assert "logs of all entries" in capsys.readouterr().err
+
+    def test_a_log_that_is_missing_is_named(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert main(["trace", "r-1", "/nowhere.log"]) == 2
+        assert "/nowhere.log" in capsys.readouterr().err
+
+    def test_what_a_collector_puts_before_a_line_names_the_entry(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / "all.log"
+        path.write_text(f"  1.25 entry-7 {LOG.splitlines()[4]}\n")
+        assert main(["trace", "r-1", str(path)]) == 0
+        assert "entry-7" in capsys.readouterr().out
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -35,6 +35,7 @@
 from mintsaddle.direct._watchdog import Watchdog, Watched
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
+    OPERATOR_PREFIX,
     AnswerHead,
     make_answer_headers,
     make_endpoint_headers,
@@ -197,9 +198,29 @@
             )
             if endpoint is None:
                 return Reason.NO_ENDPOINT
+            load = gateway.routing.view(endpoint.name).estimate_load(gateway.now())
             gateway.note_chosen(endpoint)
+        self._log_chosen(endpoint, load, len(working))
         return endpoint
 
+    def _log_chosen(self, endpoint: Incarnation, load: int, choices: int) -> None:
+        operator = self._gateway.replica_or_none(OPERATOR_PREFIX)
+        confirmed_at = operator.confirmed_at if operator else 0.0
+        table = self._gateway.directory.table
+        _log.info(
+            "Chosen %s.",
+            fields(
+                request=self._call.request_id,
+                endpoint=endpoint.name,
+                load=load,
+                slots=endpoint.slots,
+                choices=choices,
+                version=table.version if table else 0,
+                age=self._gateway.now() - confirmed_at,
+                waited=self._gateway.now() - self._call.arrived_at,
+            ),
+        )
+
     def _open(
         self, endpoint: Incarnation, exchange: Exchange, watched: Watched
     ) -> tuple[Ending, _Attempt | None]:
