Bound messages between entries; count entries for shares over a minute

Cause: each message named all entries (17 KB at 340, some 50 KB/s against the 9 KB/s that control may take), and entries heard of seldom would not count, so that every share of a limit would be too large. Ruled out: naming entries at random: the freshest carry the news.

--- /dev/null
+++ b/benchmarks/direct.py
@@ -0,0 +1,163 @@
+"""Slopes of a direct entry: what grows with endpoints, entries and workspaces.
+
+Run as ``python -m benchmarks.direct``; prints one row for each slope.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mintsaddle.decisions.direct import (
+    Incarnation,
+    KnownEntry,
+    Membership,
+    PublishedItem,
+    Replica,
+    choose_incarnation,
+)
+from mintsaddle.decisions.expert_maps import (
+    SpreadLimits,
+    make_first_map,
+    spread_experts,
+)
+from mintsaddle.decisions.routing import RoutingState
+from mintsaddle.platform import decode_items
+from mintsaddle.transport.proto import peer_pb2 as pb
+
+_ROUNDS = 50
+
+
+class Row(NamedTuple):
+    """One slope at two sizes."""
+
+    what: str
+    small: str
+    large: str
+
+
+def measure_seconds(act: Callable[[], object]) -> float:
+    """Return the mean time of a call."""
+    began = time.process_time()
+    for _ in range(_ROUNDS):
+        act()
+    return (time.process_time() - began) / _ROUNDS
+
+
+def choose_microseconds(endpoints: int) -> float:
+    """Return the time to choose one of some endpoints."""
+    state = RoutingState("entry", "a")
+    rng = random.Random(1)
+    places = [
+        Incarnation(f"e-{number}", "llm", "10.0.0.1:80", "a", 6, False, 0.0, 1)
+        for number in range(endpoints)
+    ]
+
+    def choose() -> object:
+        return choose_incarnation(state, places, frozenset(), 1.0, rng)
+
+    return measure_seconds(choose) * 1e6
+
+
+def hello_bytes(entries: int) -> int:
+    """Return the size of one message to a peer."""
+    members = Membership("e-0", "10.0.0.1:80", [])
+    for number in range(entries):
+        members.note(KnownEntry(f"edge-dk-east-a-{number}", "10.10.10.10:8080", 1.0))
+    hello = pb.EntryHello(vm="edge-dk-east-a-0", address="10.10.10.10:8080")
+    for entry in members.heard_last(1.0):
+        hello.entries.add(vm=entry.vm, address=entry.address, age=0.5)
+    return hello.ByteSize()
+
+
+def make_table(routes: int, workspaces: int) -> bytes:
+    """Return a published configuration."""
+    values = {
+        "version": 1,
+        "routes": [
+            {
+                "name": f"r-{number}",
+                "host": "desk.example",
+                "prefix": f"/r{number}/",
+                "kind": "streaming",
+                "timeout_ms": 8000,
+                "service": "llm",
+            }
+            for number in range(routes)
+        ],
+        "services": [{"name": "llm"}],
+        "tenants": [
+            {"name": f"w-{number}", "api_keys": [f"key-{number}-aaaaaaaaaaaa"]}
+            for number in range(workspaces)
+        ],
+    }
+    return json.dumps(values).encode()
+
+
+def decode_milliseconds(routes: int, workspaces: int) -> float:
+    """Return the time to decode a table."""
+    item = PublishedItem("op/config", 1, make_table(routes, workspaces))
+    return measure_seconds(lambda: decode_items([item], 1.0)) * 1e3
+
+
+def announcement_bytes(endpoints: int) -> float:
+    """Return the memory that one endpoint takes in the replica."""
+    tracemalloc.start()
+    replica = Replica("p/")
+    value = b"x" * 320
+    replica.merge(
+        [
+            PublishedItem(f"p/i-{number}", number + 1, bytes(value) + b"%d" % number)
+            for number in range(endpoints)
+        ],
+        endpoints,
+    )
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / endpoints
+
+
+def spread_milliseconds(ranks: int, experts: int, layers: int) -> float:
+    """Return the time to plan a map with one expert that is hot."""
+    first = make_first_map(0, ranks, experts, layers, -(-experts // ranks))
+    popularity = [[1.0 / (1 + e) ** 1.3 for e in range(experts)]] * layers
+    limits = SpreadLimits(-(-experts // ranks) + 3, 4)
+    return measure_seconds(lambda: spread_experts(1, first, popularity, limits)) * 1e3
+
+
+def measure() -> tuple[Row, ...]:
+    """Return all slopes."""
+    return (
+        Row(
+            "choice of an endpoint",
+            f"{choose_microseconds(12):.0f} us of 12",
+            f"{choose_microseconds(205):.0f} us of 205",
+        ),
+        Row(
+            "message to a peer",
+            f"{hello_bytes(7)} bytes with 7 entries",
+            f"{hello_bytes(340)} bytes with 340",
+        ),
+        Row(
+            "decoding a table",
+            f"{decode_milliseconds(115, 10):.1f} ms, 115 routes, 10 workspaces",
+            f"{decode_milliseconds(500, 4700):.1f} ms, 500 routes, 4,700 workspaces",
+        ),
+        Row(
+            "an announcement in the replica",
+            f"{announcement_bytes(15):.0f} bytes of 15",
+            f"{announcement_bytes(820):.0f} bytes of 820",
+        ),
+        Row(
+            "planning copies of hot experts",
+            f"{spread_milliseconds(12, 96, 3):.1f} ms, 12 ranks, 96 experts, 3 layers",
+            f"{spread_milliseconds(128, 256, 8):.1f} ms, 128 ranks, 256, 8 layers",
+        ),
+    )
+
+
+if __name__ == "__main__":
+    for row in measure():
+        print(" | ".join(row))
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -34,6 +34,7 @@
 )
 from mintsaddle.decisions.direct._membership import (
     ALIVE_SECONDS,
+    MOST_TOLD,
     KnownEntry,
     Membership,
 )
@@ -55,6 +56,7 @@
 __all__ = [
     "ALIVE_SECONDS",
     "LAPSE_GRACE",
+    "MOST_TOLD",
     "NEVER_RAN",
     "CallerLimits",
     "ColdGate",
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -19,6 +19,15 @@
 A duty bears two entries that both see to it; nobody doing so is worse: a group
 that is held then stands still, and callers leave streams after 2 s."""
 
+COUNT_SECONDS = 60.0
+"""Seconds for which an entry counts among those that share limits. With some
+hundred entries each one is heard of only now and then, and a count that is too
+small makes every share too large."""
+
+MOST_TOLD = 16
+"""Entries named in one message, those heard from last: 0.8 KB a message,
+however many entries there are."""
+
 WATCHERS = 3
 """Entries next in line for a duty that ask its holder in every round; however
 many entries there are, its holder answers no more than these."""
@@ -78,12 +87,25 @@
 
     def alive(self, now: Instant) -> tuple[KnownEntry, ...]:
         """Return the other entries that were heard from lately."""
+        return tuple(
+            entry
+            for entry in self._entries.values()
+            if now - entry.heard_at <= ALIVE_SECONDS
+        )
+
+    def count(self, now: Instant) -> int:
+        """Return how many entries share limits, this one included."""
         self._entries = {
             vm: entry
             for vm, entry in self._entries.items()
-            if now - entry.heard_at <= ALIVE_SECONDS
+            if now - entry.heard_at <= COUNT_SECONDS
         }
-        return tuple(self._entries.values())
+        return 1 + len(self._entries)
+
+    def heard_last(self, now: Instant) -> list[KnownEntry]:
+        """Return the entries to tell peers of."""
+        by_age = sorted(self.alive(now), key=lambda entry: -entry.heard_at)
+        return by_age[:MOST_TOLD]
 
     def choose_peers(
         self,
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -6,6 +6,7 @@
 
 from mintsaddle.decisions.direct import (
     ALIVE_SECONDS,
+    MOST_TOLD,
     CallerLimits,
     ColdGate,
     DataCentreBack,
@@ -311,6 +312,20 @@
         assert members.alive(later) == ()
         assert members.choose_peers(later, rng, is_searching=False) == ("a:2",)
 
+    def test_a_message_stays_small_and_limits_stay_shared(self) -> None:
+        """With 340 entries each one thinks it has a dozen peers.
+
+        It would take a tenth of the retry budget, and all of them together
+        thirty times what is allowed.
+        """
+        members = Membership("e-0", "a:0", [])
+        for number in range(1, 340):
+            heard_at = 10.0 + number / 10
+            members.note(KnownEntry(f"e-{number}", f"a:{number}", heard_at))
+        assert len(members.heard_last(44.0)) == MOST_TOLD
+        assert len(members.alive(44.0)) < 60
+        assert members.count(44.0) == 340
+
     def test_a_duty_passes_on_when_its_holder_is_silent(self) -> None:
         """A group stands still for ten seconds after one entry lost power.
 
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -68,7 +68,7 @@
                 now, self._gateway.rng, duties, is_searching=is_searching
             )
             await asyncio.gather(*(self._ask(address) for address in peers))
-            self._gateway.set_entries(1 + len(self._membership.alive(now)))
+            self._gateway.set_entries(self._membership.count(now))
             pause = SEARCH_SECONDS if is_searching else ROUND_SECONDS
             await asyncio.sleep(pause * (0.75 + self._gateway.rng.random() / 2))
 
@@ -105,7 +105,7 @@
                 revision=replica.position,
                 age=now - replica.confirmed_at,
             )
-        for entry in membership.alive(now):
+        for entry in membership.heard_last(now):
             hello.entries.add(
                 vm=entry.vm, address=entry.address, age=now - entry.heard_at
             )
