Split the runner and the armed switch; one loop follows text and marks

Ruled out: changes of behaviour: none is meant. Change: direct/_choice, expert_maps/_armed_state, engines/_sockets; one _follow_value in daemon/_follow.

--- a/mintsaddle/daemon/_follow.py
+++ b/mintsaddle/daemon/_follow.py
@@ -6,7 +6,12 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.daemon._node import DaemonNode
-from mintsaddle.decisions.configuration import Source, SourceKind, choose_sources
+from mintsaddle.decisions.configuration import (
+    RefusedText,
+    Source,
+    SourceKind,
+    choose_sources,
+)
 from mintsaddle.observe import make_logger
 from mintsaddle.platform import PlatformValue, watch_value
 
@@ -59,22 +64,37 @@
         await node.offer_text(value.revision, value.value)
         node.ask_first_peers()
 
-    while True:
-        refused = node.configuration.refused_text
-        known = node.configuration.text_revision
-        after = max(known, refused.revision if refused else 0)
-        await _watch_if_reader(node, "fleet", after, adopt)
+    def newest() -> int:
+        configuration = node.configuration
+        return _newest(configuration.text_revision, configuration.refused_text)
+
+    await _follow_value(node, "fleet", newest, adopt)
 
 
 async def _follow_marks(node: DaemonNode) -> None:
     async def adopt(value: PlatformValue) -> None:
         node.offer_marks(value.revision, value.value)
 
+    def newest() -> int:
+        configuration = node.configuration
+        return _newest(configuration.marks_revision, configuration.refused_marks)
+
+    await _follow_value(node, "marks", newest, adopt)
+
+
+def _newest(revision: int, refused: RefusedText | None) -> int:
+    """Return the newest revision seen: a refused one isn't asked for again."""
+    return max(revision, refused.revision if refused else 0)
+
+
+async def _follow_value(
+    node: DaemonNode,
+    name: str,
+    newest: Callable[[], int],
+    adopt: Callable[[PlatformValue], Awaitable[None]],
+) -> None:
     while True:
-        refused = node.configuration.refused_marks
-        known = node.configuration.marks_revision
-        after = max(known, refused.revision if refused else 0)
-        await _watch_if_reader(node, "marks", after, adopt)
+        await _watch_if_reader(node, name, newest(), adopt)
 
 
 async def _follow_peers(node: DaemonNode) -> None:
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -1,6 +1,6 @@
 """Which rank holds which experts, and how a group changes that in step."""
 
-from mintsaddle.decisions.expert_maps._armed_switch import (
+from mintsaddle.decisions.expert_maps._armed_state import (
     OVER,
     ArmedSwitch,
     MapOrder,
@@ -8,6 +8,8 @@
     RankReport,
     SwitchStage,
     Verdict,
+)
+from mintsaddle.decisions.expert_maps._armed_switch import (
     begin_switch,
     choose_step,
     hold_at,
--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -25,10 +25,17 @@
 which step a rank is armed.
 """
 
-import enum
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple
 
+from mintsaddle.decisions.expert_maps._armed_state import (
+    WITHDRAWING,
+    ArmedSwitch,
+    MapOrder,
+    OrderAct,
+    RankReport,
+    SwitchStage,
+    Verdict,
+)
 from mintsaddle.decisions.expert_maps._maps import ExpertMap
 from mintsaddle.values import Instant
 
@@ -46,141 +53,6 @@
 """Steps tried before the switch is given up: each was passed too soon."""
 
 
-class OrderAct(enum.Enum):
-    """What a rank's engine is told."""
-
-    PREPARE = "prepare"
-    HOLD = "hold"
-    ARM = "arm"
-    DISARM = "disarm"
-    RELEASE = "release"
-
-
-class Verdict(enum.Enum):
-    """How a rank's engine answered an order."""
-
-    BEGUN = "begun"
-    """It has begun what it was told."""
-
-    HOLDS = "holds"
-    """The state that was asked for held already."""
-
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    """No answer: it may have been carried out, or may be later."""
-
-
-class MapOrder(NamedTuple):
-    """One order to one rank."""
-
-    rank: int
-    act: OrderAct
-    epoch: int
-
-    version: int = 0
-    step: int = 0
-    layers: tuple[tuple[tuple[int, ...], ...], ...] = ()
-    """For prepare: experts by layer and rank."""
-
-
-class RankReport(NamedTuple):
-    """What a rank's engine says of itself; up to 0.2 s old."""
-
-    rank: int
-    epoch: int
-    is_open: bool
-    is_busy: bool
-    """Whether it is loading weights."""
-
-    step: int
-    """The last step that was begun."""
-
-    running: int
-    """Requests that it is writing."""
-
-    version: int
-    """Version of the map in use."""
-
-    prepared: int | None
-    armed: int | None
-    """Version that it will switch to."""
-
-    held: int | None
-    """Step that doesn't begin before a release."""
-
-
-class SwitchStage(enum.Enum):
-    """How far a switch is."""
-
-    PREPARE = "prepare"
-    HOLD = "hold"
-    ARM = "arm"
-    DISARM = "disarm"
-    FENCE = "fence"
-    RELEASE = "release"
-    DONE = "done"
-    FAILED = "failed"
-    VOID = "void"
-    """The group has formed anew meanwhile."""
-
-
-OVER = frozenset({SwitchStage.DONE, SwitchStage.FAILED, SwitchStage.VOID})
-"""Stages after which no order follows."""
-
-
-_WITHDRAWING = frozenset({SwitchStage.DISARM, SwitchStage.FENCE})
-
-
-class ArmedSwitch(NamedTuple):
-    """One switch, as its coordinator sees it."""
-
-    epoch: int
-    ranks: int
-    old_map: ExpertMap
-    new_map: ExpertMap
-    stage: SwitchStage
-    give_up_at: Instant
-    """When the loading of weights is given up."""
-
-    settled: frozenset[int] = frozenset()
-    """Ranks that the present stage is through with."""
-
-    begun: frozenset[int] = frozenset()
-    """Ranks that load a map; a report tells when they are through."""
-
-    refused: frozenset[int] = frozenset()
-    """Ranks that refused the last order; a report has to tell why."""
-
-    holder: int = 0
-    """Rank at which this coordinator holds the step."""
-
-    holders: frozenset[int] = frozenset()
-    """Ranks at which the step is held, by whomever."""
-
-    step: int = 0
-    """The step that is held and at which the map changes; 0: to be chosen."""
-
-    holds: int = 0
-    """Steps tried so far."""
-
-    is_foreign: bool = False
-    """Whether another coordinator began it."""
-
-    doomed: tuple[int, ...] = ()
-    """For each rank the version that it has to be disarmed of; 0: none."""
-
-    fence: int = 0
-    """Version of the old map that takes the place of the new one."""
-
-    succeeded: bool = False
-    """Whether all ranks were armed."""
-
-    @property
-    def version(self) -> int:
-        """Version of the new map."""
-        return self.new_map.version
-
-
 def begin_switch(
     old_map: ExpertMap, new_map: ExpertMap, reports: Sequence[RankReport], now: Instant
 ) -> ArmedSwitch:
@@ -267,7 +139,7 @@
 
 def must_read_first(switch: ArmedSwitch) -> bool:
     """Return whether fresh reports are needed before the next orders."""
-    return switch.stage in _WITHDRAWING
+    return switch.stage in WITHDRAWING
 
 
 def ranks_to_read(switch: ArmedSwitch) -> tuple[int, ...]:
@@ -279,7 +151,7 @@
             return tuple(sorted(switch.holders - switch.settled))
         case _:
             waiting = set(range(switch.ranks)) - switch.settled
-            if switch.stage in _WITHDRAWING:
+            if switch.stage in WITHDRAWING:
                 waiting.add(switch.holder)
             return tuple(sorted(waiting))
 
@@ -393,7 +265,7 @@
 
 
 def _has_lost_hold(switch: ArmedSwitch, report: RankReport) -> bool:
-    is_own = report.rank == switch.holder and switch.stage in _WITHDRAWING
+    is_own = report.rank == switch.holder and switch.stage in WITHDRAWING
     return is_own and report.held != switch.step
 
 
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -15,10 +15,10 @@
     match_route,
 )
 from mintsaddle.decisions.routing import note_request
+from mintsaddle.direct._choice import CallerLeftError
 from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._runner import (
-    CallerLeftError,
     CallerMessage,
     CallRunner,
     StreamAnswer,
--- /dev/null
+++ b/mintsaddle/direct/_choice.py
@@ -0,0 +1,94 @@
+"""Choosing the endpoint for a call, and waiting while there is none."""
+
+from collections.abc import Callable
+
+from mintsaddle.decisions.direct import (
+    DirectCall,
+    Incarnation,
+    choose_incarnation,
+    hold_until,
+    usable_endpoints,
+)
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.observe import fields, make_logger
+from mintsaddle.platform import OPERATOR_PREFIX
+from mintsaddle.values import Reason
+
+_LOOK_SECONDS = 0.2
+"""Seconds between two looks whether a waiting caller has left."""
+
+_log = make_logger("calls")
+
+
+class CallerLeftError(ConnectionError):
+    """The caller has hung up; nobody reads an answer."""
+
+
+def choose_endpoint(
+    gateway: Gateway, call: DirectCall, is_gone: Callable[[], bool]
+) -> Incarnation | Reason:
+    """Return the endpoint to try, or why there is none.
+
+    While the service's groups are all down, or its endpoints are cold and have
+    got their share, the request waits here: sent there, it would be refused.
+
+    Args:
+        gateway: What the entry believes.
+        call: The call, with the endpoints that it was sent to.
+        is_gone: Whether its caller has hung up.
+
+    Raises:
+        CallerLeftError: The caller has hung up meanwhile.
+    """
+    with gateway.groups_changed:
+        working = _await_working(gateway, call, is_gone)
+        if isinstance(working, Reason):
+            return working
+        now = gateway.now()
+        endpoint = choose_incarnation(
+            gateway.routing, working, call.tried, now, gateway.rng
+        )
+        if endpoint is None:
+            return Reason.NO_ENDPOINT
+        load = gateway.routing.view(endpoint.name).estimate_load(now)
+        gateway.note_chosen(endpoint)
+    _log_chosen(gateway, call, endpoint, load, len(working))
+    return endpoint
+
+
+def _await_working(
+    gateway: Gateway, call: DirectCall, is_gone: Callable[[], bool]
+) -> list[Incarnation] | Reason:
+    wait_until = hold_until(call)
+    while True:
+        usable = usable_endpoints(gateway.directory, call.service)
+        working = [one for one in usable if gateway.takes_work(one)]
+        if working or not usable:
+            return working
+        left = wait_until - gateway.now()
+        if left <= 0:
+            is_down = bool(gateway.groups.down_groups())
+            return Reason.GROUP_DOWN if is_down else Reason.FULL
+        gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
+        if is_gone():
+            raise CallerLeftError
+
+
+def _log_chosen(
+    gateway: Gateway, call: DirectCall, endpoint: Incarnation, load: int, choices: int
+) -> None:
+    table = gateway.directory.table
+    now = gateway.now()
+    _log.info(
+        "Chosen %s.",
+        fields(
+            request=call.request_id,
+            endpoint=endpoint.name,
+            load=load,
+            slots=endpoint.slots,
+            choices=choices,
+            version=table.version if table else 0,
+            age=now - gateway.replica(OPERATOR_PREFIX).confirmed_at,
+            waited=now - call.arrived_at,
+        ),
+    )
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Iterable, Iterator
 
+from mintsaddle.engines import shut_down
 from mintsaddle.values import MILLISECONDS
 
 CONNECT_SECONDS = 0.4
@@ -121,13 +122,7 @@
     def abort(self) -> None:
         """Break the connection, which tells the endpoint to stop."""
         self._aborted = True
-        if self._socket is None:
-            return
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The endpoint has closed it already: nothing is left to stop.
-            return
+        shut_down(self._socket)
 
     def close(self) -> None:
         """Close the connection."""
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -11,12 +11,9 @@
     Incarnation,
     Repeat,
     attempt_until,
-    choose_incarnation,
     decide_next,
     give_up,
-    hold_until,
     note_attempt,
-    usable_endpoints,
 )
 from mintsaddle.decisions.routing import (
     may_retry,
@@ -25,6 +22,7 @@
     note_load,
     spend_retry,
 )
+from mintsaddle.direct._choice import CallerLeftError, choose_endpoint
 from mintsaddle.direct._exchange import (
     Exchange,
     StreamCutError,
@@ -35,7 +33,6 @@
 from mintsaddle.direct._watchdog import Watchdog, Watched
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
-    OPERATOR_PREFIX,
     AnswerHead,
     make_answer_headers,
     make_endpoint_headers,
@@ -47,9 +44,6 @@
 """Seconds past the deadline in which the endpoint's own answer to it is still
 waited for; it works until that very instant, and one way takes 1 ms."""
 
-_LOOK_SECONDS = 0.2
-"""Seconds between two looks whether a waiting caller has left."""
-
 _RUN_UNKNOWN = 0
 """Boot under which loads are noted: an incarnation's name says the run."""
 
@@ -88,10 +82,6 @@
 """What the caller gets."""
 
 
-class CallerLeftError(ConnectionError):
-    """The caller has hung up; nobody reads an answer."""
-
-
 class _Attempt(NamedTuple):
     endpoint: Incarnation
     exchange: Exchange
@@ -151,7 +141,7 @@
             The attempt whose answer has begun, the end of the call, or None
             when another endpoint may be tried.
         """
-        endpoint = self._choose()
+        endpoint = choose_endpoint(self._gateway, self._call, self._is_gone)
         if isinstance(endpoint, Reason):
             return give_up(self._call, endpoint)
         exchange = Exchange(endpoint.address)
@@ -165,62 +155,6 @@
         self._close(endpoint, exchange, watched)
         return self._go_on(endpoint, ending)
 
-    def _choose(self) -> Incarnation | Reason:
-        """Return the endpoint to try, or why there is none.
-
-        While the service's groups are all down the request waits here: sent
-        there, it would stall and be refused.
-        """
-        gateway = self._gateway
-        wait_until = hold_until(self._call)
-        with gateway.groups_changed:
-            while True:
-                usable = usable_endpoints(gateway.directory, self._call.service)
-                working = [one for one in usable if gateway.takes_work(one)]
-                if working or not usable:
-                    break
-                left = wait_until - gateway.now()
-                if left <= 0:
-                    return (
-                        Reason.GROUP_DOWN
-                        if gateway.groups.down_groups()
-                        else Reason.FULL
-                    )
-                gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
-                if self._is_gone():
-                    raise CallerLeftError
-            endpoint = choose_incarnation(
-                gateway.routing,
-                working,
-                self._call.tried,
-                gateway.now(),
-                gateway.rng,
-            )
-            if endpoint is None:
-                return Reason.NO_ENDPOINT
-            load = gateway.routing.view(endpoint.name).estimate_load(gateway.now())
-            gateway.note_chosen(endpoint)
-        self._log_chosen(endpoint, load, len(working))
-        return endpoint
-
-    def _log_chosen(self, endpoint: Incarnation, load: int, choices: int) -> None:
-        operator = self._gateway.replica_or_none(OPERATOR_PREFIX)
-        confirmed_at = operator.confirmed_at if operator else 0.0
-        table = self._gateway.directory.table
-        _log.info(
-            "Chosen %s.",
-            fields(
-                request=self._call.request_id,
-                endpoint=endpoint.name,
-                load=load,
-                slots=endpoint.slots,
-                choices=choices,
-                version=table.version if table else 0,
-                age=self._gateway.now() - confirmed_at,
-                waited=self._gateway.now() - self._call.arrived_at,
-            ),
-        )
-
     def _open(
         self, endpoint: Incarnation, exchange: Exchange, watched: Watched
     ) -> tuple[Ending, _Attempt | None]:
--- a/mintsaddle/engines/__init__.py
+++ b/mintsaddle/engines/__init__.py
@@ -8,6 +8,7 @@
     EngineRequest,
 )
 from mintsaddle.engines._probe import EngineSight, probe_engine, send_group_order
+from mintsaddle.engines._sockets import shut_down
 
 __all__ = [
     "EVENT_STREAM",
@@ -18,4 +19,5 @@
     "EngineSight",
     "probe_engine",
     "send_group_order",
+    "shut_down",
 ]
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple, TypeAlias
 
+from mintsaddle.engines._sockets import shut_down
+
 EVENT_STREAM = "text/event-stream"
 
 _BLOCK = 65_536
@@ -91,13 +93,7 @@
     def cancel(self) -> None:
         """Break the connection, which tells the engine to stop."""
         self._cancelled = True
-        if self._socket is None:
-            return
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The engine has closed it already: nothing is left to cancel.
-            return
+        shut_down(self._socket)
 
     def _send(self) -> http.client.HTTPResponse:
         request = self._request
