Keep a switch from spinning on a rank that is down; keep threads alive

Cause: found by reading: an unanswered arm was sent again without a pause and without reports, so a rank that refuses connections would have been asked hundreds of times a second and a group that had formed anew not noticed; an exception would have ended the thread that follows a prefix or keeps maps. Change: 20 ms between hurried rounds, reports each sixth round; both threads log the exception and go on.

--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -1,6 +1,7 @@
 """Following what the platform publishes, one thread for each prefix."""
 
 import threading
+from typing import NoReturn
 
 from returns.result import Failure, Result, Success
 
@@ -28,6 +29,20 @@
 
 
 def _follow(gateway: Gateway, prefix: str) -> None:
+    """Follow a prefix; begin anew whatever goes wrong.
+
+    Guards against a thread that dies: its entry would go on with old beliefs,
+    which shows as work sent to endpoints that have long left.
+    """
+    while True:
+        try:
+            _follow_until_failure(gateway, prefix)
+        except Exception:
+            _log.exception("Following failed %s.", fields(prefix=prefix))
+            threading.Event().wait(PAUSE_SECONDS)
+
+
+def _follow_until_failure(gateway: Gateway, prefix: str) -> NoReturn:
     client = StoreClient(gateway.settings.store)
     replica = gateway.replica(prefix)
     must_read = True
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -53,6 +53,15 @@
 
 _COPY_LOOK_SECONDS = 0.15
 _ROUND_SECONDS = 0.05
+_PAUSE_SECONDS = 0.02
+"""Seconds between two rounds in a hurry: a rank that is down refuses at once,
+and without a pause it would be asked hundreds of times a second."""
+
+ROUNDS_TO_REPORT = 6
+"""Rounds in a hurry until reports are read: a rank that is silent may have
+died, and then nothing of the switch is left to finish."""
+
+_HURRIED = frozenset({SwitchStage.ARM, SwitchStage.RELEASE})
 _log = make_logger("maps")
 
 
@@ -88,10 +97,21 @@
             for group in self._find_groups():
                 duty = map_duty(group.name)
                 if self._membership.is_chosen(duty, self._gateway.now()):
-                    self._look_at(group)
+                    self._try_to_look_at(group)
                 else:
                     self._watches.pop(group.name, None)
 
+    def _try_to_look_at(self, group: _Group) -> None:
+        """Look at a group; go on with the duty whatever goes wrong.
+
+        Guards against a keeper whose thread has died: the entry would still be
+        the chosen one, and a held group would stand still for good.
+        """
+        try:
+            self._look_at(group)
+        except Exception:
+            _log.exception("Look failed %s.", fields(group=group.name))
+
     def _find_groups(self) -> list[_Group]:
         """Return the groups whose ranks are all announced in one epoch."""
         directory = self._gateway.directory
@@ -234,6 +254,7 @@
     ) -> ArmedSwitch:
         """Send orders and read reports until the switch is over."""
         is_withdrawing = False
+        rounds = 0
         while switch.stage not in OVER:
             if switch.stage is SwitchStage.HOLD and not switch.step:
                 reports = self._read_reports(group)
@@ -253,9 +274,13 @@
             switch = note_answers(switch, answers, self._gateway.now())
             if switch.stage in OVER:
                 break
-            if stage is SwitchStage.ARM or must_read_first(switch):
+            rounds += 1
+            if stage in _HURRIED and rounds % ROUNDS_TO_REPORT:
                 # The group may be standing still: what wasn't answered is sent
-                # again at once, and no report is needed.
+                # again soon. Reports tell now and then if it has formed anew.
+                time.sleep(_PAUSE_SECONDS if switch.stage is stage else 0)
+                continue
+            if must_read_first(switch):
                 continue
             is_unsure = {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values())
             if is_unsure or stage is SwitchStage.PREPARE:
