Judge a copy of a hot expert by its share after the copy

Cause: a new test of the planner showed it stopping at 2.3 to 2.8 times the mean: it compared the cold rank's load plus the expert's whole present piece with the hot rank's, so the hottest expert of all was never copied. Ruled out: too few places (one to two of four new places were used). Change: the share that each holder gets after the copy is compared.

--- a/mintsaddle/decisions/expert_maps/_spread.py
+++ b/mintsaddle/decisions/expert_maps/_spread.py
@@ -125,11 +125,12 @@
     if _drop_spare(layer, hot, by_piece):
         return True
     for expert in by_piece:
-        gain = layer.piece(expert) / (len(layer.holders[expert]) + 1)
-        if gain < layer.loads[hot] * _LEAST_GAIN:
+        # With one more copy each holder gets this much of its tokens.
+        share = layer.tokens[expert] / (len(layer.holders[expert]) + 1)
+        if layer.piece(expert) - share < layer.loads[hot] * _LEAST_GAIN:
             break
         for cold in sorted(ranks, key=layer.loads.__getitem__):
-            if layer.loads[cold] + layer.piece(expert) >= layer.loads[hot]:
+            if layer.loads[cold] + share >= layer.loads[hot] * (1.0 - _LEAST_GAIN):
                 break
             if expert not in layer.held[cold] and _make_room(layer, cold, limits):
                 layer.add(expert, cold)
--- /dev/null
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -0,0 +1,102 @@
+"""Copies of hot experts, and when a new map is worth its cost."""
+
+import random
+
+import pytest
+
+from mintsaddle.decisions.expert_maps import (
+    ExpertMap,
+    MapWatch,
+    SpreadLimits,
+    is_complete,
+    make_first_map,
+    slowest_share,
+    spread_experts,
+)
+
+RANKS, EXPERTS, LAYERS = 12, 96, 3
+LIMITS = SpreadLimits(places=11, new_places=4)
+FIRST_MAP = make_first_map(0, RANKS, EXPERTS, LAYERS, 8)
+
+
+def make_popularity(seed: int) -> list[list[float]]:
+    """Return a skewed popularity; other experts are hot in each layer."""
+    rng = random.Random(seed)
+    layers = []
+    for _ in range(LAYERS):
+        shares = [1.0 / (place + 1) ** 1.3 for place in range(EXPERTS)]
+        rng.shuffle(shares)
+        layers.append(shares)
+    return layers
+
+
+def count_new(old: ExpertMap, new: ExpertMap) -> int:
+    return max(
+        len(set(gets) - set(had))
+        for old_layer, new_layer in zip(old.layers, new.layers, strict=True)
+        for had, gets in zip(old_layer, new_layer, strict=True)
+    )
+
+
+class TestSpread:
+    @pytest.mark.parametrize("seed", range(10))
+    def test_a_hot_expert_no_longer_makes_one_rank_slow(self, seed: int) -> None:
+        """All streams of a group are late while one expert is in demand.
+
+        Its rank gets a fifth of all tokens, and every step waits for it.
+        """
+        popularity = make_popularity(seed)
+        new = spread_experts(1, FIRST_MAP, popularity, LIMITS)
+        assert slowest_share(FIRST_MAP, popularity) > 2.5
+        assert slowest_share(new, popularity) < 1.6
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_changes_on_changes_keep_to_what_ranks_hold(self, seed: int) -> None:
+        """A map is refused by the engines, or an expert is on no rank."""
+        current = FIRST_MAP
+        for step in range(6):
+            popularity = make_popularity(100 * seed + step)
+            new = spread_experts(step + 1, current, popularity, LIMITS)
+            assert is_complete(new, EXPERTS)
+            held = [len(experts) for layer in new.layers for experts in layer]
+            assert max(held) <= LIMITS.places
+            assert count_new(current, new) <= LIMITS.new_places
+            assert slowest_share(new, popularity) <= slowest_share(current, popularity)
+            current = new
+
+    def test_an_idle_group_keeps_its_map(self) -> None:
+        nothing = [[0.0] * EXPERTS] * LAYERS
+        new = spread_experts(1, FIRST_MAP, nothing, LIMITS)
+        assert new.layers == FIRST_MAP.layers
+
+
+class TestMapWatch:
+    def watch_steps(self, step_seconds: float) -> MapWatch:
+        watch = MapWatch(1, LAYERS, EXPERTS)
+        for look in range(4):
+            now = look * 0.5
+            watch.note_step(1 + round(now / step_seconds), 5, now)
+            counts = [[x * 1e6 * (look + 1) for x in y] for y in make_popularity(1)]
+            watch.note_counts(0, counts)
+            watch.finish_counts()
+        return watch
+
+    def test_a_group_that_keeps_up_isnt_touched(self) -> None:
+        assert not self.watch_steps(0.05).is_busy
+        assert self.watch_steps(0.1).is_busy
+
+    def test_a_map_is_planned_once_for_the_same_popularity(self) -> None:
+        watch = self.watch_steps(0.1)
+        planned = watch.plan(FIRST_MAP, LIMITS)
+        assert planned is not None
+        assert watch.plan(planned, LIMITS) is None
+
+    def test_a_group_with_work_that_makes_no_steps_is_stuck(self) -> None:
+        """A group stands still because a dead entry had held a step."""
+        watch = self.watch_steps(0.1)
+        watch.note_step(16, 5, 2.0)
+        watch.note_step(16, 5, 2.7)
+        assert watch.is_stuck(2.7)
+        idle = self.watch_steps(0.1)
+        idle.note_step(16, 0, 9.0)
+        assert not idle.is_stuck(9.0)
