Judge a group by ranks that get work

Cause: the keeper of a group's map read rank 0 only. Change: report and counts come from ranks whose data centre isn't out.

--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -57,7 +57,7 @@
     note_reply,
     start_switch,
 )
-from mintsaddle.decisions.expert_maps._watch import MapWatch
+from mintsaddle.decisions.expert_maps._watch import MapWatch, choose_samples
 
 __all__ = [
     "ArmedSwitch",
@@ -83,6 +83,7 @@
     "SwitchState",
     "Verdict",
     "begin_switch",
+    "choose_samples",
     "choose_step",
     "count_moved",
     "hold_at",
--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -6,6 +6,8 @@
 that: nothing is changed while the group keeps up anyway.
 """
 
+from collections.abc import Sequence
+
 from mintsaddle.decisions.expert_maps._maps import ExpertMap, Popularity
 from mintsaddle.decisions.expert_maps._spread import (
     SpreadLimits,
@@ -32,6 +34,21 @@
 looked for: the longest steps take 0.25 s."""
 
 
+def choose_samples(serving: Sequence[int], count: int) -> list[int]:
+    """Return the ranks to read, spread over those that get work.
+
+    Guards against a data centre that is out: its ranks run in step with all
+    others but get no requests. Judged by one of them the group seems idle, and
+    its map was not changed for as long as the data centre was out.
+
+    Args:
+        serving: Ranks that get work.
+        count: How many to read.
+    """
+    step = max(1, len(serving) // count)
+    return list(serving[::step][:count])
+
+
 class MapWatch:
     """What is known of one group in one epoch."""
 
--- a/mintsaddle/decisions/expert_maps/tests/test_spread.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -8,6 +8,7 @@
     ExpertMap,
     MapWatch,
     SpreadLimits,
+    choose_samples,
     is_complete,
     make_first_map,
     slowest_share,
@@ -70,6 +71,17 @@
         assert new.layers == FIRST_MAP.layers
 
 
+class TestSamples:
+    def test_ranks_without_work_are_not_asked(self) -> None:
+        """Streams are late for as long as a data centre is out.
+
+        The group's step was judged by a rank there, which seemed idle.
+        """
+        assert choose_samples(range(4, 12), 2) == [4, 8]
+        assert choose_samples(range(12), 2) == [0, 6]
+        assert choose_samples([3], 2) == [3]
+
+
 class TestMapWatch:
     def watch_steps(self, step_seconds: float) -> MapWatch:
         watch = MapWatch(1, LAYERS, EXPERTS)
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -20,6 +20,7 @@
     SwitchStage,
     Verdict,
     begin_switch,
+    choose_samples,
     choose_step,
     hold_at,
     make_first_map,
@@ -72,6 +73,8 @@
     epoch: int
     ranks: tuple[Incarnation, ...]
     model: ExpertModel
+    serving: tuple[int, ...]
+    """Ranks that get work: their data centre isn't out."""
 
 
 class MapKeeper:
@@ -130,12 +133,18 @@
             if model is not None and is_whole:
                 ordered = tuple(ranks[rank] for rank in sorted(ranks))
                 epoch = max(place.epoch for place in places)
-                groups.append(_Group(name, epoch, ordered, model))
+                serving = tuple(
+                    rank
+                    for rank, one in enumerate(ordered)
+                    if one.data_centre not in directory.out
+                )
+                if serving:
+                    groups.append(_Group(name, epoch, ordered, model, serving))
         return groups
 
     def _look_at(self, group: _Group) -> None:
         gateway = self._gateway
-        report = self._read_report(group, 0)
+        report = self._read_report(group, group.serving[0])
         if report is None or not report.is_open:
             self._watches.pop(group.name, None)
             return
@@ -161,9 +170,8 @@
 
     def _count(self, group: _Group, watch: MapWatch) -> None:
         """Read the counts of a few ranks, the same ones each time."""
-        ranks = range(0, len(group.ranks), max(1, len(group.ranks) // SAMPLE_RANKS))
         model = group.model
-        for rank in ranks:
+        for rank in choose_samples(group.serving, SAMPLE_RANKS):
             address = group.ranks[rank].address
             match read_expert_counts(address, model.layers, model.experts):
                 case Success(counts):
