--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -31,7 +31,6 @@
         self._prefix = prefix
         self._items: dict[str, PublishedItem] = {}
         self._position = 0
-        self._floor = 0
         self._confirmed_at: Instant = 0.0
         self._lapse_until: Instant = 0.0
 
@@ -55,11 +54,6 @@
         """Until when a removal may stem from the platform's own absence."""
         return self._lapse_until
 
-    @property
-    def floor(self) -> int:
-        """Removals up to this revision may have been forgotten."""
-        return self._floor
-
     def confirm(self, at: Instant) -> None:
         """Note when it was complete; an earlier instant changes nothing."""
         self._confirmed_at = max(self._confirmed_at, at)
@@ -101,10 +95,6 @@
         """Return what a peer that stands at a revision is missing."""
         return [item for item in self._items.values() if item.revision > position]
 
-    def living_items(self) -> list[PublishedItem]:
-        """Return all items that exist, as for a first reading."""
-        return [item for item in self._items.values() if item.value is not None]
-
     def _forget_tombstones(self) -> None:
         removed = [item for item in self._items.values() if item.value is None]
         if len(removed) <= _MOST_TOMBSTONES:
@@ -112,4 +102,3 @@
         removed.sort(key=lambda item: item.revision)
         for item in removed[: len(removed) - _MOST_TOMBSTONES]:
             del self._items[item.key]
-            self._floor = max(self._floor, item.revision)
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -70,7 +70,6 @@
     """The ranks of one group, in order."""
 
     name: str
-    epoch: int
     ranks: tuple[Incarnation, ...]
     model: ExpertModel
     serving: tuple[int, ...]
@@ -116,7 +115,7 @@
             _log.exception("Look failed %s.", fields(group=group.name))
 
     def _find_groups(self) -> list[_Group]:
-        """Return the groups whose ranks are all announced in one epoch."""
+        """Return the groups whose ranks are all announced."""
         directory = self._gateway.directory
         if directory.table is None:
             return []
@@ -132,14 +131,13 @@
             is_whole = sorted(ranks) == list(range(places[0].size))
             if model is not None and is_whole:
                 ordered = tuple(ranks[rank] for rank in sorted(ranks))
-                epoch = max(place.epoch for place in places)
                 serving = tuple(
                     rank
                     for rank, one in enumerate(ordered)
                     if one.data_centre not in directory.out
                 )
                 if serving:
-                    groups.append(_Group(name, epoch, ordered, model, serving))
+                    groups.append(_Group(name, ordered, model, serving))
         return groups
 
     def _look_at(self, group: _Group) -> None:
