Let endpoints admit late requests after those that can be on time

Change: a request names an urgency; late ones, known by what is left of the route's usual time, come after those that can be on time; a stream that began goes first.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -52,10 +52,17 @@
     choose_service,
     match_route,
 )
+from mintsaddle.decisions.direct._urgency import (
+    FIRST_URGENCY,
+    LATE_URGENCY,
+    RouteDeadlines,
+    choose_urgency,
+)
 
 __all__ = [
     "ALIVE_SECONDS",
     "LAPSE_GRACE",
+    "LATE_URGENCY",
     "MOST_TOLD",
     "NEVER_RAN",
     "CallerLimits",
@@ -70,6 +77,7 @@
     "EndpointPublished",
     "EndpointRemoved",
     "ExpertModel",
+    "FIRST_URGENCY",
     "Fact",
     "GiveUp",
     "GroupBeliefs",
@@ -82,6 +90,7 @@
     "Repeat",
     "Replica",
     "Route",
+    "RouteDeadlines",
     "RoutingTable",
     "TablePublished",
     "TryAgain",
@@ -90,6 +99,7 @@
     "attempt_until",
     "choose_incarnation",
     "choose_service",
+    "choose_urgency",
     "decide_next",
     "drop_lapsed",
     "give_up",
--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -54,6 +54,12 @@
     deadline: Instant
     """When the caller's or the route's time is over, whichever is earlier."""
 
+    due_at: Instant = 0.0
+    """Until when an answer, or its first event, is on time."""
+
+    priority: int = 0
+    """Rank of its workspace, or else of its route; 0 is the highest."""
+
     tried: frozenset[str] = frozenset()
     """Endpoints that it was sent to."""
 
--- /dev/null
+++ b/mintsaddle/decisions/direct/_urgency.py
@@ -0,0 +1,68 @@
+"""Who goes first while more is asked than endpoints can begin.
+
+Load pattern: a group was down for seconds, and those who waited or were told
+to come back arrive together with those who ask for the first time. First come,
+first served makes everybody late for as long as the backlog lasts, since the
+group bears little more than what is asked anew. So a request that can still be
+on time goes first, and a late one takes what is left: it earns the caller half
+at most, whether it waits for a second or for two.
+
+Endpoints admit by the urgency that a request names, so entries need no common
+queue for this.
+"""
+
+from mintsaddle.decisions.direct._calls import DirectCall
+from mintsaddle.values import Instant
+
+FIRST_URGENCY = 0
+"""What goes before everything else."""
+
+LATE_URGENCY = 5
+"""First of the five urgencies of late requests; five before them are for those
+that can be on time. Endpoints know ten, and take 5 where none is named."""
+
+_CLASS_URGENCIES = 5
+
+_MEMORY = 64
+"""Requests of a route after which its longest deadline is learned anew."""
+
+
+class RouteDeadlines:
+    """How long callers of each route wait when they ask for the first time.
+
+    A caller that comes back brings what is left of its time and doesn't say
+    that it has asked before. Callers of one route bring much the same time, so
+    what is missing from the longest one is what has been spent.
+    """
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+        self._recent: dict[str, tuple[int, float]] = {}
+
+    def note(self, route: str, seconds_left: float) -> None:
+        """Note what a request of a route has left at its arrival."""
+        self._longest[route] = max(self._longest.get(route, 0.0), seconds_left)
+        count, longest = self._recent.get(route, (0, 0.0))
+        count, longest = count + 1, max(longest, seconds_left)
+        if count >= _MEMORY:
+            # A table may have shortened what callers bring: without this all
+            # of them would count as late for good.
+            self._longest[route] = longest
+            count, longest = 0, 0.0
+        self._recent[route] = (count, longest)
+
+    def estimate_spent(self, route: str, seconds_left: float) -> float:
+        """Return the seconds that a caller has spent before, by estimate."""
+        return max(0.0, self._longest.get(route, 0.0) - seconds_left)
+
+
+def choose_urgency(call: DirectCall, now: Instant) -> int:
+    """Return how urgent a call is to endpoints; 0 goes first.
+
+    A stream that its caller has a part of goes before all else: refused, the
+    part would be lost too. Among its like a call goes by its priority.
+    """
+    if call.began:
+        return FIRST_URGENCY
+    rank = min(max(0, call.priority), _CLASS_URGENCIES - 1)
+    return rank if now <= call.due_at else LATE_URGENCY + rank
--- /dev/null
+++ b/mintsaddle/decisions/direct/tests/test_urgency.py
@@ -0,0 +1,80 @@
+"""Who goes first under overload."""
+
+import pytest
+
+from mintsaddle.decisions.direct import (
+    FIRST_URGENCY,
+    LATE_URGENCY,
+    Destination,
+    DirectCall,
+    Repeat,
+    Route,
+    RouteDeadlines,
+    choose_urgency,
+)
+
+ROUTE = Route(
+    name="draft",
+    host="host",
+    prefix="/",
+    repeat=Repeat.RESUMABLE,
+    is_stream=True,
+    timeout=8.0,
+    objective=0.4,
+    longest_pause=0.12,
+    priority=1,
+    destinations=(Destination("llm", 1.0),),
+    most_attempts=2,
+    is_open=False,
+)
+
+CALL = DirectCall(
+    "id", ROUTE, "llm", "north", arrived_at=0.0, deadline=8.0, due_at=0.4, priority=1
+)
+
+
+class TestUrgency:
+    @pytest.mark.parametrize(
+        ("call", "now", "urgency"),
+        [
+            (CALL, 0.0, 1),
+            (CALL, 0.4, 1),
+            (CALL, 0.41, LATE_URGENCY + 1),
+            (CALL._replace(priority=0), 1.0, LATE_URGENCY),
+            (CALL._replace(priority=7), 0.0, LATE_URGENCY - 1),
+            (CALL._replace(priority=7), 1.0, 9),
+            (CALL._replace(began=True), 5.0, FIRST_URGENCY),
+        ],
+    )
+    def test_what_can_be_on_time_goes_before_what_is_late(
+        self, call: DirectCall, now: float, urgency: int
+    ) -> None:
+        assert choose_urgency(call, now) == urgency
+
+
+class TestRouteDeadlines:
+    def test_a_caller_that_comes_back_is_known_by_what_it_has_left(self) -> None:
+        """A caller is refused while a group is down, and comes back in 3.8 s.
+
+        Taken for a fresh one it goes before callers that can still be on time,
+        and all of them are late for as long as such callers return.
+        """
+        deadlines = RouteDeadlines()
+        deadlines.note("draft", 8.05)
+        deadlines.note("draft", 4.25)
+        assert deadlines.estimate_spent("draft", 4.25) == pytest.approx(3.8)
+        assert deadlines.estimate_spent("draft", 8.05) == 0.0
+
+    def test_a_first_request_has_spent_nothing(self) -> None:
+        assert RouteDeadlines().estimate_spent("draft", 3.0) == 0.0
+
+    def test_shorter_deadlines_are_learned(self) -> None:
+        """Operators halve a route's timeout, and its callers bring half.
+
+        With the old longest deadline all of them would count as late for good.
+        """
+        deadlines = RouteDeadlines()
+        deadlines.note("draft", 8.0)
+        for _ in range(128):
+            deadlines.note("draft", 4.0)
+        assert deadlines.estimate_spent("draft", 4.0) == 0.0
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -102,10 +102,24 @@
             start("400 Bad Request", [])
             return ()
         body = environ["wsgi.input"].read()
-        call = make_call(head, route, holder, arrived_at)
+        call = self._make_call(head, route, holder, arrived_at)
         message = CallerMessage(environ, environ["REQUEST_METHOD"], target, body)
         return self._run(environ, start, call, message)
 
+    def _make_call(
+        self, head: CallerHead, route: Route, holder: KeyHolder, arrived_at: Instant
+    ) -> DirectCall:
+        # A few callers that bring more than the operator allows would make all
+        # others look as if they had come back.
+        left = route.timeout
+        if head.seconds_left is not None:
+            left = min(left, head.seconds_left)
+        deadlines = self._gateway.deadlines
+        with self._gateway.lock:
+            deadlines.note(route.name, left)
+            spent = deadlines.estimate_spent(route.name, left)
+        return make_call(head, route, holder, arrived_at, spent)
+
     def _run(
         self,
         environ: _Environ,
@@ -243,9 +257,21 @@
 
 
 def make_call(
-    head: CallerHead, route: Route, holder: KeyHolder, arrived_at: Instant
+    head: CallerHead,
+    route: Route,
+    holder: KeyHolder,
+    arrived_at: Instant,
+    spent: float,
 ) -> DirectCall:
-    """Return the call of a request that is allowed."""
+    """Return the call of a request that is allowed.
+
+    Args:
+        head: What the caller's head says.
+        route: The route that it matches.
+        holder: Who calls.
+        arrived_at: When it arrived.
+        spent: Seconds that the caller has spent on earlier attempts.
+    """
     seconds = route.timeout
     if head.seconds_left is not None:
         seconds = min(seconds, head.seconds_left)
@@ -256,6 +282,8 @@
         workspace=holder.workspace,
         arrived_at=arrived_at,
         deadline=arrived_at + seconds,
+        due_at=arrived_at - spent + route.objective,
+        priority=route.priority if holder.priority is None else holder.priority,
         last_event=head.last_event,
     )
 
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -14,6 +14,7 @@
     Incarnation,
     PublishedItem,
     Replica,
+    RouteDeadlines,
     apply_facts,
     drop_lapsed,
 )
@@ -53,6 +54,7 @@
         self._directory = Directory()
         self._groups = GroupBeliefs()
         self._groups_changed = threading.Condition(self._lock)
+        self._deadlines = RouteDeadlines()
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
         self._book = HistogramBook()
@@ -86,6 +88,11 @@
         """What is believed of table, endpoints and data centres."""
         return self._directory
 
+    @property
+    def deadlines(self) -> RouteDeadlines:
+        """What callers of each route bring; use it under the lock."""
+        return self._deadlines
+
     @property
     def groups(self) -> GroupBeliefs:
         """Which groups take no work; use it under the lock."""
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -11,6 +11,7 @@
     Incarnation,
     Repeat,
     attempt_until,
+    choose_urgency,
     decide_next,
     give_up,
     note_attempt,
@@ -165,7 +166,12 @@
         if left <= 0:
             return Ending.NOT_SENT, None
         headers = make_endpoint_headers(
-            message.environ, endpoint.name, call.workspace, left, call.last_event
+            message.environ,
+            endpoint.name,
+            call.workspace,
+            left,
+            call.last_event,
+            self._urgency(),
         )
         try:
             response = exchange.send(
@@ -192,6 +198,14 @@
             return Ending.BROKEN, None
         return Ending.BROKEN, _Attempt(endpoint, exchange, watched, response, head)
 
+    def _urgency(self) -> int | None:
+        """Return the call's urgency; plain services don't know any."""
+        table = self._gateway.directory.table
+        service = table.services.get(self._call.service) if table else None
+        if service is None or not service.is_engine:
+            return None
+        return choose_urgency(self._call, self._gateway.now())
+
     def _take_whole(self, attempt: _Attempt) -> WholeAnswer | GiveUp | None:
         """Read a whole answer; None when another endpoint may be tried."""
         ending = Ending.BROKEN
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_messages.py
@@ -22,6 +22,7 @@
 _DEADLINE = "X-Mintsaddle-Deadline-Ms"
 _EXPECT = "X-Mintsaddle-Expect-Instance"
 _WORKSPACE = "X-Mintsaddle-Tenant"
+_URGENCY = "X-Mintsaddle-Request-Urgency"
 _NEVER_RAN = "X-Mintsaddle-Not-Executed"
 _LOAD = "X-Mintsaddle-Server-Load"
 _AT_FAULT = "At-Server"
@@ -44,7 +45,15 @@
 )
 _SET_HERE = frozenset(
     name.lower()
-    for name in (_KEY, _WORKSPACE, _EXPECT, _DEADLINE, _LAST_EVENT, "Content-Length")
+    for name in (
+        _KEY,
+        _WORKSPACE,
+        _EXPECT,
+        _DEADLINE,
+        _LAST_EVENT,
+        _URGENCY,
+        "Content-Length",
+    )
 )
 _NOT_PASSED_BACK = frozenset({"content-length", "date"}) | _ONE_CONNECTION
 _MISDIRECTED = 421
@@ -101,6 +110,7 @@
     workspace: str,
     seconds_left: float,
     last_event: int | None,
+    urgency: int | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request to an endpoint.
 
@@ -111,6 +121,7 @@
         workspace: The holder of the caller's key, whatever the caller says.
         seconds_left: How long the endpoint may work.
         last_event: The last event that the caller has, if there is one.
+        urgency: 0 (first) to 9, for endpoints that admit by it.
     """
     named = str(environ.get("HTTP_CONNECTION", "")).split(",")
     dropped = {name.strip().lower() for name in named} | _ONE_CONNECTION | _SET_HERE
@@ -123,6 +134,8 @@
     headers += [(_DEADLINE, str(left)), (_EXPECT, endpoint)]
     if workspace:
         headers.append((_WORKSPACE, workspace))
+    if urgency is not None:
+        headers.append((_URGENCY, str(urgency)))
     if last_event is not None:
         headers.append((_LAST_EVENT, str(last_event)))
     return headers
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -133,14 +133,16 @@
             "HTTP_X_HOP": "1",
             "HTTP_X_OTHER": "2",
             "HTTP_X_MINTSADDLE_DEADLINE_MS": "9000",
+            "HTTP_X_MINTSADDLE_REQUEST_URGENCY": "0",
         }
-        sent = dict(make_endpoint_headers(environ, "i-1", "north", 1.5, 12))
+        sent = dict(make_endpoint_headers(environ, "i-1", "north", 1.5, 12, 6))
         assert sent == {
             "Host": "desk.example",
             "X-Other": "2",
             "X-Mintsaddle-Deadline-Ms": "1500",
             "X-Mintsaddle-Expect-Instance": "i-1",
             "X-Mintsaddle-Tenant": "north",
+            "X-Mintsaddle-Request-Urgency": "6",
             "Last-Event-Id": "12",
         }
 
