Keep two keepers of a map from sharing versions and holds

Change: versions are drawn by chance; a withdrawal that meets a higher version leaves the step held; only a group that stands before the held step is withdrawn; a switch that is behind ends at once; callers that come back are known by a clear margin (callers' times differ by 15 in 100).

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -57,6 +57,7 @@
     LATE_URGENCY,
     RouteDeadlines,
     choose_urgency,
+    is_late,
 )
 
 __all__ = [
@@ -104,6 +105,7 @@
     "drop_lapsed",
     "give_up",
     "hold_until",
+    "is_late",
     "match_route",
     "note_attempt",
     "usable_endpoints",
--- a/mintsaddle/decisions/direct/_urgency.py
+++ b/mintsaddle/decisions/direct/_urgency.py
@@ -26,13 +26,18 @@
 _MEMORY = 64
 """Requests of a route after which its longest deadline is learned anew."""
 
+_RETURNING_SHARE = 0.78
+"""Share of the longest time under which a caller counts as one that returns.
+Fresh callers bring times within 15 in 100 of each other; one that comes back
+has waited for 1.5 s and more of 8 s, and then for its time to come back."""
+
 
 class RouteDeadlines:
     """How long callers of each route wait when they ask for the first time.
 
     A caller that comes back brings what is left of its time and doesn't say
     that it has asked before. Callers of one route bring much the same time, so
-    what is missing from the longest one is what has been spent.
+    one that brings clearly less has spent the rest.
     """
 
     def __init__(self) -> None:
@@ -46,14 +51,14 @@
         count, longest = count + 1, max(longest, seconds_left)
         if count >= _MEMORY:
             # A table may have shortened what callers bring: without this all
-            # of them would count as late for good.
+            # of them would count as returning for good.
             self._longest[route] = longest
             count, longest = 0, 0.0
         self._recent[route] = (count, longest)
 
-    def estimate_spent(self, route: str, seconds_left: float) -> float:
-        """Return the seconds that a caller has spent before, by estimate."""
-        return max(0.0, self._longest.get(route, 0.0) - seconds_left)
+    def is_returning(self, route: str, seconds_left: float) -> bool:
+        """Return whether a caller has asked before, by estimate."""
+        return seconds_left < self._longest.get(route, 0.0) * _RETURNING_SHARE
 
 
 def choose_urgency(call: DirectCall, now: Instant) -> int:
@@ -65,4 +70,9 @@
     if call.began:
         return FIRST_URGENCY
     rank = min(max(0, call.priority), _CLASS_URGENCIES - 1)
-    return rank if now <= call.due_at else LATE_URGENCY + rank
+    return LATE_URGENCY + rank if is_late(call, now) else rank
+
+
+def is_late(call: DirectCall, now: Instant) -> bool:
+    """Return whether a call that hasn't begun can't be on time any more."""
+    return not call.began and now > call.due_at
--- a/mintsaddle/decisions/direct/tests/test_urgency.py
+++ b/mintsaddle/decisions/direct/tests/test_urgency.py
@@ -60,13 +60,22 @@
         and all of them are late for as long as such callers return.
         """
         deadlines = RouteDeadlines()
-        deadlines.note("draft", 8.05)
+        deadlines.note("draft", 8.0)
         deadlines.note("draft", 4.25)
-        assert deadlines.estimate_spent("draft", 4.25) == pytest.approx(3.8)
-        assert deadlines.estimate_spent("draft", 8.05) == 0.0
+        assert deadlines.is_returning("draft", 4.25)
+
+    def test_callers_with_somewhat_shorter_times_are_fresh(self) -> None:
+        """Callers bring 6.85 to 8 s, each one its own.
+
+        With each second less taken for spent, half of the callers of a calm
+        day count as late and are held back, though places are free.
+        """
+        deadlines = RouteDeadlines()
+        deadlines.note("draft", 8.0)
+        assert not deadlines.is_returning("draft", 6.85)
 
-    def test_a_first_request_has_spent_nothing(self) -> None:
-        assert RouteDeadlines().estimate_spent("draft", 3.0) == 0.0
+    def test_a_first_request_is_fresh(self) -> None:
+        assert not RouteDeadlines().is_returning("draft", 3.0)
 
     def test_shorter_deadlines_are_learned(self) -> None:
         """Operators halve a route's timeout, and its callers bring half.
@@ -77,4 +86,4 @@
         deadlines.note("draft", 8.0)
         for _ in range(128):
             deadlines.note("draft", 4.0)
-        assert deadlines.estimate_spent("draft", 4.0) == 0.0
+        assert not deadlines.is_returning("draft", 4.0)
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -12,6 +12,7 @@
 from mintsaddle.decisions.expert_maps._armed_switch import (
     begin_switch,
     choose_step,
+    draw_version,
     hold_at,
     must_read_first,
     next_map_orders,
@@ -86,6 +87,7 @@
     "choose_samples",
     "choose_step",
     "count_moved",
+    "draw_version",
     "hold_at",
     "is_complete",
     "judge_order",
--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -23,8 +23,8 @@
     BEGUN = "begun"
     """It has begun what it was told."""
 
-    HOLDS = "holds"
-    """The state that was asked for held already."""
+    DONE = "done"
+    """It has done what it was told, now or before: which, it doesn't tell."""
 
     REFUSED = "refused"
     UNKNOWN = "unknown"
--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -25,6 +25,7 @@
 which step a rank is armed.
 """
 
+import random
 from collections.abc import Mapping, Sequence
 
 from mintsaddle.decisions.expert_maps._armed_state import (
@@ -49,10 +50,35 @@
 LEAD_STEPS = 3
 """Steps more, for the time that the orders themselves take."""
 
+VERSION_DRAWS = 1_000_000
+"""Versions to draw from; with a few coordinators at a time two draw the same
+one in less than one of 100,000 cases."""
+
 MOST_HOLDS = 3
 """Steps tried before the switch is given up: each was passed too soon."""
 
 
+def draw_version(reports: Sequence[RankReport], rng: random.Random) -> int:
+    """Return a version above all that ranks tell of, drawn by chance.
+
+    Guards against two coordinators with the same version, as after a power cut
+    when no entry knows the others yet. Each would take what the other one has
+    prepared and armed for its own, and whichever withdraws would disarm ranks
+    of a switch that the other one is about to release: a step then begins with
+    two maps.
+    """
+    generation = max(_told_versions(reports)) // VERSION_DRAWS + 1
+    return generation * VERSION_DRAWS + rng.randrange(VERSION_DRAWS - 1)
+
+
+def _told_versions(reports: Sequence[RankReport]) -> list[int]:
+    return [
+        version
+        for report in reports
+        for version in (report.version, report.prepared or 0, report.armed or 0)
+    ]
+
+
 def begin_switch(
     old_map: ExpertMap, new_map: ExpertMap, reports: Sequence[RankReport], now: Instant
 ) -> ArmedSwitch:
@@ -82,7 +108,10 @@
 ) -> ArmedSwitch | None:
     """Return the withdrawal of a switch whose coordinator has gone.
 
-    None if no step is held.
+    None if no step is held, or if the group doesn't stand before the held one.
+    The latter guards against disarming ranks while the group still moves: they
+    may be armed for a step before the held one, and it would begin with two
+    maps. Where it stands, nothing armed can come into use.
 
     Args:
         old_map: The map in use.
@@ -92,13 +121,10 @@
     held = [report for report in reports if report.held is not None]
     if not held:
         return None
-    step = held[0].held
-    assert step is not None
-    told = [
-        version
-        for report in reports
-        for version in (report.version, report.prepared or 0, report.armed or 0)
-    ]
+    step = min(report.held for report in held if report.held is not None)
+    if any(report.step + 1 != step for report in reports):
+        return None
+    told = _told_versions(reports)
     free = [report.rank for report in reports if report.held is None]
     return ArmedSwitch(
         epoch=held[0].epoch,
@@ -234,8 +260,11 @@
     match switch.stage:
         case SwitchStage.PREPARE if report.prepared == switch.version:
             return _settle(switch, rank)
+        case SwitchStage.PREPARE if max(_told_versions([report])) > switch.version:
+            # Another coordinator is ahead: its weights took the place of
+            # these, and waiting for them would last until patience ends.
+            return switch._replace(stage=SwitchStage.FAILED)
         case SwitchStage.PREPARE if is_refused and not report.is_busy:
-            # Another coordinator has prepared a higher version there.
             return switch._replace(stage=SwitchStage.FAILED)
         case SwitchStage.FENCE if report.armed is not None:
             # One's own withdrawal leaves what a newer switch has armed: that
@@ -244,7 +273,7 @@
                 return _doom(switch, rank, report.armed)
             return _settle(switch, rank)
         case SwitchStage.FENCE if (report.prepared or 0) > switch.version:
-            return _settle(switch, rank)
+            return _note_fenced(switch, rank, report.prepared or 0)
         case SwitchStage.FENCE if is_refused:
             # It has had a higher version that isn't there any more.
             return switch._replace(fence=switch.fence + 1, begun=frozenset())
@@ -264,6 +293,20 @@
             return switch
 
 
+def _note_fenced(switch: ArmedSwitch, rank: int, prepared: int) -> ArmedSwitch:
+    """Return the switch after a rank was found with a higher version.
+
+    Guards against a hold that two coordinators share: the same step at the
+    same rank can't be told apart. One that withdraws would release it while
+    the other one, whose version this is, has armed a part of the ranks, and
+    the step would begin with two maps. So the step stays held; whoever
+    notices a group that stands still withdraws all that is armed.
+    """
+    if switch.is_foreign or prepared == switch.fence:
+        return _settle(switch, rank)
+    return switch._replace(stage=SwitchStage.FAILED)
+
+
 def _has_lost_hold(switch: ArmedSwitch, report: RankReport) -> bool:
     is_own = report.rank == switch.holder and switch.stage in WITHDRAWING
     return is_own and report.held != switch.step
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -1,7 +1,7 @@
 """The switch of engines that don't compare maps, against late orders."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
 import pytest
@@ -27,11 +27,14 @@
     ranks_to_read,
     withdraw_held,
 )
+from mintsaddle.decisions.expert_maps._maps import LayerSlots
 
 Advance: TypeAlias = Callable[[ArmedSwitch, float], ArmedSwitch]
 
 RANKS = 3
 FIRST_MAP = make_first_map(0, RANKS, 6, 1, 2)
+MAPS = [(((0, 3), (1, 4), (2, 5)),), (((0, 4), (1, 5), (2, 3)),)]
+"""What each of two coordinators plans."""
 
 
 class Engine:
@@ -39,28 +42,35 @@
 
     def __init__(self) -> None:
         self.version = 0
+        self.layers = FIRST_MAP.layers
         self.highest = 0
         self.prepared: int | None = None
+        self.prepared_layers: tuple[LayerSlots, ...] = ()
         self.armed: tuple[int, int] | None = None
         self.held: int | None = None
 
     def obey(self, order: MapOrder, epoch: int, step: int) -> Verdict:
         if order.epoch != epoch:
             return Verdict.REFUSED
+        # A hold that stood before is answered like one that stands from now.
         match order.act:
             case OrderAct.PREPARE:
+                ready = (self.prepared, self.prepared_layers)
+                if ready == (order.version, order.layers):
+                    return Verdict.DONE
                 if order.version <= self.highest or self.armed:
                     return Verdict.REFUSED
                 self.highest = self.prepared = order.version
+                self.prepared_layers = order.layers
             case OrderAct.HOLD:
                 if self.held == order.step:
-                    return Verdict.HOLDS
+                    return Verdict.DONE
                 if step >= order.step or self.held is not None:
                     return Verdict.REFUSED
                 self.held = order.step
             case OrderAct.ARM:
                 if self.armed == (order.version, order.step):
-                    return Verdict.HOLDS
+                    return Verdict.DONE
                 if self.prepared != order.version or step >= order.step:
                     return Verdict.REFUSED
                 self.armed = (order.version, order.step)
@@ -68,13 +78,14 @@
                 if self.version == order.version:
                     return Verdict.REFUSED
                 if self.armed is None or self.armed[0] != order.version:
-                    return Verdict.HOLDS
+                    return Verdict.DONE
                 self.armed = None
             case OrderAct.RELEASE:
                 if self.held != order.step:
                     return Verdict.REFUSED
                 self.held = None
-        return Verdict.BEGUN
+        begun = order.act is OrderAct.PREPARE
+        return Verdict.BEGUN if begun else Verdict.DONE
 
 
 class Group:
@@ -95,9 +106,10 @@
         for engine in self.engines:
             if engine.armed and engine.armed[1] == upcoming:
                 engine.version = engine.armed[0]
+                engine.layers = engine.prepared_layers
                 engine.armed = None
-        versions = {engine.version for engine in self.engines}
-        assert len(versions) == 1, f"step {upcoming} begins with maps {versions}"
+        maps = {(engine.version, engine.layers) for engine in self.engines}
+        assert len(maps) == 1, f"step {upcoming} begins with maps {maps}"
 
     def form_anew(self) -> None:
         """A rank died and is back: the first map, nothing armed or held."""
@@ -130,7 +142,9 @@
         self.rng = random.Random(seed)
         self.group = Group()
         self.switches: list[ArmedSwitch | None] = [None, None]
-        self.version = 0
+        # After a power cut each entry takes itself for the keeper of maps.
+        self.share_of_second = self.rng.choice([0.2, 0.5])
+        self.eagerness_of_second = self.rng.choice([0.1, 0.5])
         self.loss = self.rng.choice([0.0, 0.1, 0.4])
         self.late_share = self.rng.choice([0.0, 0.3])
 
@@ -138,7 +152,7 @@
         """Play some events; return how many switches went through."""
         done = 0
         for _ in range(events):
-            index = 0 if self.rng.random() < 0.8 else 1
+            index = 1 if self.rng.random() < self.share_of_second else 0
             switch = self.switches[index]
             if switch is None or switch.stage in OVER:
                 self._begin(index)
@@ -156,10 +170,11 @@
         held = withdraw_held(FIRST_MAP, reports, now=0.0)
         if held is not None and self.rng.random() < 0.3:
             self.switches[index] = held
-        elif held is None and self.rng.random() < (0.5 if index == 0 else 0.1):
-            told = [engine.highest for engine in self.group.engines]
-            self.version = max(self.version, *told) + 1
-            new_map = ExpertMap(self.version, FIRST_MAP.layers)
+        elif held is None and self.rng.random() < (
+            0.5 if index == 0 else self.eagerness_of_second
+        ):
+            version = _armed_switch.draw_version(reports, self.rng)
+            new_map = ExpertMap(version, MAPS[index])
             self.switches[index] = begin_switch(FIRST_MAP, new_map, reports, now=0.0)
 
     def _move_on(self, index: int, switch: ArmedSwitch) -> None:
@@ -170,7 +185,9 @@
             switch = note_reports(switch, reports, now=0.0)
         answers = {order: self._send(order) for order in next_map_orders(switch)}
         switch = note_answers(switch, answers, now=0.0)
-        if set(answers.values()) - {Verdict.BEGUN} or not answers:
+        if {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values()) or (
+            not answers or switch.stage is SwitchStage.PREPARE
+        ):
             reports = [self.group.report(rank) for rank in ranks_to_read(switch)]
             switch = note_reports(switch, reports, now=0.0)
         self.switches[index] = switch
@@ -227,6 +244,19 @@
 PERMISSIVE = [release_with_one_missing, release_without_a_fence, arm_without_a_hold]
 
 
+def draw_next_number(reports: Sequence[RankReport], rng: random.Random) -> int:
+    del rng
+    told = [(r.version, r.prepared or 0, r.armed or 0) for r in reports]
+    return max(max(versions) for versions in told) + 1
+
+
+def take_any_higher_version_for_a_fence(
+    switch: ArmedSwitch, rank: int, prepared: int
+) -> ArmedSwitch:
+    del prepared
+    return _armed_switch._settle(switch, rank)
+
+
 class TestArmedSwitch:
     def test_no_step_begins_with_two_maps(self) -> None:
         """Streams of a group turn to garbage after a change of the map.
@@ -245,10 +275,54 @@
         with pytest.raises(AssertionError, match="begins with maps"):
             play()
 
+    def test_coordinators_may_not_draw_the_same_version(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """All entries lose power, and some of their streams turn to garbage.
+
+        Two entries take themselves for the keeper of maps, and both draw the
+        next version. Each takes what the other one has prepared, armed and
+        held for its own; when one withdraws, it disarms the other one's ranks.
+        """
+        monkeypatch.setattr(_armed_switch, "draw_version", draw_next_number)
+        with pytest.raises(AssertionError, match="begins with maps"):
+            play()
+
+    def test_a_hold_may_be_shared_by_two_coordinators(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Two coordinators hold the same step at the same rank.
+
+        The rank has one hold for both. The one whose map was replaced by the
+        other one's withdraws and releases it, while the other one still arms.
+        """
+        monkeypatch.setattr(
+            _armed_switch, "_note_fenced", take_any_higher_version_for_a_fence
+        )
+        with pytest.raises(AssertionError, match="begins with maps"):
+            play(6000)
+
+    def test_a_switch_is_given_up_once_another_one_is_ahead(self) -> None:
+        """After a power cut no map is changed for eight seconds.
+
+        A second coordinator prepared a higher version; the first one, whose
+        weights were never reported, waited for them until its patience ended,
+        and it was the one chosen to see to the group.
+        """
+        group = Group()
+        reports = [group.report(rank) for rank in range(RANKS)]
+        switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
+        answers = dict.fromkeys(next_map_orders(switch), Verdict.BEGUN)
+        switch = note_answers(switch, answers, now=0.0)
+        for engine in group.engines:
+            engine.highest = engine.prepared = 9
+        reports = [group.report(rank) for rank in ranks_to_read(switch)]
+        assert note_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
+
     def test_a_switch_goes_through_when_all_answer(self) -> None:
         group = Group()
         reports = [group.report(rank) for rank in range(RANKS)]
-        new_map = ExpertMap(1, FIRST_MAP.layers)
+        new_map = ExpertMap(1, MAPS[0])
         switch = begin_switch(FIRST_MAP, new_map, reports, now=0.0)
         for _ in range(10):
             if switch.stage is SwitchStage.HOLD and not switch.step:
@@ -262,6 +336,24 @@
         assert switch.stage is SwitchStage.DONE
         assert [engine.version for engine in group.engines] == [1] * RANKS
 
+    def test_a_group_that_moves_is_left_alone(self) -> None:
+        """A restarted entry sees a held step, and streams turn to garbage.
+
+        All ranks are armed for step 3, which has been released; another switch
+        holds step 4. Disarming rank by rank meets the beginning of step 3.
+        """
+        group = Group()
+        for engine in group.engines:
+            engine.highest = engine.prepared = 4
+            engine.armed = (4, 3)
+        group.engines[2].held = 4
+        reports = [group.report(rank) for rank in range(RANKS)]
+        assert withdraw_held(FIRST_MAP, reports, now=0.0) is None
+        group.begin_step()
+        group.begin_step()
+        reports = [group.report(rank) for rank in range(RANKS)]
+        assert withdraw_held(FIRST_MAP, reports, now=0.0) is not None
+
     def test_a_held_group_is_freed_by_another_coordinator(self) -> None:
         """A whole group stands still after one entry lost power.
 
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -117,8 +117,10 @@
         deadlines = self._gateway.deadlines
         with self._gateway.lock:
             deadlines.note(route.name, left)
-            spent = deadlines.estimate_spent(route.name, left)
-        return make_call(head, route, holder, arrived_at, spent)
+            is_returning = deadlines.is_returning(route.name, left)
+        # What is asked again after a refusal is late at its arrival.
+        due_at = arrived_at if is_returning else arrived_at + route.objective
+        return make_call(head, route, holder, arrived_at, due_at)
 
     def _run(
         self,
@@ -261,7 +263,7 @@
     route: Route,
     holder: KeyHolder,
     arrived_at: Instant,
-    spent: float,
+    due_at: Instant,
 ) -> DirectCall:
     """Return the call of a request that is allowed.
 
@@ -270,7 +272,7 @@
         route: The route that it matches.
         holder: Who calls.
         arrived_at: When it arrived.
-        spent: Seconds that the caller has spent on earlier attempts.
+        due_at: Until when its answer is on time.
     """
     seconds = route.timeout
     if head.seconds_left is not None:
@@ -282,7 +284,7 @@
         workspace=holder.workspace,
         arrived_at=arrived_at,
         deadline=arrived_at + seconds,
-        due_at=arrived_at - spent + route.objective,
+        due_at=due_at,
         priority=route.priority if holder.priority is None else holder.priority,
         last_event=head.last_event,
     )
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -7,6 +7,7 @@
     Incarnation,
     choose_incarnation,
     hold_until,
+    is_late,
     usable_endpoints,
 )
 from mintsaddle.direct._gateway import Gateway
@@ -90,5 +91,6 @@
             version=table.version if table else 0,
             age=now - gateway.replica(OPERATOR_PREFIX).confirmed_at,
             waited=now - call.arrived_at,
+            late=is_late(call, now),
         ),
     )
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -22,6 +22,7 @@
     begin_switch,
     choose_samples,
     choose_step,
+    draw_version,
     hold_at,
     make_first_map,
     must_read_first,
@@ -85,7 +86,6 @@
         self._pool = ThreadPoolExecutor(12, "orders")
         self._watches: dict[str, MapWatch] = {}
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
-        self._highest_version = 0
 
     def start(self) -> None:
         """Start the thread."""
@@ -209,14 +209,9 @@
         reports = self._read_reports(group)
         if reports is None or any(report.held is not None for report in reports):
             return
-        versions = [
-            version
-            for report in reports
-            for version in (report.version, report.prepared, report.armed)
-            if version is not None
-        ]
-        self._highest_version = max(self._highest_version, *versions) + 1
-        new_map = planned._replace(version=self._highest_version)
+        with self._gateway.lock:
+            version = draw_version(reports, self._gateway.rng)
+        new_map = planned._replace(version=version)
         switch = begin_switch(current, new_map, reports, self._gateway.now())
         began_at = self._gateway.now()
         switch = self._carry_out(group, switch, watch.step_seconds)
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -29,7 +29,7 @@
     # The platform's word for letting a held step begin.
     OrderAct.RELEASE: "go",
 }
-_VERDICTS = {200: Verdict.HOLDS, 202: Verdict.BEGUN, 409: Verdict.REFUSED}
+_VERDICTS = {200: Verdict.DONE, 202: Verdict.BEGUN, 409: Verdict.REFUSED}
 
 
 def read_rank_report(address: str, rank: int) -> Result[RankReport, str]:
