Leave a newer switch alone while a dead keeper's hold is withdrawn

Change: only what is older than the fence is disarmed; a withdrawal draws the rank for its own hold by chance. Two withdrawals may still draw one rank (1 in 11 for 12 ranks) while one of them is frozen between its reading and its release: open.

--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -104,7 +104,10 @@
 
 
 def withdraw_held(
-    old_map: ExpertMap, reports: Sequence[RankReport], now: Instant
+    old_map: ExpertMap,
+    reports: Sequence[RankReport],
+    now: Instant,
+    rng: random.Random,
 ) -> ArmedSwitch | None:
     """Return the withdrawal of a switch whose coordinator has gone.
 
@@ -117,6 +120,8 @@
         old_map: The map in use.
         reports: A report of every rank, in order.
         now: The present instant.
+        rng: Draws the rank for the own hold: two withdrawals that hold at the
+            same one can't tell their holds apart, and each releases both.
     """
     held = [report for report in reports if report.held is not None]
     if not held:
@@ -133,7 +138,7 @@
         new_map=ExpertMap(max(told), ()),
         stage=SwitchStage.HOLD,
         give_up_at=now + COPY_PATIENCE,
-        holder=free[0] if free else 0,
+        holder=rng.choice(free) if free else 0,
         holders=frozenset(report.rank for report in held if report.held == step),
         step=step,
         is_foreign=True,
@@ -267,11 +272,13 @@
         case SwitchStage.PREPARE if is_refused and not report.is_busy:
             return switch._replace(stage=SwitchStage.FAILED)
         case SwitchStage.FENCE if report.armed is not None:
-            # One's own withdrawal leaves what a newer switch has armed: that
-            # one's map has taken the place of the withdrawn one.
-            if switch.is_foreign or report.armed == switch.version:
-                return _doom(switch, rank, report.armed)
-            return _settle(switch, rank)
+            # What a newer switch has armed stays: its map has taken the place
+            # of the withdrawn one, and its coordinator counts on it. Disarmed
+            # behind its back, a part of its ranks changes the map later.
+            is_newer = report.armed > switch.fence
+            if is_newer or not (switch.is_foreign or report.armed == switch.version):
+                return _settle(switch, rank)
+            return _doom(switch, rank, report.armed)
         case SwitchStage.FENCE if (report.prepared or 0) > switch.version:
             return _note_fenced(switch, rank, report.prepared or 0)
         case SwitchStage.FENCE if is_refused:
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -167,7 +167,7 @@
 
     def _begin(self, index: int) -> None:
         reports = [self.group.report(rank) for rank in range(RANKS)]
-        held = withdraw_held(FIRST_MAP, reports, now=0.0)
+        held = withdraw_held(FIRST_MAP, reports, 0.0, self.rng)
         if held is not None and self.rng.random() < 0.3:
             self.switches[index] = held
         elif held is None and self.rng.random() < (
@@ -336,6 +336,55 @@
         assert switch.stage is SwitchStage.DONE
         assert [engine.version for engine in group.engines] == [1] * RANKS
 
+    def test_a_newer_switch_outlives_a_withdrawal(self) -> None:
+        """Streams turn to garbage seconds after a dead entry's hold was freed.
+
+        While the withdrawal waits for its fence, a newer switch is armed for a
+        later step. Disarmed rank by rank behind its coordinator's back, it is
+        released with a part of its ranks only.
+        """
+        group = Group()
+        for engine in group.engines:
+            engine.highest = engine.prepared = 4
+        group.engines[1].held = 3
+        group.begin_step()
+        group.begin_step()
+        reports = [group.report(rank) for rank in range(RANKS)]
+        withdrawal = withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1))
+        assert withdrawal is not None
+        answers = {order: group.obey(order) for order in next_map_orders(withdrawal)}
+        withdrawal = note_answers(withdrawal, answers, now=0.0)
+        assert withdrawal.stage is SwitchStage.FENCE
+
+        for engine in group.engines:
+            engine.highest = engine.prepared = 9
+            engine.armed = (9, 6)
+        reports = [group.report(rank) for rank in range(RANKS)]
+        withdrawal = note_reports(withdrawal, reports, now=0.1)
+
+        assert withdrawal.stage is SwitchStage.RELEASE
+        assert [engine.armed for engine in group.engines] == [(9, 6)] * RANKS
+
+    def test_withdrawals_hold_at_ranks_drawn_by_chance(self) -> None:
+        """Two entries free the same held group, and one of them is frozen.
+
+        It wakes up and releases every hold that it knew of; the other one's
+        is among them if both took the first free rank.
+        """
+        group = Group()
+        group.engines[0].held = 2
+        reports = [group.report(rank) for rank in range(RANKS)]
+        drawn = {
+            withdrawal.holder
+            for seed in range(20)
+            if (
+                withdrawal := withdraw_held(
+                    FIRST_MAP, reports, 0.0, random.Random(seed)
+                )
+            )
+        }
+        assert drawn == {1, 2}
+
     def test_a_group_that_moves_is_left_alone(self) -> None:
         """A restarted entry sees a held step, and streams turn to garbage.
 
@@ -348,11 +397,11 @@
             engine.armed = (4, 3)
         group.engines[2].held = 4
         reports = [group.report(rank) for rank in range(RANKS)]
-        assert withdraw_held(FIRST_MAP, reports, now=0.0) is None
+        assert withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1)) is None
         group.begin_step()
         group.begin_step()
         reports = [group.report(rank) for rank in range(RANKS)]
-        assert withdraw_held(FIRST_MAP, reports, now=0.0) is not None
+        assert withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1)) is not None
 
     def test_a_held_group_is_freed_by_another_coordinator(self) -> None:
         """A whole group stands still after one entry lost power.
@@ -370,7 +419,7 @@
 
         late_arm = MapOrder(0, OrderAct.ARM, group.epoch, 4, 3)
         reports = [group.report(rank) for rank in range(RANKS)]
-        switch = withdraw_held(FIRST_MAP, reports, now=0.0)
+        switch = withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1))
         assert switch is not None
         while switch.stage not in OVER:
             answers = {order: group.obey(order) for order in next_map_orders(switch)}
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -240,7 +240,9 @@
         current = self._current_map(group, reports[0])
         if current is None:
             return
-        switch = withdraw_held(current, reports, self._gateway.now())
+        with self._gateway.lock:
+            rng = self._gateway.rng
+            switch = withdraw_held(current, reports, self._gateway.now(), rng)
         if switch is None:
             return
         _log.warning(
