Let young entries settle before duties, and a keeper free its own hold

Change: an entry takes up duties 1.5 s after its start and asks peers faster until then; a switch that fails with a step held withdraws it at once; logs and metrics say how long steps take, which rank is slowest and how switches end.

--- /dev/null
+++ b/benchmarks/lockstep.py
@@ -0,0 +1,113 @@
+"""Load at its worst, on emulated rank groups: policies against baselines.
+
+Usage: python -m benchmarks.lockstep [--short]
+
+Prints, for each load pattern and policy, the mean worth of all requests (1 on
+time, 0.5 late, 0 not served), the share served and the mean time of a pass.
+All policies meet the same callers; figures are means over seeded days.
+"""
+
+import itertools
+import random
+import sys
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from fakes.lockstep import PRODUCT, Day, DayResult, Outage, Policy, play_day
+from mintsaddle.decisions.direct import Incarnation
+from mintsaddle.decisions.routing import RoutingState
+
+SEEDS = 8
+SHORT_SEEDS = 2
+
+PATTERNS = {
+    "calm": Day(length=30.0),
+    "burst": Day(length=30.0, burst=(8.0, 12.0, 1.7)),
+    "rank lost for 6 s": Day(length=40.0, outages=(Outage(12.0, 17.8),)),
+    "rank lost twice": Day(length=44.0, outages=(Outage(6.0, 8.5), Outage(22.0, 27.5))),
+}
+
+
+class Row(NamedTuple):
+    """What one policy gave its callers under one load pattern."""
+
+    pattern: str
+    policy: str
+    worth: float
+    served: float
+    pass_seconds: float
+
+
+def choose_least_in_flight(
+    state: RoutingState, ranks: Sequence[Incarnation], now: float, rng: random.Random
+) -> Incarnation:
+    """Choose the endpoint with the fewest own requests."""
+    del now, rng
+    return min(ranks, key=lambda one: state.view(one.name).sent)
+
+
+def choose_of_two(
+    state: RoutingState, ranks: Sequence[Incarnation], now: float, rng: random.Random
+) -> Incarnation:
+    """Choose the less loaded of two drawn endpoints."""
+    pair = rng.sample(list(ranks), 2)
+    return min(pair, key=lambda one: state.view(one.name).estimate_load(now))
+
+
+def make_policies() -> dict[str, Policy]:
+    """Return the product's policy, what it was before, and baselines."""
+    turn = itertools.count()
+
+    def choose_in_turn(
+        state: RoutingState,
+        ranks: Sequence[Incarnation],
+        now: float,
+        rng: random.Random,
+    ) -> Incarnation:
+        del state, now, rng
+        return ranks[next(turn) % len(ranks)]
+
+    plain = PRODUCT._replace(names_urgency=False)
+    return {
+        "mintsaddle": PRODUCT,
+        "without urgency": plain,
+        "without waiting": PRODUCT._replace(holds=False),
+        "round robin": plain._replace(choose=choose_in_turn),
+        "least in flight": plain._replace(choose=choose_least_in_flight),
+        "two choices": plain._replace(choose=choose_of_two),
+    }
+
+
+def measure(pattern: str, name: str, policy: Policy, seeds: int) -> Row:
+    """Play a pattern's days and return their means."""
+    results = [play_day(PATTERNS[pattern], policy, seed) for seed in range(seeds)]
+    return Row(
+        pattern,
+        name,
+        sum(result.worth for result in results) / seeds,
+        sum(result.served for result in results) / seeds,
+        sum(mean_pass(result) for result in results) / seeds,
+    )
+
+
+def mean_pass(result: DayResult) -> float:
+    """Return the mean seconds of a day's passes."""
+    return sum(result.pass_seconds) / len(result.pass_seconds)
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Print the table."""
+    seeds = SHORT_SEEDS if "--short" in arguments else SEEDS
+    print("| pattern | policy | worth | served | ms a pass |")
+    print("|---|---|---|---|---|")
+    for pattern in PATTERNS:
+        for name, policy in make_policies().items():
+            row = measure(pattern, name, policy, seeds)
+            print(
+                f"| {row.pattern} | {row.policy} | {row.worth:.3f} "
+                f"| {row.served:.3f} | {row.pass_seconds * 1e3:.0f} |"
+            )
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -35,6 +35,7 @@
 from mintsaddle.decisions.direct._membership import (
     ALIVE_SECONDS,
     MOST_TOLD,
+    SETTLE_SECONDS,
     KnownEntry,
     Membership,
 )
@@ -66,6 +67,7 @@
     "LATE_URGENCY",
     "MOST_TOLD",
     "NEVER_RAN",
+    "SETTLE_SECONDS",
     "CallerLimits",
     "ColdGate",
     "DataCentreBack",
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -19,6 +19,12 @@
 A duty bears two entries that both see to it; nobody doing so is worse: a group
 that is held then stands still, and callers leave streams after 2 s."""
 
+SETTLE_SECONDS = 1.5
+"""Seconds of an entry's life before it takes up duties: by then five faster
+rounds have told it of the others. Guards against all entries that start
+together after a power cut taking themselves for the holder: two of them held
+steps of one group against each other, and it stood still for 2.6 s."""
+
 COUNT_SECONDS = 60.0
 """Seconds for which an entry counts among those that share limits. With some
 hundred entries each one is heard of only now and then, and a count that is too
@@ -32,6 +38,8 @@
 """Entries next in line for a duty that ask its holder in every round; however
 many entries there are, its holder answers no more than these."""
 
+_LONG_AGO: Instant = float("-inf")
+
 FAN_OUT = 2
 """Peers asked in each round; news reach 340 entries in about 8 rounds."""
 
@@ -50,12 +58,19 @@
 class Membership:
     """What one entry knows of the others."""
 
-    def __init__(self, vm: str, address: str, seeds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        vm: str,
+        address: str,
+        seeds: Iterable[str],
+        started_at: Instant = _LONG_AGO,
+    ) -> None:
         self._vm = vm
         self._address = address
         self._seeds = tuple(seed for seed in seeds if seed != address)
         self._entries: dict[str, KnownEntry] = {}
         self._suspects: set[str] = set()
+        self._settles_at = started_at + SETTLE_SECONDS
 
     @property
     def vm(self) -> str:
@@ -93,6 +108,10 @@
             if now - entry.heard_at <= ALIVE_SECONDS
         )
 
+    def is_settled(self, now: Instant) -> bool:
+        """Return whether this entry has had time to hear of the others."""
+        return now >= self._settles_at
+
     def count(self, now: Instant) -> int:
         """Return how many entries share limits, this one included."""
         self._entries = {
@@ -147,6 +166,8 @@
         Entries with different views may both think so: a duty has to bear
         that.
         """
+        if not self.is_settled(now):
+            return False
         names = [self._vm]
         for entry in self.alive(now):
             is_late = now - entry.heard_at > DUTY_SECONDS
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -7,6 +7,7 @@
 from mintsaddle.decisions.direct import (
     ALIVE_SECONDS,
     MOST_TOLD,
+    SETTLE_SECONDS,
     CallerLimits,
     ColdGate,
     DataCentreBack,
@@ -326,6 +327,16 @@
         assert len(members.alive(44.0)) < 60
         assert members.count(44.0) == 340
 
+    def test_a_young_entry_takes_no_duty(self) -> None:
+        """After a power cut a group stands still for 2.6 s.
+
+        All entries start together, none knows the others yet, and two of them
+        take themselves for the keeper of the group's map.
+        """
+        member = Membership("e-1", "a:1", ["a:2"], started_at=100.0)
+        assert not member.is_chosen("maps g", 100.0 + SETTLE_SECONDS / 2)
+        assert member.is_chosen("maps g", 100.0 + SETTLE_SECONDS)
+
     def test_a_duty_passes_on_when_its_holder_is_silent(self) -> None:
         """A group stands still for ten seconds after one entry lost power.
 
--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -69,6 +69,9 @@
     held: int | None
     """Step that doesn't begin before a release."""
 
+    slowness: float = 1.0
+    """Times that its work takes; above 1 it holds up the whole group."""
+
 
 class SwitchStage(enum.Enum):
     """How far a switch is."""
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -40,6 +40,7 @@
     read_rank_report,
     send_map_order,
 )
+from mintsaddle.values import MILLISECONDS
 
 LOOK_SECONDS = 0.5
 """Seconds between two looks at a group: popularity changes every few seconds,
@@ -63,6 +64,10 @@
 """Rounds in a hurry until reports are read: a rank that is silent may have
 died, and then nothing of the switch is left to finish."""
 
+FREE_TRIES = 8
+"""Looks at a group in which one's own switch has left a step held, one each
+report's age: 2.4 s; the group stands before that step within 0.5 s."""
+
 _HURRIED = frozenset({SwitchStage.ARM, SwitchStage.RELEASE})
 _log = make_logger("maps")
 
@@ -214,9 +219,12 @@
         new_map = planned._replace(version=version)
         switch = begin_switch(current, new_map, reports, self._gateway.now())
         began_at = self._gateway.now()
+        slowest = max(reports, key=lambda report: report.slowness)
         switch = self._carry_out(group, switch, watch.step_seconds)
         if switch.stage is SwitchStage.DONE:
             self._maps[group.name] = (switch.epoch, new_map)
+        elif switch.stage is SwitchStage.FAILED and switch.holders:
+            self._free_own_hold(group)
         watch.note_switch()
         _log.info(
             "Switch over %s.",
@@ -227,30 +235,52 @@
                 step=switch.step,
                 epoch=switch.epoch,
                 seconds=self._gateway.now() - began_at,
+                step_ms=round(watch.step_seconds * MILLISECONDS),
+                running=sum(report.running for report in reports),
+                slowest=slowest.rank,
+                slowness=slowest.slowness,
             ),
         )
+        self._gateway.count(f"switch_{switch.stage.value}")
+
+    def _free_own_hold(self, group: _Group) -> None:
+        """Withdraw what one's own switch has left held, without being asked.
+
+        Left to whoever notices a group that stands still, it would stand for
+        over a second more, and callers leave streams after two.
+        """
+        for _ in range(FREE_TRIES):
+            time.sleep(REPORT_AGE_SECONDS)
+            if self._recover(group):
+                return
+
+    def _recover(self, group: _Group) -> bool:
+        """Bring a switch to its end whose coordinator has gone.
 
-    def _recover(self, group: _Group) -> None:
-        """Bring a switch to its end whose coordinator has gone."""
+        Returns:
+            Whether nothing is held any more.
+        """
         reports = self._read_reports(group)
         if reports is None:
-            return
+            return False
         if all(report.held is None for report in reports):
-            return
+            return True
         current = self._current_map(group, reports[0])
         if current is None:
-            return
+            return False
         with self._gateway.lock:
             rng = self._gateway.rng
             switch = withdraw_held(current, reports, self._gateway.now(), rng)
         if switch is None:
-            return
+            return False
         _log.warning(
             "Group held %s.",
             fields(group=group.name, step=switch.step, version=switch.version),
         )
+        self._gateway.count("group_held")
         switch = self._carry_out(group, switch, 0.1)
         _log.info("Group freed %s.", fields(group=group.name, stage=switch.stage.value))
+        return True
 
     def _carry_out(
         self, group: _Group, switch: ArmedSwitch, step_seconds: float
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -22,7 +22,8 @@
 
 SEARCH_SECONDS = 0.3
 """Seconds between two rounds while it gives nothing: a relayed change then
-arrives well within the two seconds that a configuration may take."""
+arrives well within the two seconds that a configuration may take. A young
+entry asks as often, to know the others before it takes up duties."""
 
 EXCHANGE_SECONDS = 0.5
 """Seconds for a peer's answer, which needs no waiting; 2 ms is usual."""
@@ -69,7 +70,8 @@
             )
             await asyncio.gather(*(self._ask(address) for address in peers))
             self._gateway.set_entries(self._membership.count(now))
-            pause = SEARCH_SECONDS if is_searching else ROUND_SECONDS
+            is_hurried = is_searching or not self._membership.is_settled(now)
+            pause = SEARCH_SECONDS if is_hurried else ROUND_SECONDS
             await asyncio.sleep(pause * (0.75 + self._gateway.rng.random() / 2))
 
     async def _ask(self, address: str) -> None:
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -62,7 +62,9 @@
     watchdog.start()
     for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX):
         start_following(gateway, prefix)
-    membership = Membership(settings.vm, settings.control, settings.peers)
+    membership = Membership(
+        settings.vm, settings.control, settings.peers, gateway.now()
+    )
     start_peers(gateway, membership)
     MapKeeper(gateway, membership).start()
     start_asking(gateway)
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -136,6 +136,8 @@
                 prepared=_optional(values.get("prepared")),
                 armed=_optional(armed),
                 held=_optional(values.get("held")),
+                # The platform's pace grows as the engine gets slower.
+                slowness=float(values.get("pace") or 1.0),
             )
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -25,6 +25,7 @@
     read_caller_head,
 )
 from mintsaddle.platform._configuration import decode_table
+from mintsaddle.platform._ranks import _decode_report
 from mintsaddle.platform._settings import decode_settings
 from mintsaddle.platform.tests.standins import make_configuration
 from mintsaddle.values import Outcome, Reason
@@ -193,3 +194,17 @@
             },
         }
         assert isinstance(decode_settings("file", values), Success)
+
+
+class TestReports:
+    def test_a_slow_engine_is_known_by_its_report(self) -> None:
+        """Streams of a whole group come late because one engine is slow."""
+        values = {
+            "group": {"name": "g", "epoch": 2, "rank": 3, "state": "open"},
+            "step": 7,
+            "num_running": 5,
+            "pace": 1.6,
+            "map": 4,
+        }
+        report = _decode_report(json.dumps(values).encode(), 3).unwrap()
+        assert (report.slowness, report.running) == (1.6, 5)
