Log what a late stream and a lost group lack

Ruled out: lines dropped by the bounded buffer (none were counted). Change: the line at a stream's end has its first event and longest pause; streams_late counts; a lost group names the endpoint at fault, and each group that is regained is logged wherever that was learned. Before: 0 lines about either; after: both stand in the line of the request or of the group. A test each; the group's failed before.

--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -157,14 +157,16 @@
 
     def _stream(self, runner: CallRunner, events: Iterator[bytes]) -> Iterator[bytes]:
         ending = "caller-left"
-        is_first = True
+        timing = _StreamTiming(runner.call.arrived_at)
         try:
             for data in events:
-                if is_first:
+                if timing.first is None:
                     self._record(runner.call, Measure.FIRST)
-                    is_first = False
+                timing.note_event(self._gateway.now())
                 yield data
             ending = "streamed"
+            if timing.is_late(runner.call.route):
+                self._gateway.count("streams_late")
         except StreamCutError:
             # Raised on: the server then closes the connection without the
             # last chunk, so a cut stream can't look complete.
@@ -172,7 +174,7 @@
             raise
         finally:
             self._record(runner.call, Measure.WHOLE)
-            self._log_end(runner.call, ending, 200)
+            self._log_end(runner.call, ending, 200, timing)
 
     def _end(
         self, start: StartResponse, call: DirectCall, outcome: Outcome, reason: Reason
@@ -228,7 +230,13 @@
         name = HistogramName(call.workspace or "none", call.route.name, measure)
         self._gateway.record(name, self._gateway.now() - call.arrived_at)
 
-    def _log_end(self, call: DirectCall, ending: str, status: int) -> None:
+    def _log_end(
+        self,
+        call: DirectCall,
+        ending: str,
+        status: int,
+        timing: "_StreamTiming | None" = None,
+    ) -> None:
         self._gateway.count(f"ended_{ending.partition(':')[0]}")
         _log.info(
             "Ended %s.",
@@ -242,10 +250,45 @@
                 sends=call.sends,
                 last_event=call.last_event,
                 seconds=self._gateway.now() - call.arrived_at,
+                first=timing.first if timing else None,
+                longest_pause=timing.longest_pause if timing else None,
             ),
         )
 
 
+class _StreamTiming:
+    """When the events of one stream were passed on."""
+
+    def __init__(self, arrived_at: Instant) -> None:
+        self._arrived_at = arrived_at
+        self._last_at: Instant = arrived_at
+        self._first: float | None = None
+        self._longest_pause = 0.0
+
+    @property
+    def first(self) -> float | None:
+        """Seconds until the first event; None before it."""
+        return self._first
+
+    @property
+    def longest_pause(self) -> float:
+        """Seconds of the longest pause between two events."""
+        return self._longest_pause
+
+    def note_event(self, now: Instant) -> None:
+        """Note that an event is passed on."""
+        if self._first is None:
+            self._first = now - self._arrived_at
+        else:
+            self._longest_pause = max(self._longest_pause, now - self._last_at)
+        self._last_at = now
+
+    def is_late(self, route: Route) -> bool:
+        """Return whether its caller got it later than the route aims at."""
+        is_first_late = self._first is not None and self._first > route.objective > 0
+        return is_first_late or self._longest_pause > route.longest_pause > 0
+
+
 def find_holder(
     table: RoutingTable, route: Route, head: CallerHead
 ) -> KeyHolder | None:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -222,14 +222,27 @@
     def note_group(self, group: str, epoch: int, is_open: bool) -> None:
         """Take over what a rank or its announcement says of its group."""
         with self._groups_changed:
+            was_down = self._groups.is_down(group)
             self._groups.note_report(group, epoch, is_open, self.now())
+            if was_down and not self._groups.is_down(group):
+                _log.info("Group regained %s.", fields(group=group, epoch=epoch))
             self._groups_changed.notify_all()
 
-    def note_group_refusal(self, group: str, epoch: int) -> None:
-        """Note that a rank refused a request for its group's sake."""
+    def note_group_refusal(self, group: str, epoch: int, at_fault: str) -> None:
+        """Note that a rank refused a request for its group's sake.
+
+        Args:
+            group: The group.
+            epoch: The epoch that the rank was believed to be in.
+            at_fault: Endpoint that the refusal names as the cause.
+        """
         with self._groups_changed:
             if not self._groups.is_down(group):
-                _log.warning("Group lost %s.", fields(group=group, epoch=epoch))
+                self._counts["group_lost"] += 1
+                _log.warning(
+                    "Group lost %s.",
+                    fields(group=group, epoch=epoch, at_fault=at_fault),
+                )
             self._groups.note_refusal(group, epoch, self.now())
             self._groups_changed.notify_all()
 
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -5,15 +5,12 @@
 from returns.result import Success
 
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import read_rank_report
 
 ASK_SECONDS = 0.15
 """Seconds between two questions: a fraction of the 0.6 s that a group takes to
 form, for about the price of a health check each."""
 
-_log = make_logger("groups")
-
 
 def start_asking(gateway: Gateway) -> None:
     """Ask in a thread of its own, for the process's life."""
@@ -46,8 +43,6 @@
     match read_rank_report(chosen.address, 0):
         case Success(report):
             gateway.note_group(group, report.epoch, report.is_open)
-            if not gateway.groups.is_down(group):
-                _log.info("Group regained %s.", fields(group=group, epoch=report.epoch))
         case _:
             # A rank that can't be asked may be the very one that is lost;
             # another one is asked next.
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -192,7 +192,9 @@
         if head.never_ran:
             place = endpoint.place
             if head.at_fault and place is not None:
-                self._gateway.note_group_refusal(place.group, place.epoch)
+                self._gateway.note_group_refusal(
+                    place.group, place.epoch, head.at_fault
+                )
             return Ending.NOT_RUN, None
         if not head.is_ours:
             return Ending.BROKEN, None
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -69,6 +69,10 @@
         ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
         assert ids == [b"id: %d" % number for number in range(1, 6)]
         assert site.requests()[-1].get("Last-Event-Id", "3") == "3"
+        wait_for(lambda: "ending=streamed" in site.entry.log(), "line about the end")
+        (ended,) = [line for line in site.entry.log().splitlines() if "Ended" in line]
+        assert " first=0." in ended
+        assert " longest_pause=0." in ended
 
     def test_a_stream_that_cannot_go_on_does_not_look_complete(
         self, site: Site
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -76,3 +76,22 @@
 
         assert "i-1" in gateway.directory.endpoints
         assert "i-1" in gateway.directory.lapsed
+
+
+class TestGroups:
+    def test_each_lost_and_regained_group_is_logged_once(
+        self, gateway: Gateway, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Drafts failed for some seconds, and no line says until when.
+
+        The group was heard of by an announcement, before it was asked.
+        """
+        caplog.set_level("INFO")
+        gateway.note_group_refusal("g", 1, "i-7")
+        gateway.note_group_refusal("g", 1, "i-7")
+        gateway.note_group("g", 2, True)
+        gateway.note_group("g", 2, True)
+        told = [line for line in caplog.messages if "Group" in line]
+        assert len(told) == 2
+        assert "at_fault=i-7" in told[0]
+        assert "Group regained group=g epoch=2" in told[1]
