--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -9,12 +9,11 @@
     GiveUp,
     KeyHolder,
     Route,
-    RoutingTable,
     advise_retry,
-    choose_service,
     match_route,
 )
 from mintsaddle.decisions.routing import note_request
+from mintsaddle.direct._calls import find_holder, make_call
 from mintsaddle.direct._choice import CallerLeftError
 from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
@@ -24,6 +23,7 @@
     StreamAnswer,
     WholeAnswer,
 )
+from mintsaddle.direct._timing import StreamTiming
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import HistogramName, Measure, fields, make_logger
 from mintsaddle.platform import CallerHead, make_refusal, read_caller_head
@@ -50,7 +50,6 @@
     Reason.NO_ENDPOINT: 1.5,
 }
 
-_NO_KEY = KeyHolder("", None)
 _log = make_logger("calls")
 
 
@@ -157,7 +156,7 @@
 
     def _stream(self, runner: CallRunner, events: Iterator[bytes]) -> Iterator[bytes]:
         ending = "caller-left"
-        timing = _StreamTiming(runner.call.arrived_at)
+        timing = StreamTiming(runner.call.arrived_at)
         try:
             for data in events:
                 if timing.first is None:
@@ -235,7 +234,7 @@
         call: DirectCall,
         ending: str,
         status: int,
-        timing: "_StreamTiming | None" = None,
+        timing: StreamTiming | None = None,
     ) -> None:
         self._gateway.count(f"ended_{ending.partition(':')[0]}")
         _log.info(
@@ -256,83 +255,6 @@
         )
 
 
-class _StreamTiming:
-    """When the events of one stream were passed on."""
-
-    def __init__(self, arrived_at: Instant) -> None:
-        self._arrived_at = arrived_at
-        self._last_at: Instant = arrived_at
-        self._first: float | None = None
-        self._longest_pause = 0.0
-
-    @property
-    def first(self) -> float | None:
-        """Seconds until the first event; None before it."""
-        return self._first
-
-    @property
-    def longest_pause(self) -> float:
-        """Seconds of the longest pause between two events."""
-        return self._longest_pause
-
-    def note_event(self, now: Instant) -> None:
-        """Note that an event is passed on."""
-        if self._first is None:
-            self._first = now - self._arrived_at
-        else:
-            self._longest_pause = max(self._longest_pause, now - self._last_at)
-        self._last_at = now
-
-    def is_late(self, route: Route) -> bool:
-        """Return whether its caller got it later than the route aims at."""
-        is_first_late = self._first is not None and self._first > route.objective > 0
-        return is_first_late or self._longest_pause > route.longest_pause > 0
-
-
-def find_holder(
-    table: RoutingTable, route: Route, head: CallerHead
-) -> KeyHolder | None:
-    """Return who calls, or None when the key names nobody."""
-    if table.keys is None:
-        return _NO_KEY
-    holder = table.keys.get(head.key)
-    if holder is None and route.is_open:
-        return _NO_KEY
-    return holder
-
-
-def make_call(
-    head: CallerHead,
-    route: Route,
-    holder: KeyHolder,
-    arrived_at: Instant,
-    due_at: Instant,
-) -> DirectCall:
-    """Return the call of a request that is allowed.
-
-    Args:
-        head: What the caller's head says.
-        route: The route that it matches.
-        holder: Who calls.
-        arrived_at: When it arrived.
-        due_at: Until when its answer is on time.
-    """
-    seconds = route.timeout
-    if head.seconds_left is not None:
-        seconds = min(seconds, head.seconds_left)
-    return DirectCall(
-        request_id=head.request_id,
-        route=route,
-        service=choose_service(route, head.request_id),
-        workspace=holder.workspace,
-        arrived_at=arrived_at,
-        deadline=arrived_at + seconds,
-        due_at=due_at,
-        priority=route.priority if holder.priority is None else holder.priority,
-        last_event=head.last_event,
-    )
-
-
 class _Closing:
     """An answer's body; says so once the server is done with it."""
 
--- /dev/null
+++ b/mintsaddle/direct/_rank_groups.py
@@ -0,0 +1,41 @@
+"""The rank groups among the endpoints that have announced themselves."""
+
+from typing import NamedTuple
+
+from mintsaddle.decisions.direct import Directory, ExpertModel, Incarnation
+
+
+class RankGroup(NamedTuple):
+    """The ranks of one group, in order."""
+
+    name: str
+    ranks: tuple[Incarnation, ...]
+    model: ExpertModel
+    serving: tuple[int, ...]
+    """Ranks that get work: their data centre isn't out."""
+
+
+def find_rank_groups(directory: Directory) -> list[RankGroup]:
+    """Return the groups whose ranks are all announced."""
+    if directory.table is None:
+        return []
+    found: dict[str, dict[int, Incarnation]] = {}
+    for one in directory.endpoints.values():
+        if one.place is not None:
+            found.setdefault(one.place.group, {})[one.place.rank] = one
+    groups = []
+    for name, ranks in found.items():
+        service = directory.table.services.get(next(iter(ranks.values())).service)
+        model = service.experts if service else None
+        places = [one.place for one in ranks.values() if one.place is not None]
+        is_whole = sorted(ranks) == list(range(places[0].size))
+        if model is not None and is_whole:
+            ordered = tuple(ranks[rank] for rank in sorted(ranks))
+            serving = tuple(
+                rank
+                for rank, one in enumerate(ordered)
+                if one.data_centre not in directory.out
+            )
+            if serving:
+                groups.append(RankGroup(name, ordered, model, serving))
+    return groups
