Put the daemon's program above its roles

Cause: daemon imported entry and endpoint within a function, and both import daemon: a circle that only the late import kept from failing. Change: daemon/_main becomes program/_main with plain imports; the script entry and the tests name it there.

--- a/fakes/site.py
+++ b/fakes/site.py
@@ -150,7 +150,7 @@
             lines += [f"engine = {self._engines[name]}"]
         settings = Path(self._folder.name, f"{name}.ini")
         settings.write_text("\n".join(lines) + "\n")
-        program = "import sys; from mintsaddle.daemon import main; sys.exit(main())"
+        program = "import sys; from mintsaddle.program import main; sys.exit(main())"
         command = [sys.executable, "-c", program, "--settings", str(settings)]
         with Path(self._folder.name, f"{name}.log").open("a") as log:
             process = subprocess.Popen(
--- a/mintsaddle/cli/tests/test_tool.py
+++ b/mintsaddle/cli/tests/test_tool.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mintsaddle.cli import main
-from mintsaddle.daemon import main as daemon_main
+from mintsaddle.program import main as daemon_main
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 TEXTS = ("eftersend.ini", "clampwise.ini")
--- a/mintsaddle/daemon/__init__.py
+++ b/mintsaddle/daemon/__init__.py
@@ -1,7 +1,6 @@
-"""The daemon ``mintsaddled``: what both roles share, and its command line."""
+"""What both roles of the daemon ``mintsaddled`` share."""
 
 from mintsaddle.daemon._follow import WATCH_SECONDS, refresh
-from mintsaddle.daemon._main import load_settings, main
 from mintsaddle.daemon._node import DaemonNode, make_clock
 from mintsaddle.daemon._peers import PeerService
 from mintsaddle.daemon._serve import start_server, wait_for_stop
@@ -10,8 +9,6 @@
     "WATCH_SECONDS",
     "DaemonNode",
     "PeerService",
-    "load_settings",
-    "main",
     "make_clock",
     "refresh",
     "start_server",
--- a/mintsaddle/daemon/_main.py
+++ b/mintsaddle/program/_main.py
@@ -18,6 +18,8 @@
 from docopt import docopt
 from returns.result import Failure, Result, Success
 
+from mintsaddle.endpoint import run_endpoint
+from mintsaddle.entry import run_entry
 from mintsaddle.observe import start_logging, stop_logging
 from mintsaddle.settings import Role, Settings, read_settings
 from mintsaddle.values import Finding, Findings, render_findings
@@ -59,10 +61,6 @@
 
 
 def _run(settings: Settings) -> NoReturn:
-    # Imported late: a check of settings needs neither role's machinery.
-    from mintsaddle.endpoint import run_endpoint
-    from mintsaddle.entry import run_entry
-
     start_logging(settings.log_level)
     run = run_entry if settings.role is Role.ENTRY else run_endpoint
     code = run(settings)
