--- a/benchmarks/lockstep.py
+++ b/benchmarks/lockstep.py
@@ -13,18 +13,34 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from fakes.lockstep import PRODUCT, Day, DayResult, Outage, Policy, play_day
+from fakes.lockstep import (
+    PRODUCT,
+    CallerModel,
+    Day,
+    DayResult,
+    Outage,
+    Policy,
+    play_day,
+)
 from mintsaddle.decisions.direct import Incarnation
 from mintsaddle.decisions.routing import RoutingState
 
 SEEDS = 8
 SHORT_SEEDS = 2
 
+BUSY = CallerModel(rate=26.0)
+"""Callers of a day of high load."""
+
 PATTERNS = {
     "calm": Day(length=30.0),
     "burst": Day(length=30.0, burst=(8.0, 12.0, 1.7)),
     "rank lost for 6 s": Day(length=40.0, outages=(Outage(12.0, 17.8),)),
-    "rank lost twice": Day(length=44.0, outages=(Outage(6.0, 8.5), Outage(22.0, 27.5))),
+    "the same, high load": Day(
+        length=40.0, outages=(Outage(12.0, 17.8),), callers=BUSY
+    ),
+    "rank lost twice, high load": Day(
+        length=44.0, outages=(Outage(6.0, 8.5), Outage(22.0, 27.5)), callers=BUSY
+    ),
 }
 
 
--- a/mintsaddle/cli/_trace.py
+++ b/mintsaddle/cli/_trace.py
@@ -20,6 +20,8 @@
 _REQUEST = re.compile(r"\brequest=(?P<id>[^\s.]+)")
 _ENDING = re.compile(r"\bending=(?P<ending>[\w:-]+)")
 _REASON = re.compile(r"\breason=(?P<reason>[\w-]+)")
+_FIRST = re.compile(r"\bfirst=(\d+\.\d+)")
+_PAUSE = re.compile(r"\blongest_pause=(\d+\.\d+)")
 _WHY = re.compile(r"\bwhy=(?P<why>[\w-]+)")
 
 _CAUSES = {
@@ -72,6 +74,8 @@
         believed meanwhile, and one sentence of cause; a failure if a log can't
         be read or none of them knows the request.
     """
+    if not request:
+        return Failure("no request is named; give the caller's id of the attempt")
     lines: list[LogLine] = []
     skipped = 0
     for path in paths:
@@ -106,10 +110,18 @@
     for line in reversed(list(lines)):
         key = _ending_key(line)
         if key:
-            return _CAUSES.get(key, f"It ended {key}.")
+            return _CAUSES.get(key, f"It ended {key}.") + _timing_of(line)
     return "Its end is not in these logs: it may still run, or its entry died."
 
 
+def _timing_of(line: LogLine) -> str:
+    """Return what a stream's last line says of its events."""
+    first, pause = _FIRST.search(line.text), _PAUSE.search(line.text)
+    if first is None or pause is None:
+        return ""
+    return f" First event after {first[1]} s, longest pause {pause[1]} s."
+
+
 def _ending_key(line: LogLine) -> str:
     text = line.text
     if "] Ended " in text and (ending := _ENDING.search(text)):
--- a/mintsaddle/cli/tests/test_trace.py
+++ b/mintsaddle/cli/tests/test_trace.py
@@ -16,6 +16,8 @@
 2026-05-01 10:00:03,000 INFO [calls] Ended request=r-2 ending=cut status=200.
 2026-05-01 10:00:03,100 INFO [calls] Refused request=r-3 reason=behind.
 2026-05-01 10:00:04,000 INFO [calls] Chosen request=r-4 endpoint=i-1 load=2.
+2026-05-01 10:00:05,000 INFO [calls] Ended request=r-5 ending=streamed \
+first=0.210 longest_pause=0.131.
 a line of another program
 2026-05-01 10:00:0
 """
@@ -44,6 +46,7 @@
             ("r-2", "could not go on elsewhere"),
             ("r-3", "knew no table"),
             ("r-4", "not in these logs"),
+            ("r-5", "First event after 0.210 s, longest pause 0.131 s."),
         ],
     )
     def test_each_kind_of_end_has_its_cause(
@@ -61,6 +64,13 @@
         assert main(["trace", "r-9", log]) == 2
         assert "logs of all entries" in capsys.readouterr().err
 
+    def test_an_empty_id_is_refused(
+        self, log: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """A shell variable is unset, and the whole log comes as one story."""
+        assert main(["trace", "", log]) == 2
+        assert "no request is named" in capsys.readouterr().err
+
     def test_a_log_that_is_missing_is_named(
         self, capsys: pytest.CaptureFixture[str]
     ) -> None:
--- a/mintsaddle/decisions/expert_maps/_spread.py
+++ b/mintsaddle/decisions/expert_maps/_spread.py
@@ -3,7 +3,8 @@
 Load pattern: one expert of a layer draws a fifth of all tokens, so the rank
 that holds it makes the whole group slow; which expert it is changes every few
 seconds. Copies of it on other ranks share its tokens evenly. A copy costs the
-move of its weights, dropping one costs nothing.
+move of its weights, dropping one costs nothing. A rank that is slow counts as
+one with so much more to do: all others wait for it.
 """
 
 from collections.abc import Sequence
@@ -37,7 +38,11 @@
 
 
 def spread_experts(
-    version: int, old: ExpertMap, popularity: Popularity, limits: SpreadLimits
+    version: int,
+    old: ExpertMap,
+    popularity: Popularity,
+    limits: SpreadLimits,
+    speeds: Sequence[float] = (),
 ) -> ExpertMap:
     """Return a map that relieves the slowest ranks by further copies.
 
@@ -46,20 +51,24 @@
         old: The map in force.
         popularity: Tokens of each expert, by layer.
         limits: What a rank holds and loads at most.
+        speeds: Speed of each rank, 1 for a usual one; all usual if empty.
     """
     layers = tuple(
-        _spread_layer(layer, tokens, limits)
+        _spread_layer(layer, tokens, limits, speeds or (1.0,) * len(layer))
         for layer, tokens in zip(old.layers, popularity, strict=True)
     )
     return ExpertMap(version, layers)
 
 
-def slowest_share(expert_map: ExpertMap, popularity: Popularity) -> float:
+def slowest_share(
+    expert_map: ExpertMap, popularity: Popularity, speeds: Sequence[float] = ()
+) -> float:
     """Return the slowest rank over the mean, averaged over layers."""
     shares = []
     for layer, tokens in zip(expert_map.layers, popularity, strict=True):
-        loads = rank_loads(layer, tokens, [1.0] * len(layer))
-        mean = sum(loads) / len(loads)
+        known = speeds or (1.0,) * len(layer)
+        loads = rank_loads(layer, tokens, known)
+        mean = sum(tokens) / sum(known)
         shares.append(max(loads) / mean if mean else 1.0)
     return sum(shares) / len(shares)
 
@@ -67,8 +76,11 @@
 class _Layer:
     """One layer while it is worked on."""
 
-    def __init__(self, layer: LayerSlots, tokens: Sequence[float]) -> None:
+    def __init__(
+        self, layer: LayerSlots, tokens: Sequence[float], speeds: Sequence[float]
+    ) -> None:
         self.tokens = tokens
+        self.speeds = speeds
         self.held = [set(experts) for experts in layer]
         self.before = [frozenset(experts) for experts in layer]
         self.holders: dict[int, set[int]] = {}
@@ -99,14 +111,18 @@
             self.loads[rank] = self._load(rank)
 
     def _load(self, rank: int) -> float:
-        return sum(self.piece(expert) for expert in self.held[rank])
+        tokens = sum(self.piece(expert) for expert in self.held[rank])
+        return tokens / self.speeds[rank]
 
 
 def _spread_layer(
-    old: LayerSlots, tokens: Sequence[float], limits: SpreadLimits
+    old: LayerSlots,
+    tokens: Sequence[float],
+    limits: SpreadLimits,
+    speeds: Sequence[float],
 ) -> LayerSlots:
-    layer = _Layer(old, tokens)
-    mean = sum(layer.loads) / len(layer.loads)
+    layer = _Layer(old, tokens, speeds)
+    mean = sum(tokens) / sum(speeds)
     if mean <= 0.0:
         return old
     for _ in range(_MOST_STEPS):
@@ -127,10 +143,12 @@
     for expert in by_piece:
         # With one more copy each holder gets this much of its tokens.
         share = layer.tokens[expert] / (len(layer.holders[expert]) + 1)
-        if layer.piece(expert) - share < layer.loads[hot] * _LEAST_GAIN:
+        relief = (layer.piece(expert) - share) / layer.speeds[hot]
+        if relief < layer.loads[hot] * _LEAST_GAIN:
             break
         for cold in sorted(ranks, key=layer.loads.__getitem__):
-            if layer.loads[cold] + share >= layer.loads[hot] * (1.0 - _LEAST_GAIN):
+            more = share / layer.speeds[cold]
+            if layer.loads[cold] + more >= layer.loads[hot] * (1.0 - _LEAST_GAIN):
                 break
             if expert not in layer.held[cold] and _make_room(layer, cold, limits):
                 layer.add(expert, cold)
@@ -145,10 +163,13 @@
         if len(holders) < 2:
             continue
         more = layer.tokens[expert] / (len(holders) - 1) - layer.piece(expert)
-        others = max(layer.loads[rank] for rank in holders if rank != hot)
-        if layer.piece(expert) > 0.0 and others + more < layer.loads[hot] * (
-            1.0 - _LEAST_GAIN
-        ):
+        others = max(
+            layer.loads[rank] + more / layer.speeds[rank]
+            for rank in holders
+            if rank != hot
+        )
+        is_relief = others < layer.loads[hot] * (1.0 - _LEAST_GAIN)
+        if layer.piece(expert) > 0.0 and is_relief:
             layer.drop(expert, hot)
             return True
     return False
--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -64,6 +64,7 @@
         self._last_counts: dict[int, Popularity] = {}
         self._fresh = _zeros(layers, experts)
         self._popularity: Popularity | None = None
+        self._slowness: dict[int, float] = {}
 
     @property
     def epoch(self) -> int:
@@ -122,6 +123,10 @@
             for before, after in zip(self._popularity, shares, strict=True)
         ]
 
+    def note_slowness(self, rank: int, slowness: float) -> None:
+        """Note how slow a rank says that it is."""
+        self._slowness[rank] = max(1.0, slowness)
+
     def note_switch(self) -> None:
         """Forget the time of a step: it was measured around a switch."""
         self._step = 0
@@ -130,9 +135,13 @@
         """Return a map that is worth the change, or None."""
         if self._popularity is None:
             return None
-        planned = spread_experts(current.version + 1, current, self._popularity, limits)
-        before = slowest_share(current, self._popularity)
-        after = slowest_share(planned, self._popularity)
+        ranks = range(len(current.layers[0]))
+        speeds = [1.0 / self._slowness.get(rank, 1.0) for rank in ranks]
+        popularity = self._popularity
+        version = current.version + 1
+        planned = spread_experts(version, current, popularity, limits, speeds)
+        before = slowest_share(current, popularity, speeds)
+        after = slowest_share(planned, popularity, speeds)
         return planned if after <= before * (1.0 - LEAST_GAIN) else None
 
 
--- a/mintsaddle/decisions/expert_maps/tests/test_spread.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -82,6 +82,35 @@
         assert choose_samples([3], 2) == [3]
 
 
+class TestSlowRanks:
+    def test_a_slow_rank_gets_less_of_the_hot_experts(self) -> None:
+        """Streams of a whole group stutter because one engine is slow.
+
+        It has as much to do as the others and takes 1.6 times as long, so all
+        of them wait for it in every step.
+        """
+        speeds = [1.0] * RANKS
+        speeds[5] = 1.0 / 1.6
+        blind, aware = 0.0, 0.0
+        for seed in range(10):
+            popularity = make_popularity(seed)
+            for_all = spread_experts(1, FIRST_MAP, popularity, LIMITS)
+            for_slow = spread_experts(1, FIRST_MAP, popularity, LIMITS, speeds)
+            blind += slowest_share(for_all, popularity, speeds) / 10
+            aware += slowest_share(for_slow, popularity, speeds) / 10
+        assert blind > 1.6
+        assert aware < 1.45
+
+    def test_slowness_is_taken_into_the_plan(self) -> None:
+        watch = TestMapWatch().watch_steps(0.1)
+        planned = watch.plan(FIRST_MAP, LIMITS)
+        assert planned is not None
+        watch.note_slowness(0, 3.0)
+        again = watch.plan(planned, LIMITS)
+        assert again is not None
+        assert again.layers != planned.layers
+
+
 class TestMapWatch:
     def watch_steps(self, step_seconds: float) -> MapWatch:
         watch = MapWatch(1, LAYERS, EXPERTS)
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -33,6 +33,9 @@
 """Ranks whose counts are read in a look. Requests are spread over all ranks
 alike, so two of twelve show the hot experts; reading each costs a pause."""
 
+SLOWNESS_RANKS = 3
+"""Ranks asked in a look how slow they are: all of twelve within 2 s."""
+
 FREE_TRIES = 8
 """Looks at a group in which one's own switch has left a step held, one each
 report's age: 2.4 s; the group stands before that step within 0.5 s."""
@@ -48,6 +51,7 @@
         self._membership = membership
         self._runner = SwitchRunner(gateway.now)
         self._watches: dict[str, MapWatch] = {}
+        self._looks = 0
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
     def start(self) -> None:
@@ -94,6 +98,7 @@
             return
         if not watch.is_busy:
             return
+        self._note_slowness(group, watch)
         self._count(group, watch)
         current = self._current_map(group, report)
         if current is None:
@@ -103,6 +108,16 @@
         if planned is not None:
             self._switch(group, watch, current, planned)
 
+    def _note_slowness(self, group: RankGroup, watch: MapWatch) -> None:
+        """Ask a few ranks how slow they are, others in each look."""
+        self._looks += 1
+        ranks = len(group.ranks)
+        for offset in range(min(SLOWNESS_RANKS, ranks)):
+            rank = (self._looks * SLOWNESS_RANKS + offset) % ranks
+            report = self._runner.read_report(group, rank)
+            if report is not None:
+                watch.note_slowness(rank, report.slowness)
+
     def _count(self, group: RankGroup, watch: MapWatch) -> None:
         """Read the counts of a few ranks, the same ones each time."""
         model = group.model
