--- a/mintsaddle/cli/tests/test_tool.py
+++ b/mintsaddle/cli/tests/test_tool.py
@@ -92,3 +92,14 @@
         shown = capsys.readouterr().err
         assert "daemon.ini:2: [daemon] role" in shown
         assert "daemon.ini:3: [daemon] threads" in shown
+
+    def test_the_platforms_file_is_checked_as_well(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text('node_name = "edge-1"\nzone = "a"\n[listen]\nfront = 7\n')
+        assert daemon_main(["--settings", str(path), "--check"]) == 2
+        shown = capsys.readouterr().err
+        assert "[listen] front" in shown
+        assert "[listen] control" in shown
+        assert "store" in shown or "platform" in shown
--- a/mintsaddle/direct/__init__.py
+++ b/mintsaddle/direct/__init__.py
@@ -1,5 +1,6 @@
 """The direct entry: callers come in by HTTP, endpoints are called directly."""
 
+from mintsaddle.direct._program import EXIT_BAD_SETTINGS, run_settings_file
 from mintsaddle.direct._run import run_direct
 
-__all__ = ["run_direct"]
+__all__ = ["EXIT_BAD_SETTINGS", "run_direct", "run_settings_file"]
--- a/mintsaddle/program/_main.py
+++ b/mintsaddle/program/_main.py
@@ -5,7 +5,8 @@
   mintsaddled --help
 
 Options:
-  --settings FILE  The daemon's settings, an INI file.
+  --settings FILE  The daemon's settings: an INI file, or the platform's file
+                   if its name ends in .toml.
   --check          Only check the settings and exit.
   --help           Show this page.
 """
@@ -18,14 +19,15 @@
 from docopt import docopt
 from returns.result import Failure, Result, Success
 
+from mintsaddle.direct import EXIT_BAD_SETTINGS, run_settings_file
 from mintsaddle.endpoint import run_endpoint
 from mintsaddle.entry import run_entry
 from mintsaddle.observe import start_logging, stop_logging
+from mintsaddle.platform import load_direct_settings
 from mintsaddle.settings import Role, Settings, read_settings
 from mintsaddle.values import Finding, Findings, render_findings
 
-EXIT_BAD_SETTINGS = 2
-"""Exit code when the settings have findings."""
+_PLATFORM_SUFFIX = ".toml"
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -38,15 +40,19 @@
         The exit code: 0 after a stop that was asked for, 2 for bad settings.
     """
     options = docopt(str(__doc__), arguments)
-    match load_settings(options["--settings"]):
+    path = options["--settings"]
+    is_direct = path.endswith(_PLATFORM_SUFFIX)
+    match load_direct_settings(path) if is_direct else load_settings(path):
         case Failure(findings):
             print(render_findings(findings), file=sys.stderr)
             return EXIT_BAD_SETTINGS
         case Success(settings):
             if options["--check"]:
-                print(f"{options['--settings']}: the settings are good")
+                print(f"{path}: the settings are good")
                 return 0
-            _run(settings)
+            if isinstance(settings, Settings):
+                _run(settings)
+            run_settings_file(path)
     raise AssertionError("a result is a success or a failure")
 
 
