Know by the order itself when weights are loaded

Change: prepare is given again after 0.18 s instead of reading reports; reports are read when a rank refuses and every sixth round.

--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -110,9 +110,6 @@
     settled: frozenset[int] = frozenset()
     """Ranks that the present stage is through with."""
 
-    begun: frozenset[int] = frozenset()
-    """Ranks that load a map; a report tells when they are through."""
-
     refused: frozenset[int] = frozenset()
     """Ranks that refused the last order; a report has to tell why."""
 
--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -152,8 +152,9 @@
     waiting = [rank for rank in range(switch.ranks) if rank not in switch.settled]
     match switch.stage:
         case SwitchStage.PREPARE | SwitchStage.FENCE:
-            ranks = [rank for rank in waiting if rank not in switch.begun]
-            return tuple(_order(switch, rank, OrderAct.PREPARE) for rank in ranks)
+            # Given again, the order is answered as done once the weights are
+            # loaded; a report tells that 0.2 s later only.
+            return tuple(_order(switch, rank, OrderAct.PREPARE) for rank in waiting)
         case SwitchStage.HOLD:
             return (_order(switch, switch.holder, OrderAct.HOLD),)
         case SwitchStage.ARM:
@@ -251,8 +252,8 @@
     match order.act:
         case OrderAct.HOLD:
             return switch._replace(holders=switch.holders | {rank})
-        case OrderAct.PREPARE:
-            return switch._replace(begun=switch.begun | {rank})
+        case OrderAct.PREPARE if verdict is Verdict.BEGUN:
+            return switch
         case _:
             return _settle(switch, rank)
 
@@ -283,7 +284,7 @@
             return _note_fenced(switch, rank, report.prepared or 0)
         case SwitchStage.FENCE if is_refused:
             # It has had a higher version that isn't there any more.
-            return switch._replace(fence=switch.fence + 1, begun=frozenset())
+            return switch._replace(fence=switch.fence + 1)
         case SwitchStage.HOLD if report.held == switch.step:
             return switch._replace(holders=switch.holders | {rank})
         case SwitchStage.HOLD if report.step >= switch.step > 0:
@@ -366,6 +367,4 @@
 
 
 def _enter(switch: ArmedSwitch, stage: SwitchStage) -> ArmedSwitch:
-    return switch._replace(
-        stage=stage, settled=frozenset(), begun=frozenset(), refused=frozenset()
-    )
+    return switch._replace(stage=stage, settled=frozenset(), refused=frozenset())
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -319,6 +319,20 @@
         reports = [group.report(rank) for rank in ranks_to_read(switch)]
         assert note_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
 
+    def test_loaded_weights_are_known_before_a_report_tells(self) -> None:
+        """Steps stay long for a third of a second after the weights are there.
+
+        Reports are up to 0.2 s old; the same order, given again, is answered
+        by the engine as done.
+        """
+        group = Group()
+        reports = [group.report(rank) for rank in range(RANKS)]
+        switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
+        for stage in (SwitchStage.PREPARE, SwitchStage.HOLD):
+            answers = {order: group.obey(order) for order in next_map_orders(switch)}
+            switch = note_answers(switch, answers, now=0.0)
+            assert switch.stage is stage
+
     def test_a_switch_goes_through_when_all_answer(self) -> None:
         group = Group()
         reports = [group.report(rank) for rank in range(RANKS)]
--- a/mintsaddle/direct/_switches.py
+++ b/mintsaddle/direct/_switches.py
@@ -30,7 +30,10 @@
 """Seconds after an order until a report shows what it did: reports are up to
 0.2 s old."""
 
-_COPY_LOOK_SECONDS = 0.15
+_COPY_SECONDS = 0.18
+"""Seconds until a rank is asked again whether it has loaded its weights: one
+takes 0.15 to 0.2 s, and most maps bring a rank one at most."""
+
 _ROUND_SECONDS = 0.05
 _PAUSE_SECONDS = 0.02
 """Seconds between two rounds in a hurry: a rank that is down refuses at once,
@@ -84,9 +87,14 @@
                 continue
             if must_read_first(switch):
                 continue
-            is_unsure = {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values())
+            is_refused = Verdict.REFUSED in answers.values()
+            is_copying = stage is SwitchStage.PREPARE and not is_refused
+            if is_copying and rounds % ROUNDS_TO_REPORT:
+                time.sleep(_COPY_SECONDS if switch.stage is stage else 0)
+                continue
+            is_unsure = is_refused or Verdict.UNKNOWN in answers.values()
             if is_unsure or stage is SwitchStage.PREPARE:
-                time.sleep(REPORT_AGE_SECONDS if is_unsure else _COPY_LOOK_SECONDS)
+                time.sleep(REPORT_AGE_SECONDS if is_unsure else _COPY_SECONDS)
                 switch = self._settle(group, switch)
             else:
                 time.sleep(0 if switch.stage is not stage else _ROUND_SECONDS)
