Keep only own items and routes; share the tests' sample route

Cause: read as a newcomer would: one watch of everything would keep what other users of the store write, routes that are gone stayed in an entry's memory for good, and a sample route stood three times. Change: items of other keys are dropped before they are kept or relayed; routes are forgotten with their table; tests share samples.

--- a/mintsaddle/decisions/direct/_urgency.py
+++ b/mintsaddle/decisions/direct/_urgency.py
@@ -4,13 +4,15 @@
 to come back arrive together with those who ask for the first time. First come,
 first served makes everybody late for as long as the backlog lasts, since the
 group bears little more than what is asked anew. So a request that can still be
-on time goes first, and a late one takes what is left: it earns the caller half
-at most, whether it waits for a second or for two.
+on time goes first, and a late one takes what is left: to its caller a second
+more matters less.
 
 Endpoints admit by the urgency that a request names, so entries need no common
 queue for this.
 """
 
+from collections.abc import Collection
+
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.values import Instant
 
@@ -56,6 +58,11 @@
             count, longest = 0, 0.0
         self._recent[route] = (count, longest)
 
+    def keep_only(self, routes: Collection[str]) -> None:
+        """Forget routes that the table doesn't hold any more."""
+        self._longest = {k: v for k, v in self._longest.items() if k in routes}
+        self._recent = {k: v for k, v in self._recent.items() if k in routes}
+
     def is_returning(self, route: str, seconds_left: float) -> bool:
         """Return whether a caller has asked before, by estimate."""
         return seconds_left < self._longest.get(route, 0.0) * _RETURNING_SHARE
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -28,7 +28,6 @@
     RankPlace,
     Repeat,
     Replica,
-    Route,
     RoutingTable,
     TablePublished,
     TryAgain,
@@ -43,24 +42,10 @@
     note_attempt,
     usable_endpoints,
 )
+from mintsaddle.decisions.direct.tests.samples import ROUTE
 from mintsaddle.decisions.routing import RoutingState, note_failed, note_sent
 from mintsaddle.values import Outcome
 
-ROUTE = Route(
-    name="route",
-    host="host",
-    prefix="/",
-    repeat=Repeat.IDEMPOTENT,
-    is_stream=False,
-    timeout=8.0,
-    objective=0.4,
-    longest_pause=0.12,
-    priority=1,
-    destinations=(Destination("desk", 1.0),),
-    most_attempts=2,
-    is_open=False,
-)
-
 
 def make_call(repeat: Repeat = Repeat.IDEMPOTENT, attempts: int = 2) -> DirectCall:
     route = ROUTE._replace(repeat=repeat, most_attempts=attempts)
--- a/mintsaddle/decisions/direct/tests/test_urgency.py
+++ b/mintsaddle/decisions/direct/tests/test_urgency.py
@@ -5,28 +5,11 @@
 from mintsaddle.decisions.direct import (
     FIRST_URGENCY,
     LATE_URGENCY,
-    Destination,
     DirectCall,
-    Repeat,
-    Route,
     RouteDeadlines,
     choose_urgency,
 )
-
-ROUTE = Route(
-    name="draft",
-    host="host",
-    prefix="/",
-    repeat=Repeat.RESUMABLE,
-    is_stream=True,
-    timeout=8.0,
-    objective=0.4,
-    longest_pause=0.12,
-    priority=1,
-    destinations=(Destination("llm", 1.0),),
-    most_attempts=2,
-    is_open=False,
-)
+from mintsaddle.decisions.direct.tests.samples import ROUTE
 
 CALL = DirectCall(
     "id", ROUTE, "llm", "north", arrived_at=0.0, deadline=8.0, due_at=0.4, priority=1
@@ -87,3 +70,12 @@
         for _ in range(128):
             deadlines.note("draft", 4.0)
         assert not deadlines.is_returning("draft", 4.0)
+
+    def test_routes_that_are_gone_are_forgotten(self) -> None:
+        """An entry's memory grows by every route that was ever published."""
+        deadlines = RouteDeadlines()
+        deadlines.note("draft", 8.0)
+        deadlines.note("old", 8.0)
+        deadlines.keep_only({"draft"})
+        assert deadlines.is_returning("draft", 3.0)
+        assert not deadlines.is_returning("old", 3.0)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -20,7 +20,7 @@
 )
 from mintsaddle.decisions.routing import RoutingState, note_sent
 from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
-from mintsaddle.platform import PUBLISHED_PREFIX, decode_items
+from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
 
@@ -190,7 +190,7 @@
         with self._lock:
             replica = self._replica
             take = replica.replace if is_complete else replica.merge
-            changed = take(items, position)
+            changed = take([item for item in items if is_ours(item.key)], position)
             replica.confirm(confirmed_at)
             if changed:
                 self._apply(changed, source, self.now())
@@ -281,6 +281,9 @@
         for one in after.endpoints.values():
             if one.place is not None and one is not before.endpoints.get(one.name):
                 self.note_group(one.place.group, one.place.epoch, one.place.is_open)
+        if after.table is not None and after.table is not before.table:
+            routes = {r.name for all_of in after.table.hosts.values() for r in all_of}
+            self._deadlines.keep_only(routes)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
         _log.info(
--- a/mintsaddle/platform/__init__.py
+++ b/mintsaddle/platform/__init__.py
@@ -4,6 +4,7 @@
 from mintsaddle.platform._items import (
     PUBLISHED_PREFIX,
     decode_items,
+    is_ours,
 )
 from mintsaddle.platform._messages import (
     READY_PATH,
@@ -34,6 +35,7 @@
     "StoreClient",
     "StoreProblem",
     "decode_items",
+    "is_ours",
     "load_direct_settings",
     "make_answer_headers",
     "make_endpoint_headers",
--- a/mintsaddle/platform/_items.py
+++ b/mintsaddle/platform/_items.py
@@ -33,6 +33,15 @@
 _log = make_logger("platform")
 
 
+def is_ours(key: str) -> bool:
+    """Return whether a key is one that entries act on.
+
+    Guards against other users of the store, whose items would fill the copy
+    and every message to peers.
+    """
+    return key == _TABLE_KEY or key.startswith((_OUT_PREFIX, _ENDPOINT_PREFIX))
+
+
 def decode_items(items: Iterable[PublishedItem], now: Instant) -> list[Fact]:
     """Return the facts that changed items hold; unreadable ones are logged."""
     facts: list[Fact] = []
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -78,6 +78,16 @@
         assert "i-1" in gateway.directory.lapsed
 
 
+class TestOtherUsers:
+    def test_items_of_others_are_not_kept(self, gateway: Gateway) -> None:
+        """Another system writes to the store, and entries run out of memory."""
+        take(gateway, PublishedItem("others/1", 6, b"x" * 1000))
+        assert [item.key for item in gateway.replica.changes_since(0)] == [
+            "servers/i-1"
+        ]
+        assert gateway.replica.position == 6
+
+
 class TestGroups:
     def test_each_lost_and_regained_group_is_logged_once(
         self, gateway: Gateway, caplog: pytest.LogCaptureFixture
