--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -80,7 +80,7 @@
 
 class TestOtherUsers:
     def test_items_of_others_are_not_kept(self, gateway: Gateway) -> None:
-        """Another system writes to the store, and entries run out of memory."""
+        """Another system writes to the store, and entries' memory fills up."""
         take(gateway, PublishedItem("others/1", 6, b"x" * 1000))
         assert [item.key for item in gateway.replica.changes_since(0)] == [
             "servers/i-1"
