--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -127,6 +127,16 @@
     return measure_seconds(lambda: spread_experts(1, first, popularity, limits)) * 1e3
 
 
+def switch_kilobytes(ranks: int, experts: int, layers: int) -> float:
+    """Return what the orders of one switch take: each rank gets the whole map.
+
+    A rank is given its prepare twice, which tells when its weights are there.
+    """
+    first = make_first_map(0, ranks, experts, layers, -(-experts // ranks))
+    text = json.dumps(first.layers, separators=(",", ":"))
+    return 2 * ranks * len(text) / 1e3
+
+
 def measure() -> tuple[Row, ...]:
     """Return all slopes."""
     return (
@@ -155,6 +165,11 @@
             f"{spread_milliseconds(12, 96, 3):.1f} ms, 12 ranks, 96 experts, 3 layers",
             f"{spread_milliseconds(128, 256, 8):.1f} ms, 128 ranks, 256, 8 layers",
         ),
+        Row(
+            "orders of one switch of a map",
+            f"{switch_kilobytes(12, 96, 3):.0f} KB, 12 ranks, 96 experts, 3 layers",
+            f"{switch_kilobytes(128, 256, 8):.0f} KB, 128 ranks, 256, 8 layers",
+        ),
     )
 
 
