--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -58,16 +58,26 @@
 """Steps tried before the switch is given up: each was passed too soon."""
 
 
-def draw_version(reports: Sequence[RankReport], rng: random.Random) -> int:
-    """Return a version above all that ranks tell of, drawn by chance.
+def draw_version(
+    reports: Sequence[RankReport], rng: random.Random, above: int = 0
+) -> int:
+    """Return a version above all that are known, drawn by chance.
 
     Guards against two coordinators with the same version, as after a power cut
     when no entry knows the others yet. Each would take what the other one has
     prepared and armed for its own, and whichever withdraws would disarm ranks
     of a switch that the other one is about to release: a step then begins with
     two maps.
+
+    Args:
+        reports: A report of every rank.
+        rng: The source of chance.
+        above: The last version that this coordinator drew for the group. Ranks
+            refuse versions that they have had, and reports tell present ones
+            only: without it each further try would be refused like the first.
     """
-    generation = max(_told_versions(reports)) // VERSION_DRAWS + 1
+    highest = max(above, *_told_versions(reports))
+    generation = highest // VERSION_DRAWS + 1
     return generation * VERSION_DRAWS + rng.randrange(VERSION_DRAWS - 1)
 
 
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -244,8 +244,10 @@
 PERMISSIVE = [release_with_one_missing, release_without_a_fence, arm_without_a_hold]
 
 
-def draw_next_number(reports: Sequence[RankReport], rng: random.Random) -> int:
-    del rng
+def draw_next_number(
+    reports: Sequence[RankReport], rng: random.Random, above: int = 0
+) -> int:
+    del rng, above
     told = [(r.version, r.prepared or 0, r.armed or 0) for r in reports]
     return max(max(versions) for versions in told) + 1
 
@@ -319,6 +321,16 @@
         reports = [group.report(rank) for rank in ranks_to_read(switch)]
         assert note_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
 
+    def test_a_refused_version_is_not_tried_again(self) -> None:
+        """After a group has formed anew its map is never changed again.
+
+        Its ranks report map 0 only, and refuse versions that they have had.
+        """
+        reports = [Group().report(rank) for rank in range(RANKS)]
+        rng = random.Random(1)
+        first = _armed_switch.draw_version(reports, rng)
+        assert _armed_switch.draw_version(reports, rng, above=first) > first
+
     def test_loaded_weights_are_known_before_a_report_tells(self) -> None:
         """Steps stay long for a third of a second after the weights are there.
 
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -51,6 +51,7 @@
         self._membership = membership
         self._runner = SwitchRunner(gateway.now)
         self._watches: dict[str, MapWatch] = {}
+        self._last_versions: dict[str, int] = {}
         self._looks = 0
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
@@ -159,8 +160,10 @@
         reports = self._runner.read_reports(group)
         if reports is None or any(report.held is not None for report in reports):
             return
+        last = self._last_versions.get(group.name, 0)
         with self._gateway.lock:
-            version = draw_version(reports, self._gateway.rng)
+            version = draw_version(reports, self._gateway.rng, above=last)
+        self._last_versions[group.name] = version
         new_map = planned._replace(version=version)
         switch = begin_switch(current, new_map, reports, self._gateway.now())
         began_at = self._gateway.now()
