Drop a constant that nothing reads and a second public face

Change: the package takes Policy from where it is defined. Measured: scripts/test on this tree: 539 passed; no behaviour changes.

--- a/fakes/lockstep/__init__.py
+++ b/fakes/lockstep/__init__.py
@@ -5,8 +5,8 @@
 """
 
 from fakes.lockstep._callers import CallerModel, Visit
-from fakes.lockstep._day import Day, DayResult, Outage, Policy, play_day
-from fakes.lockstep._entry import PRODUCT, ChooseRank, pick_product
+from fakes.lockstep._day import Day, DayResult, Outage, play_day
+from fakes.lockstep._entry import PRODUCT, ChooseRank, Policy, pick_product
 from fakes.lockstep._group import EngineModel, RankGroup, Work, WorkEnd
 
 __all__ = [
--- a/fakes/lockstep/_day.py
+++ b/fakes/lockstep/_day.py
@@ -9,11 +9,8 @@
 from fakes.lockstep._group import EngineModel, RankGroup
 from fakes.model._world import START, World
 
-__all__ = ["Day", "DayResult", "Outage", "Policy", "play_day"]
-
 ENTRIES = 7
 _OPEN_LOOK = 0.15
-_WINDOW = 2.0
 
 
 class Outage(NamedTuple):
