Look at ranks and order them through agents on their engines' VMs

Cause: half of Lothian's streams were late by their pauses, since maps came late: a look each 0.5 s at counts of 2 of 12 ranks, reports 0.2 s old, a first plan from a mixture of old and new counts, a second one from a map that was no longer in force, 0.4 to 1.2 s for a switch. With agents a look each 0.1 s at all ranks, reports that tell what holds now, a held step two steps ahead. Counts of a layer are dropped once popularity has changed, averaged otherwise; ranks load for 0.15 s for a map, a second one brings the rest; nothing is planned until the last map is in force; busy follows the longest pause of routes.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -50,6 +50,7 @@
     Repeat,
     Route,
     RoutingTable,
+    bearable_pause,
     choose_service,
     match_route,
 )
@@ -100,6 +101,7 @@
     "advise_retry",
     "apply_facts",
     "attempt_until",
+    "bearable_pause",
     "choose_incarnation",
     "choose_service",
     "choose_urgency",
--- a/mintsaddle/decisions/direct/_table.py
+++ b/mintsaddle/decisions/direct/_table.py
@@ -69,6 +69,9 @@
     new_places: int
     """Experts of a layer that one rank can load for one map."""
 
+    load_seconds: float
+    """Seconds that a rank takes to load one expert; 0 when it isn't told."""
+
 
 class DirectService(NamedTuple):
     """A service whose endpoints an entry calls itself."""
@@ -152,3 +155,18 @@
         if point < 0:
             return destination.service
     return route.destinations[-1].service
+
+
+def bearable_pause(table: RoutingTable, service: str) -> float:
+    """Return the shortest pause that a route to a service bears.
+
+    Returns:
+        Seconds; 0 if no such route names a pause.
+    """
+    pauses = [
+        route.longest_pause
+        for routes in table.hosts.values()
+        for route in routes
+        if any(one.service == service for one in route.destinations)
+    ]
+    return min((pause for pause in pauses if pause > 0), default=0.0)
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -44,6 +44,7 @@
 )
 from mintsaddle.decisions.expert_maps._spread import (
     SpreadLimits,
+    choose_limits,
     slowest_share,
     spread_experts,
 )
@@ -84,6 +85,7 @@
     "SwitchState",
     "Verdict",
     "begin_switch",
+    "choose_limits",
     "choose_samples",
     "choose_step",
     "count_moved",
--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -45,7 +45,7 @@
 
 
 class RankReport(NamedTuple):
-    """What a rank's engine says of itself; up to 0.2 s old."""
+    """What a rank's engine says of itself."""
 
     rank: int
     epoch: int
@@ -72,6 +72,9 @@
     slowness: float = 1.0
     """Times that its work takes; above 1 it holds up the whole group."""
 
+    is_fresh: bool = False
+    """Whether it tells what holds now; else it may be 0.2 s old."""
+
 
 class SwitchStage(enum.Enum):
     """How far a switch is."""
--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -50,6 +50,11 @@
 LEAD_STEPS = 3
 """Steps more, for the time that the orders themselves take."""
 
+FRESH_LEAD_STEPS = 2
+"""Steps until the one that is held, by reports that tell what holds now: the
+next step may begin at any moment, and the one after it only once that is over,
+while the order to hold takes some milliseconds."""
+
 VERSION_DRAWS = 1_000_000
 """Versions to draw from; with a few coordinators at a time two draw the same
 one in less than one of 100,000 cases."""
@@ -225,9 +230,12 @@
     return _advance(switch, now)
 
 
-def choose_step(report_step: int, step_seconds: float) -> int:
+def choose_step(reports: Sequence[RankReport], step_seconds: float) -> int:
     """Return the step to hold: soon, but surely not begun yet."""
-    return report_step + LEAD_STEPS + round(LEAD_SECONDS / max(0.01, step_seconds))
+    newest = max(report.step for report in reports)
+    if all(report.is_fresh for report in reports):
+        return newest + FRESH_LEAD_STEPS
+    return newest + LEAD_STEPS + round(LEAD_SECONDS / max(0.01, step_seconds))
 
 
 def hold_at(switch: ArmedSwitch, step: int) -> ArmedSwitch:
--- a/mintsaddle/decisions/expert_maps/_spread.py
+++ b/mintsaddle/decisions/expert_maps/_spread.py
@@ -17,18 +17,24 @@
     rank_loads,
 )
 
-GOOD_ENOUGH = 1.5
-"""Slowest rank over the mean at which no more copies are made. Of 1.25 and 1.5
-the latter moves fewer weights and is served better at high load (worth 0.43
-and 0.51 on the same day): the next change of popularity undoes the rest."""
+GOOD_ENOUGH = 1.25
+"""Slowest rank over the mean at which no more copies are made: the requests
+that are written at one time differ by as much, and the next change of
+popularity undoes what further copies win."""
 
 _MOST_STEPS = 60
+"""Changes to a layer at most."""
+
 _LEAST_GAIN = 0.01
 """Share of a rank's load that one more copy has to take away."""
 
 
+LOAD_SECONDS = 0.15
+"""Seconds that ranks load for one map, unless a single expert takes more."""
+
+
 class SpreadLimits(NamedTuple):
-    """What the engines allow."""
+    """What the engines allow, and what is worth waiting for."""
 
     places: int
     """Experts of one layer that a rank can hold."""
@@ -36,6 +42,23 @@
     new_places: int
     """Experts of one layer that a rank can load for one map."""
 
+    loads: int
+    """Experts of all layers that a rank loads for one map at most. All ranks
+    wait for the one that loads longest, and until then the old map is in use:
+    the first few copies relieve most, and a second map brings the rest."""
+
+
+def choose_limits(places: int, new_places: int, load_seconds: float) -> SpreadLimits:
+    """Return the limits of a map.
+
+    Args:
+        places: Experts of one layer that a rank can hold.
+        new_places: Experts of one layer that a rank can load for one map.
+        load_seconds: Seconds that loading an expert takes.
+    """
+    loads = int(LOAD_SECONDS / load_seconds) if load_seconds > 0 else new_places
+    return SpreadLimits(places, new_places, max(1, loads))
+
 
 def spread_experts(
     version: int,
@@ -53,11 +76,11 @@
         limits: What a rank holds and loads at most.
         speeds: Speed of each rank, 1 for a usual one; all usual if empty.
     """
-    layers = tuple(
-        _spread_layer(layer, tokens, limits, speeds or (1.0,) * len(layer))
-        for layer, tokens in zip(old.layers, popularity, strict=True)
-    )
-    return ExpertMap(version, layers)
+    plan = _Plan(limits)
+    for layer, tokens in zip(old.layers, popularity, strict=True):
+        plan.add(_Layer(layer, tokens, speeds or (1.0,) * len(layer)))
+    plan.relieve_all()
+    return ExpertMap(version, tuple(layer.slots() for layer in plan.layers))
 
 
 def slowest_share(
@@ -88,6 +111,15 @@
             for expert in experts:
                 self.holders.setdefault(expert, set()).add(rank)
         self.loads = [self._load(rank) for rank in range(len(layer))]
+        self.mean = sum(tokens) / sum(speeds)
+
+    @property
+    def skew(self) -> float:
+        """The slowest rank over the mean."""
+        return max(self.loads) / self.mean if self.mean else 1.0
+
+    def slots(self) -> LayerSlots:
+        return tuple(tuple(sorted(experts)) for experts in self.held)
 
     def piece(self, expert: int) -> float:
         return self.tokens[expert] / len(self.holders[expert])
@@ -115,25 +147,39 @@
         return tokens / self.speeds[rank]
 
 
-def _spread_layer(
-    old: LayerSlots,
-    tokens: Sequence[float],
-    limits: SpreadLimits,
-    speeds: Sequence[float],
-) -> LayerSlots:
-    layer = _Layer(old, tokens, speeds)
-    mean = sum(tokens) / sum(speeds)
-    if mean <= 0.0:
-        return old
-    for _ in range(_MOST_STEPS):
-        if max(layer.loads) <= mean * GOOD_ENOUGH:
-            break
-        if not _relieve_slowest(layer, limits):
-            break
-    return tuple(tuple(sorted(experts)) for experts in layer.held)
+class _Plan:
+    """All layers, and what ranks load for them together."""
+
+    def __init__(self, limits: SpreadLimits) -> None:
+        self.limits = limits
+        self.layers: list[_Layer] = []
+
+    def add(self, layer: _Layer) -> None:
+        self.layers.append(layer)
+
+    def relieve_all(self) -> None:
+        """Relieve the worst layer first, since ranks can load a few only."""
+        left = dict.fromkeys(range(len(self.layers)), _MOST_STEPS)
+        while left:
+            index = max(left, key=lambda one: self.layers[one].skew)
+            layer = self.layers[index]
+            if layer.skew <= GOOD_ENOUGH or not _relieve_slowest(layer, self):
+                del left[index]
+                continue
+            left[index] -= 1
+            if not left[index]:
+                del left[index]
+
+    def may_load(self, layer: _Layer, expert: int, rank: int) -> bool:
+        """Return whether a rank can get an expert without loading too much."""
+        if expert in layer.before[rank]:
+            return True
+        if layer.new_count(rank) >= self.limits.new_places:
+            return False
+        return sum(one.new_count(rank) for one in self.layers) < self.limits.loads
 
 
-def _relieve_slowest(layer: _Layer, limits: SpreadLimits) -> bool:
+def _relieve_slowest(layer: _Layer, plan: _Plan) -> bool:
     """Take load from the slowest rank; return whether anything was found."""
     ranks = range(len(layer.loads))
     hot = max(ranks, key=layer.loads.__getitem__)
@@ -150,7 +196,9 @@
             more = share / layer.speeds[cold]
             if layer.loads[cold] + more >= layer.loads[hot] * (1.0 - _LEAST_GAIN):
                 break
-            if expert not in layer.held[cold] and _make_room(layer, cold, limits):
+            if expert in layer.held[cold] or not plan.may_load(layer, expert, cold):
+                continue
+            if _make_room(layer, cold, plan.limits):
                 layer.add(expert, cold)
                 return True
     return False
@@ -177,8 +225,6 @@
 
 def _make_room(layer: _Layer, rank: int, limits: SpreadLimits) -> bool:
     """Return whether a rank can take one more, dropping its idlest spare."""
-    if layer.new_count(rank) >= limits.new_places:
-        return False
     if len(layer.held[rank]) < limits.places:
         return True
     spares = [e for e in layer.held[rank] if len(layer.holders[e]) > 1]
--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -1,11 +1,13 @@
 """Deciding when a group's map is worth changing.
 
 Load pattern: popularity stays for a few seconds and then changes for most
-experts at once; some of it returns. A change costs the moved weights, a dozen
+experts at once; some of it returns. A change costs the moved weights, some
 orders and slower steps while weights are loaded, so it has to win more than
 that: nothing is changed while the group keeps up anyway.
 """
 
+import math
+from collections import deque
 from collections.abc import Sequence
 
 from mintsaddle.decisions.expert_maps._maps import ExpertMap, Popularity
@@ -16,18 +18,29 @@
 )
 from mintsaddle.values import Instant
 
-BUSY_STEP_SECONDS = 0.06
-"""Seconds of a step from which a better map is looked for. Loading weights
-makes steps longer by 15 in 100: begun only at 0.1 s, it makes every pause
-longer than the 0.12 s that are on time. On calm days steps take 0.06 s."""
+BUSY_SHARE = 0.25
+"""Share of the longest pause that callers bear from which a step counts as
+long: a better map is looked for well before pauses are too long, since loading
+weights makes steps longer by 15 in 100."""
 
-LEAST_GAIN = 0.3
-"""Share of the slowest rank's load that a new map has to take away. At 0.2 a
-calm day pays 0.03 of its worth for maps, at 0.3 0.02 and is served as well."""
+LEAST_GAIN = 0.1
+"""Share of the slowest rank's load that a new map has to take away."""
 
-KEEP_COUNTS = 0.3
-"""Share of older counts in the popularity: it follows a change within one or
-two looks and still evens out single requests."""
+AVERAGE_SECONDS = 0.6
+"""Seconds over which counts are averaged while popularity stays: long enough
+to even out which requests happen to be written at present."""
+
+SHIFT_DISTANCE = 0.22
+"""Share of a layer's tokens that go to other experts than before from which
+popularity has changed: older counts of that layer are dropped, since a map for
+a mixture of both would suit neither."""
+
+STEP_SECONDS = 0.3
+"""Seconds over which a step's time is measured; a look may see none begin."""
+
+IN_FORCE_SECONDS = 1.0
+"""Seconds for an ordered map to come into use, after which it is planned from
+whatever the ranks report."""
 
 STUCK_SECONDS = 0.6
 """Seconds without a step, with requests running, after which a held step is
@@ -52,19 +65,31 @@
 class MapWatch:
     """What is known of one group in one epoch."""
 
-    def __init__(self, epoch: int, layers: int, experts: int) -> None:
+    def __init__(
+        self, epoch: int, layers: int, experts: int, longest_pause: float
+    ) -> None:
+        """Begin to watch.
+
+        Args:
+            epoch: The group's epoch.
+            layers: Layers of its model.
+            experts: Experts of each layer.
+            longest_pause: Seconds between two events that callers bear.
+        """
         self._epoch = epoch
         self._layers = layers
         self._experts = experts
-        self._step = 0
-        self._step_at: Instant = 0.0
+        self._longest_pause = longest_pause
+        self._steps: deque[tuple[Instant, int]] = deque()
         self._moved_at: Instant = 0.0
-        self._step_seconds = 0.0
         self._running = 0
         self._last_counts: dict[int, Popularity] = {}
         self._fresh = _zeros(layers, experts)
-        self._popularity: Popularity | None = None
+        self._fresh_at: Instant | None = None
+        self._popularity: list[list[float]] | None = None
         self._slowness: dict[int, float] = {}
+        self._ordered_version = 0
+        self._ordered_until: Instant = 0.0
 
     @property
     def epoch(self) -> int:
@@ -74,26 +99,41 @@
     @property
     def step_seconds(self) -> float:
         """Seconds that a step takes at present; 0 while not known."""
-        return self._step_seconds
+        if not self._running or len(self._steps) < 2:
+            return 0.0
+        (first_at, first), (last_at, last) = self._steps[0], self._steps[-1]
+        return (last_at - first_at) / (last - first)
 
     @property
     def is_busy(self) -> bool:
         """Whether the group is the bottleneck."""
-        return self._step_seconds >= BUSY_STEP_SECONDS
+        return self.step_seconds >= self._longest_pause * BUSY_SHARE
 
     def is_stuck(self, now: Instant) -> bool:
         """Return whether the group stands still although it has work."""
         return self._running > 0 and now - self._moved_at > STUCK_SECONDS
 
+    def is_in_force(self, version: int, now: Instant) -> bool:
+        """Return whether no ordered map is still to come into use.
+
+        Guards against a plan from the map before: its orders are refused, or
+        it moves again what the ordered map has moved.
+
+        Args:
+            version: The version in use, as a rank reports.
+            now: The present instant.
+        """
+        return version == self._ordered_version or now >= self._ordered_until
+
     def note_step(self, step: int, running: int, now: Instant) -> None:
         """Note a report's step and requests."""
-        if step != self._step or not running:
-            if self._step and step > self._step and running and self._running:
-                self._step_seconds = (now - self._step_at) / (step - self._step)
+        if not running or not self._running:
+            self._steps.clear()
+        if not self._steps or step != self._steps[-1][1] or not running:
             self._moved_at = now
-        if not running:
-            self._step_seconds = 0.0
-        self._step, self._step_at = step, now
+            self._steps.append((now, step))
+        while len(self._steps) > 2 and self._steps[1][0] <= now - STEP_SECONDS:
+            self._steps.popleft()
         self._running = running
 
     def note_counts(self, rank: int, counts: Popularity) -> None:
@@ -106,30 +146,34 @@
             for expert, (was, now) in enumerate(zip(old, new, strict=True)):
                 fresh[expert] += max(0, now - was)
 
-    def finish_counts(self) -> None:
+    def finish_counts(self, now: Instant) -> None:
         """Take the counts of one look into the popularity."""
-        fresh, self._fresh = self._fresh, _zeros(self._layers, self._experts)
+        fresh = self._fresh
         if not all(sum(layer) for layer in fresh):
             return
+        self._fresh = _zeros(self._layers, self._experts)
         shares = [[count / sum(layer) for count in layer] for layer in fresh]
-        if self._popularity is None:
-            self._popularity = shares
+        before, before_at = self._popularity, self._fresh_at
+        self._popularity, self._fresh_at = shares, now
+        if before is None or before_at is None:
             return
+        keep = math.exp((before_at - now) / AVERAGE_SECONDS)
         self._popularity = [
-            [
-                KEEP_COUNTS * old + (1.0 - KEEP_COUNTS) * new
-                for old, new in zip(before, after, strict=True)
-            ]
-            for before, after in zip(self._popularity, shares, strict=True)
+            _average(old, new, keep) for old, new in zip(before, shares, strict=True)
         ]
 
     def note_slowness(self, rank: int, slowness: float) -> None:
         """Note how slow a rank says that it is."""
         self._slowness[rank] = max(1.0, slowness)
 
-    def note_switch(self) -> None:
-        """Forget the time of a step: it was measured around a switch."""
-        self._step = 0
+    def note_switch(self, version: int, now: Instant) -> None:
+        """Note that a map was ordered.
+
+        The time of a step is forgotten: it was measured around a switch.
+        """
+        self._steps.clear()
+        self._ordered_version = version
+        self._ordered_until = now + IN_FORCE_SECONDS
 
     def plan(self, current: ExpertMap, limits: SpreadLimits) -> ExpertMap | None:
         """Return a map that is worth the change, or None."""
@@ -145,5 +189,13 @@
         return planned if after <= before * (1.0 - LEAST_GAIN) else None
 
 
+def _average(old: Sequence[float], new: Sequence[float], keep: float) -> list[float]:
+    """Return a layer's popularity; the new one alone after a change."""
+    distance = sum(abs(was - now) for was, now in zip(old, new, strict=True)) / 2
+    if distance > SHIFT_DISTANCE:
+        return list(new)
+    return [keep * was + (1.0 - keep) * now for was, now in zip(old, new, strict=True)]
+
+
 def _zeros(layers: int, experts: int) -> list[list[float]]:
     return [[0.0] * experts for _ in range(layers)]
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -2,10 +2,8 @@
 
 import threading
 
-from returns.result import Success
-
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.platform import read_rank_report
+from mintsaddle.direct._rank_calls import RankCalls
 
 ASK_SECONDS = 0.15
 """Seconds between two questions: a fraction of the 0.6 s that a group takes to
@@ -19,31 +17,30 @@
 
 def _run(gateway: Gateway) -> None:
     pause = threading.Event()
+    calls = RankCalls(gateway.settings, gateway.now, gateway.count)
     while True:
         with gateway.groups_changed:
             while not gateway.groups.down_groups():
                 gateway.groups_changed.wait()
             down = gateway.groups.down_groups()
         for group in down:
-            _ask(gateway, group)
+            _ask(gateway, calls, group)
         pause.wait(ASK_SECONDS)
 
 
-def _ask(gateway: Gateway, group: str) -> None:
+def _ask(gateway: Gateway, calls: RankCalls, group: str) -> None:
     """Ask one rank, another one each time: some may be cut off."""
-    ranks = [
-        one
+    places = {
+        one.address: one.place
         for one in gateway.directory.endpoints.values()
         if one.place is not None and one.place.group == group
-    ]
-    if not ranks:
+    }
+    if not places:
         return
     with gateway.lock:
-        chosen = gateway.rng.choice(ranks)
-    match read_rank_report(chosen.address, 0):
-        case Success(report):
-            gateway.note_group(group, report.epoch, report.is_open)
-        case _:
-            # A rank that can't be asked may be the very one that is lost;
-            # another one is asked next.
-            return
+        address = gateway.rng.choice(list(places))
+    report = calls.read_report(address, places[address].rank)
+    # A rank that can't be asked may be the very one that is lost; another one
+    # is asked next.
+    if report is not None:
+        gateway.note_group(group, report.epoch, report.is_open)
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -3,35 +3,41 @@
 import threading
 import time
 
-from returns.result import Failure, Success
-
-from mintsaddle.decisions.direct import Membership
+from mintsaddle.decisions.direct import Membership, bearable_pause
 from mintsaddle.decisions.expert_maps import (
     ExpertMap,
     MapWatch,
     RankReport,
-    SpreadLimits,
     SwitchStage,
     begin_switch,
+    choose_limits,
     choose_samples,
     draw_version,
     make_first_map,
     withdraw_held,
 )
 from mintsaddle.direct._gateway import Gateway, map_duty
+from mintsaddle.direct._rank_calls import GroupLook, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup, find_rank_groups
 from mintsaddle.direct._switches import REPORT_AGE_SECONDS, SwitchRunner
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.platform import read_expert_counts
 from mintsaddle.values import MILLISECONDS
 
 LOOK_SECONDS = 0.5
-"""Seconds between two looks at a group: popularity changes every few seconds,
-and a look costs one report and the counts of a few ranks."""
+"""Seconds between two looks at a group over the network: popularity changes
+every few seconds, and a look costs reports and the counts of a few ranks."""
+
+AGENT_LOOK_SECONDS = 0.1
+"""The same by agents, where a look costs little more than its datagrams."""
 
 SAMPLE_RANKS = 2
-"""Ranks whose counts are read in a look. Requests are spread over all ranks
-alike, so two of twelve show the hot experts; reading each costs a pause."""
+"""Ranks whose counts are read in a look over the network. Requests are spread
+over all ranks alike, so two of twelve show the hot experts; reading each costs
+a pause."""
+
+AGENT_COUNTS = 4_000
+"""Counts of experts that are read in a look by agents at most; it bounds the
+keeper's share of a link and of a core however large the group is."""
 
 SLOWNESS_RANKS = 3
 """Ranks asked in a look how slow they are: all of twelve within 2 s."""
@@ -49,10 +55,12 @@
     def __init__(self, gateway: Gateway, membership: Membership) -> None:
         self._gateway = gateway
         self._membership = membership
-        self._runner = SwitchRunner(gateway.now)
+        self._ranks = RankCalls(gateway.settings, gateway.now, gateway.count)
+        self._runner = SwitchRunner(self._ranks, gateway.now)
         self._watches: dict[str, MapWatch] = {}
         self._last_versions: dict[str, int] = {}
         self._looks = 0
+        self._is_near = False
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
     def start(self) -> None:
@@ -61,13 +69,15 @@
 
     def _run(self) -> None:
         while True:
-            time.sleep(LOOK_SECONDS)
+            time.sleep(AGENT_LOOK_SECONDS if self._is_near else LOOK_SECONDS)
             if self._gateway.leaving:
                 return
+            self._is_near = False
             for group in find_rank_groups(self._gateway.directory):
                 duty = map_duty(group.name)
                 if self._membership.is_chosen(duty, self._gateway.now()):
                     self._try_to_look_at(group)
+                    self._is_near |= self._ranks.has_agents(group)
                 else:
                     self._watches.pop(group.name, None)
 
@@ -84,55 +94,55 @@
 
     def _look_at(self, group: RankGroup) -> None:
         gateway = self._gateway
-        report = self._runner.read_report(group, group.serving[0])
+        look = self._look(group)
+        report = look.reports.get(group.serving[0])
         if report is None or not report.is_open:
             self._watches.pop(group.name, None)
             return
         watch = self._watches.get(group.name)
         if watch is None or watch.epoch != report.epoch:
-            watch = MapWatch(report.epoch, group.model.layers, group.model.experts)
-            self._watches[group.name] = watch
+            watch = self._begin_watch(group, report.epoch)
             self._recover(group)
         watch.note_step(report.step, report.running, gateway.now())
         if watch.is_stuck(gateway.now()):
             self._recover(group)
             return
-        if not watch.is_busy:
+        for rank, one in look.reports.items():
+            watch.note_slowness(rank, one.slowness)
+        for rank, counts in look.counts.items():
+            watch.note_counts(rank, counts)
+        watch.finish_counts(gateway.now())
+        if not watch.is_busy or not watch.is_in_force(report.version, gateway.now()):
             return
-        self._note_slowness(group, watch)
-        self._count(group, watch)
         current = self._current_map(group, report)
         if current is None:
             return
-        limits = SpreadLimits(group.model.places, group.model.new_places)
+        model = group.model
+        limits = choose_limits(model.places, model.new_places, model.load_seconds)
         planned = watch.plan(current, limits)
         if planned is not None:
             self._switch(group, watch, current, planned)
 
-    def _note_slowness(self, group: RankGroup, watch: MapWatch) -> None:
-        """Ask a few ranks how slow they are, others in each look."""
-        self._looks += 1
-        ranks = len(group.ranks)
-        for offset in range(min(SLOWNESS_RANKS, ranks)):
-            rank = (self._looks * SLOWNESS_RANKS + offset) % ranks
-            report = self._runner.read_report(group, rank)
-            if report is not None:
-                watch.note_slowness(rank, report.slowness)
-
-    def _count(self, group: RankGroup, watch: MapWatch) -> None:
-        """Read the counts of a few ranks, the same ones each time."""
+    def _begin_watch(self, group: RankGroup, epoch: int) -> MapWatch:
+        table = self._gateway.directory.table
+        pause = bearable_pause(table, group.service) if table else 0.0
         model = group.model
-        for rank in choose_samples(group.serving, SAMPLE_RANKS):
-            address = group.ranks[rank].address
-            match read_expert_counts(address, model.layers, model.experts):
-                case Success(counts):
-                    watch.note_counts(rank, counts)
-                case Failure(problem):
-                    _log.info(
-                        "Counts missing %s.",
-                        fields(group=group.name, rank=rank, why=problem),
-                    )
-        watch.finish_counts()
+        watch = MapWatch(epoch, model.layers, model.experts, pause)
+        self._watches[group.name] = watch
+        return watch
+
+    def _look(self, group: RankGroup) -> GroupLook:
+        """Ask the ranks; over the network few of them, others in each look."""
+        ranks = len(group.ranks)
+        if self._ranks.has_agents(group):
+            numbers = group.model.layers * group.model.experts
+            counted = choose_samples(group.serving, max(1, AGENT_COUNTS // numbers))
+            return self._ranks.look(group, range(ranks), counted)
+        self._looks += 1
+        first = self._looks * SLOWNESS_RANKS
+        asked = {(first + offset) % ranks for offset in range(SLOWNESS_RANKS)}
+        counted = choose_samples(group.serving, SAMPLE_RANKS)
+        return self._ranks.look(group, asked | {group.serving[0], *counted}, counted)
 
     def _current_map(self, group: RankGroup, report: RankReport) -> ExpertMap | None:
         """Return the map in use, as set here or as the ranks tell."""
@@ -144,12 +154,11 @@
         epoch, known = self._maps.get(group.name, (0, None))
         if known and (epoch, known.version) == (report.epoch, report.version):
             return known
-        held = self._runner.read_experts(group)
-        by_rank = [result.value_or(None) for result in held]
-        if any(experts is None for experts in by_rank):
+        held = self._ranks.read_experts(group)
+        if held is None:
             return None
         layers = tuple(
-            tuple(experts[layer] for experts in by_rank if experts is not None)
+            tuple(experts[layer] for experts in held)
             for layer in range(group.model.layers)
         )
         return ExpertMap(report.version, layers)
@@ -157,7 +166,7 @@
     def _switch(
         self, group: RankGroup, watch: MapWatch, current: ExpertMap, planned: ExpertMap
     ) -> None:
-        reports = self._runner.read_reports(group)
+        reports = self._ranks.read_reports(group)
         if reports is None or any(report.held is not None for report in reports):
             return
         last = self._last_versions.get(group.name, 0)
@@ -173,7 +182,8 @@
             self._maps[group.name] = (switch.epoch, new_map)
         elif switch.stage is SwitchStage.FAILED and switch.holders:
             self._free_own_hold(group)
-        watch.note_switch()
+        if switch.stage is SwitchStage.DONE:
+            watch.note_switch(version, self._gateway.now())
         _log.info(
             "Switch over %s.",
             fields(
@@ -208,7 +218,7 @@
         Returns:
             Whether nothing is held any more.
         """
-        reports = self._runner.read_reports(group)
+        reports = self._ranks.read_reports(group)
         if reports is None:
             return False
         if all(report.held is None for report in reports):
--- a/mintsaddle/direct/_rank_groups.py
+++ b/mintsaddle/direct/_rank_groups.py
@@ -9,6 +9,7 @@
     """The ranks of one group, in order."""
 
     name: str
+    service: str
     ranks: tuple[Incarnation, ...]
     model: ExpertModel
     serving: tuple[int, ...]
@@ -37,5 +38,6 @@
                 if one.data_centre not in directory.out
             )
             if serving:
-                groups.append(RankGroup(name, ordered, model, serving))
+                service_name = ordered[0].service
+                groups.append(RankGroup(name, service_name, ordered, model, serving))
     return groups
--- a/mintsaddle/direct/_switches.py
+++ b/mintsaddle/direct/_switches.py
@@ -1,16 +1,11 @@
 """Carrying a switch of a group's expert map out: orders and reports."""
 
 import time
-from collections.abc import Callable, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
-
-from returns.result import Failure, Result, Success
+from collections.abc import Callable
 
 from mintsaddle.decisions.expert_maps import (
     OVER,
     ArmedSwitch,
-    MapOrder,
-    RankReport,
     SwitchStage,
     Verdict,
     choose_step,
@@ -21,18 +16,20 @@
     note_reports,
     ranks_to_read,
 )
+from mintsaddle.direct._rank_calls import RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
-from mintsaddle.observe import fields, make_logger
-from mintsaddle.platform import read_rank_experts, read_rank_report, send_map_order
 from mintsaddle.values import Instant
 
 REPORT_AGE_SECONDS = 0.3
-"""Seconds after an order until a report shows what it did: reports are up to
-0.2 s old."""
+"""Seconds after an order until a report that may be old shows what it did:
+such reports are up to 0.2 s old."""
 
 _COPY_SECONDS = 0.18
-"""Seconds until a rank is asked again whether it has loaded its weights: one
-takes 0.15 to 0.2 s, and most maps bring a rank one at most."""
+"""Seconds until a rank without an agent is asked again whether it has loaded
+its weights: one takes 0.1 to 0.2 s, and most maps bring a rank few."""
+
+_FRESH_COPY_SECONDS = 0.02
+"""The same with an agent, whose report tells at once."""
 
 _ROUND_SECONDS = 0.05
 _PAUSE_SECONDS = 0.02
@@ -44,15 +41,14 @@
 died, and then nothing of the switch is left to finish."""
 
 _HURRIED = frozenset({SwitchStage.ARM, SwitchStage.RELEASE})
-_log = make_logger("maps")
 
 
 class SwitchRunner:
     """Gives orders to the ranks of a group and reads their reports."""
 
-    def __init__(self, now: Callable[[], Instant]) -> None:
+    def __init__(self, ranks: RankCalls, now: Callable[[], Instant]) -> None:
+        self._ranks = ranks
         self._now = now
-        self._pool = ThreadPoolExecutor(12, "orders")
 
     def carry_out(
         self, group: RankGroup, switch: ArmedSwitch, step_seconds: float
@@ -62,20 +58,16 @@
         rounds = 0
         while switch.stage not in OVER:
             if switch.stage is SwitchStage.HOLD and not switch.step:
-                reports = self.read_reports(group)
-                if reports is None:
-                    return switch._replace(stage=SwitchStage.FAILED)
-                newest = max(report.step for report in reports)
-                step = choose_step(newest, step_seconds)
-                switch = hold_at(switch, step)
+                switch = self._choose_step(group, switch, step_seconds)
+                if switch.stage in OVER:
+                    break
             if must_read_first(switch):
                 # Old reports only in the first round wouldn't show the hold.
-                time.sleep(_ROUND_SECONDS if is_withdrawing else REPORT_AGE_SECONDS)
+                switch = self._settle(group, switch, is_sure=not is_withdrawing)
                 is_withdrawing = True
-                switch = self._settle(group, switch)
             stage = switch.stage
             orders = next_map_orders(switch)
-            answers = self._send(group, orders)
+            answers = self._ranks.send(group, orders)
             switch = note_answers(switch, answers, self._now())
             if switch.stage in OVER:
                 break
@@ -86,65 +78,64 @@
                 time.sleep(_PAUSE_SECONDS if switch.stage is stage else 0)
                 continue
             if must_read_first(switch):
+                time.sleep(_ROUND_SECONDS)
                 continue
             is_refused = Verdict.REFUSED in answers.values()
-            is_copying = stage is SwitchStage.PREPARE and not is_refused
-            if is_copying and rounds % ROUNDS_TO_REPORT:
-                time.sleep(_COPY_SECONDS if switch.stage is stage else 0)
+            if stage is SwitchStage.PREPARE and not is_refused:
+                switch = self._await_weights(group, switch, rounds)
                 continue
-            is_unsure = is_refused or Verdict.UNKNOWN in answers.values()
-            if is_unsure or stage is SwitchStage.PREPARE:
-                time.sleep(REPORT_AGE_SECONDS if is_unsure else _COPY_SECONDS)
-                switch = self._settle(group, switch)
-            else:
-                time.sleep(0 if switch.stage is not stage else _ROUND_SECONDS)
+            if is_refused or Verdict.UNKNOWN in answers.values():
+                time.sleep(_PAUSE_SECONDS)
+                switch = self._settle(group, switch, is_sure=True)
+            elif switch.stage is stage:
+                time.sleep(_ROUND_SECONDS)
+        return switch
+
+    def _choose_step(
+        self, group: RankGroup, switch: ArmedSwitch, step_seconds: float
+    ) -> ArmedSwitch:
+        reports = self._ranks.read_reports(group)
+        if reports is None:
+            return switch._replace(stage=SwitchStage.FAILED)
+        return hold_at(switch, choose_step(reports, step_seconds))
+
+    def _await_weights(
+        self, group: RankGroup, switch: ArmedSwitch, rounds: int
+    ) -> ArmedSwitch:
+        """Wait a while for weights to be loaded.
+
+        With agents the ranks are looked at until the next time to give the
+        order again, which may have been lost; without them the order itself,
+        given again, tells that it is done sooner than a report.
+        """
+        if switch.stage is not SwitchStage.PREPARE:
+            return switch
+        if not self._ranks.has_agents(group):
+            time.sleep(_COPY_SECONDS)
+            if rounds % ROUNDS_TO_REPORT:
+                return switch
+            return self._settle(group, switch, is_sure=False)
+        for _ in range(ROUNDS_TO_REPORT):
+            time.sleep(_FRESH_COPY_SECONDS)
+            switch = self._settle(group, switch, is_sure=False)
+            if switch.stage is not SwitchStage.PREPARE:
+                break
         return switch
 
-    def _settle(self, group: RankGroup, switch: ArmedSwitch) -> ArmedSwitch:
-        """Learn from reports what orders did that weren't plainly accepted."""
-        reports = list(
-            self._pool.map(
-                lambda rank: self.read_report(group, rank), ranks_to_read(switch)
-            )
-        )
-        known = [report for report in reports if report is not None]
-        return note_reports(switch, known, self._now())
-
-    def _send(
-        self, group: RankGroup, orders: Sequence[MapOrder]
-    ) -> Mapping[MapOrder, Verdict]:
-        verdicts = self._pool.map(
-            lambda order: send_map_order(group.ranks[order.rank].address, order),
-            orders,
-        )
-        return dict(zip(orders, verdicts, strict=True))
-
-    def read_report(self, group: RankGroup, rank: int) -> RankReport | None:
-        """Return what a rank says of itself, or None if it doesn't answer."""
-        match read_rank_report(group.ranks[rank].address, rank):
-            case Success(RankReport() as report):
-                return report
-            case Failure(problem):
-                _log.info(
-                    "Report missing %s.",
-                    fields(group=group.name, rank=rank, why=problem),
-                )
-        return None
-
-    def read_reports(self, group: RankGroup) -> list[RankReport] | None:
-        """Return a report of every rank, or None if one is missing."""
-        ranks = range(len(group.ranks))
-        reports = self._pool.map(lambda rank: self.read_report(group, rank), ranks)
-        known = [report for report in reports if report is not None]
-        if len(known) < len(group.ranks):
-            return None
-        if len({report.epoch for report in known}) > 1:
-            return None
-        return known
-
-    def read_experts(
-        self, group: RankGroup
-    ) -> list[Result[tuple[tuple[int, ...], ...], str]]:
-        """Return the experts that each rank holds, by layer."""
-        addresses = [one.address for one in group.ranks]
-        return list(self._pool.map(read_rank_experts, addresses))
+    def _settle(
+        self, group: RankGroup, switch: ArmedSwitch, *, is_sure: bool
+    ) -> ArmedSwitch:
+        """Learn from reports what orders did that weren't plainly accepted.
+
+        Args:
+            group: The group.
+            switch: The switch under way.
+            is_sure: Whether the reports have to be newer than the last order:
+                one that may be old could have been made before it.
+        """
+        ranks = ranks_to_read(switch)
+        look = self._ranks.look(group, ranks)
+        if is_sure and not look.is_fresh:
+            time.sleep(REPORT_AGE_SECONDS)
+            look = self._ranks.look(group, ranks)
+        return note_reports(switch, list(look.reports.values()), self._now())
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -21,6 +21,7 @@
 
 _STREAMING = "streaming"
 _IDEMPOTENT = "idempotent"
+_BITS = 8
 
 
 def decode_table(value: bytes) -> Result[RoutingTable, str]:
@@ -107,6 +108,8 @@
 def _decode_experts(engine: Mapping[str, Any]) -> ExpertModel | None:
     if not engine.get("experts"):
         return None
+    megabits = float(engine.get("expert_mb") or 0) * _BITS
+    link = float(engine.get("link_mbps") or 0)
     return ExpertModel(
         # The platform's set is our layer.
         layers=int(engine["sets"]),
@@ -114,6 +117,7 @@
         places=int(engine["places"]),
         # What the platform calls spare is what one map may bring anew.
         new_places=int(engine["spare"]),
+        load_seconds=megabits / link if link > 0 else 0.0,
     )
 
 
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.decisions.expert_maps import MapOrder, OrderAct, RankReport, Verdict
+from mintsaddle.rank_agent import NO_ANSWER, RankAnswer, RankCall
 
 CALL_SECONDS = 0.4
 """Seconds for an engine's answer, which needs no place there: a round trip
@@ -32,58 +33,74 @@
 _VERDICTS = {200: Verdict.DONE, 202: Verdict.BEGUN, 409: Verdict.REFUSED}
 
 
-def read_rank_report(address: str, rank: int) -> Result[RankReport, str]:
-    """Return what a rank's engine says of itself."""
-    match _call(address, "GET", _REPORT_PATH):
-        case Success((200, body)):
-            return _decode_report(body, rank)
-        case Success((status, _)):
-            return Failure(f"status {status}")
-        case Failure(problem):
-            return Failure(problem)
-    raise AssertionError("a result is a success or a failure")
+def report_call() -> RankCall:
+    """Return the call that asks a rank's engine what it says of itself."""
+    return RankCall("GET", _REPORT_PATH)
 
 
-def read_expert_counts(
-    address: str, layers: int, experts: int
+def decode_rank_report(answer: RankAnswer, rank: int) -> Result[RankReport, str]:
+    """Return what a rank's engine says of itself.
+
+    Args:
+        answer: The answer to a ``report_call``.
+        rank: The rank that was meant.
+    """
+    return _check_status(answer).bind(lambda body: _decode_report(body, rank))
+
+
+def counts_call() -> RankCall:
+    """Return the call that asks how often experts were chosen."""
+    return RankCall("GET", _COUNTS_PATH)
+
+
+def decode_expert_counts(
+    answer: RankAnswer, layers: int, experts: int
 ) -> Result[tuple[tuple[int, ...], ...], str]:
     """Return how often a rank's requests chose each expert since its start."""
-    match _call(address, "GET", _COUNTS_PATH):
-        case Success((200, body)):
-            return _decode_counts(body, layers, experts)
-        case Success((status, _)):
-            return Failure(f"status {status}")
-        case Failure(problem):
-            return Failure(problem)
-    raise AssertionError("a result is a success or a failure")
+    decoded = _check_status(answer)
+    return decoded.bind(lambda body: _decode_counts(body, layers, experts))
+
+
+def experts_call() -> RankCall:
+    """Return the call that asks which experts a rank holds."""
+    return RankCall("GET", f"{_COUNTS_PATH}?lists=1")
 
 
-def read_rank_experts(address: str) -> Result[tuple[tuple[int, ...], ...], str]:
+def decode_rank_experts(answer: RankAnswer) -> Result[tuple[tuple[int, ...], ...], str]:
     """Return the experts that a rank holds by the map in use, by layer."""
-    match _call(address, "GET", f"{_COUNTS_PATH}?lists=1"):
-        case Success((200, body)):
-            try:
-                # The platform's set is our layer.
-                experts = json.loads(body)["map"]["experts"]
-                return Success(tuple(tuple(map(int, layer)) for layer in experts))
-            except (ValueError, TypeError, KeyError) as error:
-                return Failure(repr(error))
-        case Success((status, _)):
-            return Failure(f"status {status}")
-        case Failure(problem):
-            return Failure(problem)
-    raise AssertionError("a result is a success or a failure")
-
-
-def send_map_order(address: str, order: MapOrder) -> Verdict:
-    """Give a rank's engine an order; return how it answered."""
-    body = json.dumps(_encode_order(order), separators=(",", ":")).encode()
-    match _call(address, "POST", _ORDER_PATH, body, ORDER_SECONDS):
-        case Success((status, _)):
-            # 421 and 503 come from an engine that has nothing of ours.
-            return _VERDICTS.get(status, Verdict.REFUSED)
-        case _:
-            return Verdict.UNKNOWN
+    return _check_status(answer).bind(_decode_experts)
+
+
+def order_call(order: MapOrder) -> RankCall:
+    """Return the call that gives a rank's engine an order."""
+    body = json.dumps(_encode_order(order), separators=(",", ":"))
+    return RankCall("POST", _ORDER_PATH, body)
+
+
+def decode_verdict(answer: RankAnswer) -> Verdict:
+    """Return how a rank's engine answered an order."""
+    if answer.status == NO_ANSWER.status:
+        return Verdict.UNKNOWN
+    # 421 and 503 come from an engine that has nothing of ours.
+    return _VERDICTS.get(answer.status, Verdict.REFUSED)
+
+
+def call_rank(address: str, call: RankCall) -> RankAnswer:
+    """Make a call to a rank's engine from afar, on a connection of its own."""
+    seconds = ORDER_SECONDS if call.body else CALL_SECONDS
+    connection = http.client.HTTPConnection(address, timeout=seconds)
+    headers = {"Content-Type": "application/json"} if call.body else {}
+    try:
+        body = call.body.encode() or None
+        connection.request(call.method, call.path, body, headers)
+        response = connection.getresponse()
+        text = response.read(_LARGEST_ANSWER).decode(errors="replace")
+    except (OSError, http.client.HTTPException):
+        # Whoever asked logs what is missing and asks again.
+        return NO_ANSWER
+    finally:
+        connection.close()
+    return RankAnswer(response.status, text)
 
 
 def _encode_order(order: MapOrder) -> dict[str, Any]:
@@ -97,26 +114,15 @@
     return values
 
 
-def _call(
-    address: str,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    seconds: float = CALL_SECONDS,
-) -> Result[tuple[int, bytes], str]:
-    connection = http.client.HTTPConnection(address, timeout=seconds)
-    headers = {"Content-Type": "application/json"} if body else {}
-    try:
-        connection.request(method, path, body or None, headers)
-        response = connection.getresponse()
-        return Success((response.status, response.read(_LARGEST_ANSWER)))
-    except (OSError, http.client.HTTPException) as error:
-        return Failure(type(error).__name__)
-    finally:
-        connection.close()
+def _check_status(answer: RankAnswer) -> Result[str, str]:
+    if answer.status == NO_ANSWER.status:
+        return Failure("no answer")
+    if answer.status != http.client.OK:
+        return Failure(f"status {answer.status}")
+    return Success(answer.body)
 
 
-def _decode_report(body: bytes, rank: int) -> Result[RankReport, str]:
+def _decode_report(body: str, rank: int) -> Result[RankReport, str]:
     try:
         values = json.loads(body)
         group = values["group"]
@@ -144,8 +150,17 @@
         return Failure(repr(error))
 
 
+def _decode_experts(body: str) -> Result[tuple[tuple[int, ...], ...], str]:
+    try:
+        # The platform's set is our layer.
+        experts = json.loads(body)["map"]["experts"]
+        return Success(tuple(tuple(map(int, layer)) for layer in experts))
+    except (ValueError, TypeError, KeyError) as error:
+        return Failure(repr(error))
+
+
 def _decode_counts(
-    body: bytes, layers: int, experts: int
+    body: str, layers: int, experts: int
 ) -> Result[tuple[tuple[int, ...], ...], str]:
     try:
         counts = json.loads(body)["counts"]
--- a/mintsaddle/platform/_settings.py
+++ b/mintsaddle/platform/_settings.py
@@ -16,8 +16,13 @@
 from mintsaddle.values import MILLISECONDS, Finding, Findings
 
 _PATH_VARIABLE = "MINTSADDLE_NODE_FILE"
-_METRICS_OFFSET = 0
-"""Port of the VM's range for the metrics; the deploy file names it."""
+_METRICS_PLACE = 0
+"""Place in the VM's port range of the metrics' port, which the deploy file
+names."""
+
+_AGENT_PLACE = 1
+"""Place in the port range of the port at which rank agents are reached, as the
+deploy file gives it to them; ports are the same on all VMs."""
 
 
 def settings_path() -> str:
@@ -53,11 +58,13 @@
     settings = DirectSettings(
         vm=reader.read_text("node_name"),
         data_centre=reader.read_text("zone"),
+        host=host,
         callers=listen.read_text("front"),
         ready=listen.read_text("ready_addr"),
         control=listen.read_text("control"),
-        metrics=f"{host}:{ports[0] + _METRICS_OFFSET}" if ports else "",
+        metrics=f"{host}:{ports[_METRICS_PLACE]}" if ports else "",
         peers=tuple(str(address) for address in values.get("seeds") or ()),
+        agent_port=int(ports[_AGENT_PLACE]) if len(ports) > _AGENT_PLACE else 0,
         store=platform.read_text("address"),
         stop_seconds=bounds.read_number("grace_s"),
         retry_share=bounds.read_number("retry_budget_ratio"),
--- /dev/null
+++ b/mintsaddle/rank_agent/__main__.py
@@ -0,0 +1,46 @@
+"""Run the rank agent of one engine.
+
+Usage: python -m mintsaddle.rank_agent LISTEN ENGINE PREFIX
+
+LISTEN is the IP and port for entries, ENGINE that of the engine on this VM,
+PREFIX what the path of each call to the engine begins with.
+"""
+
+import signal
+import sys
+
+from mintsaddle.observe import fields, make_logger, start_logging, stop_logging
+from mintsaddle.rank_agent._agent import RankAgent
+
+_EXIT_USAGE = 2
+_log = make_logger("agent")
+
+
+def main(arguments: list[str]) -> int:
+    """Serve until told to stop.
+
+    Args:
+        arguments: The command line without the program's name.
+
+    Returns:
+        The exit code: 0 after a stop that was asked for, 2 for bad arguments.
+    """
+    if len(arguments) != 3:
+        print(__doc__, file=sys.stderr)
+        return _EXIT_USAGE
+    listen, engine, prefix = arguments
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    # A changed settings file concerns entries only.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    start_logging("INFO")
+    agent = RankAgent(listen, engine, prefix)
+    _log.info("Started %s.", fields(listen=listen, engine=engine))
+    try:
+        agent.serve()
+    finally:
+        _log.info("Stopped %s.", fields(listen=listen))
+        stop_logging()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/mintsaddle/settings/_direct.py
+++ b/mintsaddle/settings/_direct.py
@@ -10,6 +10,9 @@
     """Its name, unique among all VMs."""
 
     data_centre: str
+    host: str
+    """The VM's own IP."""
+
     callers: str
     """IP and port for callers."""
 
@@ -25,6 +28,9 @@
     peers: tuple[str, ...]
     """Control addresses of a few peers; they may be stale or down."""
 
+    agent_port: int
+    """Port of the rank agents on their VMs; 0: there are none."""
+
     store: str
     """IP and port of the platform's store."""
 
