Free a held group sooner, and keep its maps seen to while entries leave

Ruled out: freeing by agents on a rank's own VM when that VM is the lost one: nothing reaches its engine meanwhile (logs of the agents).

--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -34,6 +34,10 @@
 """Entries named in one message, those heard from last: 0.8 KB a message,
 however many entries there are."""
 
+RELAY_SECONDS = 0.1
+"""Seconds that a message between two entries takes at most: what a peer heard
+of a third entry seems to be as much younger."""
+
 WATCHERS = 3
 """Entries next in line for a duty that ask its holder in every round; however
 many entries there are, its holder answers no more than these."""
@@ -69,6 +73,7 @@
         self._address = address
         self._seeds = tuple(seed for seed in seeds if seed != address)
         self._entries: dict[str, KnownEntry] = {}
+        self._left_at: dict[str, Instant] = {}
         self._suspects: set[str] = set()
         self._settles_at = started_at + SETTLE_SECONDS
 
@@ -83,9 +88,19 @@
         return self._address
 
     def note(self, entry: KnownEntry) -> None:
-        """Take over when an entry was heard from, if that is news."""
+        """Take over when an entry was heard from, if that is news.
+
+        What peers heard of an entry before it said that it is leaving is none.
+        Guards against duties that stay with an entry that is stopping: told of
+        again by those who don't know it yet, it counted as their holder for
+        seconds, and nobody saw to them.
+        """
+        if entry.vm == self._vm or entry.heard_at <= self._left_at.get(
+            entry.vm, _LONG_AGO
+        ):
+            return
         known = self._entries.get(entry.vm)
-        if entry.vm != self._vm and (known is None or entry.heard_at > known.heard_at):
+        if known is None or entry.heard_at > known.heard_at:
             self._entries[entry.vm] = entry
 
     def note_answer(self, address: str) -> None:
@@ -96,9 +111,10 @@
         """Note that an entry didn't answer: its duties pass to another one."""
         self._suspects.add(address)
 
-    def remove(self, vm: str) -> None:
+    def remove(self, vm: str, now: Instant) -> None:
         """Forget an entry that says that it is leaving."""
         self._entries.pop(vm, None)
+        self._left_at[vm] = now + RELAY_SECONDS
 
     def alive(self, now: Instant) -> tuple[KnownEntry, ...]:
         """Return the other entries that were heard from lately."""
@@ -114,6 +130,11 @@
 
     def count(self, now: Instant) -> int:
         """Return how many entries share limits, this one included."""
+        self._left_at = {
+            vm: left_at
+            for vm, left_at in self._left_at.items()
+            if now - left_at <= COUNT_SECONDS
+        }
         self._entries = {
             vm: entry
             for vm, entry in self._entries.items()
@@ -145,12 +166,13 @@
             return tuple(strangers)
         fan_out = SEARCH_FAN_OUT if is_searching else FAN_OUT
         chosen = set(rng.sample(addresses, min(fan_out, len(addresses))))
-        chosen.update(self._holders_to_watch(duties, now))
+        chosen.update(self.holders_to_watch(duties, now))
         if strangers:
             chosen.add(rng.choice(strangers))
         return tuple(chosen)
 
-    def _holders_to_watch(self, duties: Iterable[str], now: Instant) -> list[str]:
+    def holders_to_watch(self, duties: Iterable[str], now: Instant) -> list[str]:
+        """Return the addresses of the holders that this entry would follow."""
         addresses = {entry.vm: entry.address for entry in self.alive(now)}
         addresses[self._vm] = self._address
         watched = []
@@ -166,11 +188,20 @@
         Entries with different views may both think so: a duty has to bear
         that.
         """
+        return self.place_in_line(duty, now) == 0
+
+    def place_in_line(self, duty: str, now: Instant) -> int | None:
+        """Return how many entries go before this one for a duty.
+
+        Returns:
+            0 for the one that sees to it; None for an entry that is too young
+            to know the others.
+        """
         if not self.is_settled(now):
-            return False
+            return None
         names = [self._vm]
         for entry in self.alive(now):
             is_late = now - entry.heard_at > DUTY_SECONDS
             if not is_late and entry.address not in self._suspects:
                 names.append(entry.vm)
-        return rank_by_score(duty, names)[0] == self._vm
+        return rank_by_score(duty, names).index(self._vm)
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -341,6 +341,32 @@
             one.note_silence(holder)
         assert [one.is_chosen("maps g", 1.5) for one in others].count(True) == 1
 
+    def test_a_leaving_entry_is_not_brought_back_by_gossip(self) -> None:
+        """No map is changed for four seconds while entries are replaced.
+
+        An entry says that it is leaving; a peer that hasn't heard so yet tells
+        of it once more, and it counts as the keeper of the maps again.
+        """
+        member = Membership("e-1", "a:1", [])
+        gossip = KnownEntry("e-2", "a:2", 9.9)
+        member.note(gossip)
+        member.remove("e-2", 10.0)
+        member.note(gossip._replace(heard_at=10.01))
+        assert member.alive(10.1) == ()
+        restarted = gossip._replace(heard_at=10.5)
+        member.note(restarted)
+        assert member.alive(10.6) == (restarted,)
+
+    def test_those_next_in_line_know_their_place(self) -> None:
+        names = ["e-1", "e-2", "e-3"]
+        places = []
+        for name in names:
+            member = Membership(name, name, [])
+            for other in names:
+                member.note(KnownEntry(other, other, 1.0))
+            places.append(member.place_in_line("maps g", 1.0))
+        assert sorted(place for place in places if place is not None) == [0, 1, 2]
+
     def test_exactly_one_of_those_who_know_each_other_is_chosen(self) -> None:
         names = ["e-1", "e-2", "e-3"]
         chosen = []
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -48,6 +48,7 @@
     slowest_share,
     spread_experts,
 )
+from mintsaddle.decisions.expert_maps._stall import StallWatch, guard_patience
 from mintsaddle.decisions.expert_maps._switch import (
     GroupAct,
     GroupOrder,
@@ -80,6 +81,7 @@
     "RankState",
     "RankVerdict",
     "SpreadLimits",
+    "StallWatch",
     "SwitchPhase",
     "SwitchStage",
     "SwitchState",
@@ -90,6 +92,7 @@
     "choose_step",
     "count_moved",
     "draw_version",
+    "guard_patience",
     "hold_at",
     "is_complete",
     "judge_order",
--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -16,6 +16,7 @@
     slowest_share,
     spread_experts,
 )
+from mintsaddle.decisions.expert_maps._stall import StallWatch
 from mintsaddle.values import Instant
 
 BUSY_SHARE = 0.25
@@ -42,10 +43,6 @@
 """Seconds for an ordered map to come into use, after which it is planned from
 whatever the ranks report."""
 
-STUCK_SECONDS = 0.6
-"""Seconds without a step, with requests running, after which a held step is
-looked for: the longest steps take 0.25 s."""
-
 
 def choose_samples(serving: Sequence[int], count: int) -> list[int]:
     """Return the ranks to read, spread over those that get work.
@@ -81,7 +78,7 @@
         self._experts = experts
         self._longest_pause = longest_pause
         self._steps: deque[tuple[Instant, int]] = deque()
-        self._moved_at: Instant = 0.0
+        self._stall = StallWatch()
         self._running = 0
         self._last_counts: dict[int, Popularity] = {}
         self._fresh = _zeros(layers, experts)
@@ -111,7 +108,7 @@
 
     def is_stuck(self, now: Instant) -> bool:
         """Return whether the group stands still although it has work."""
-        return self._running > 0 and now - self._moved_at > STUCK_SECONDS
+        return self._stall.is_stuck(now)
 
     def is_in_force(self, version: int, now: Instant) -> bool:
         """Return whether no ordered map is still to come into use.
@@ -129,8 +126,8 @@
         """Note a report's step and requests."""
         if not running or not self._running:
             self._steps.clear()
-        if not self._steps or step != self._steps[-1][1] or not running:
-            self._moved_at = now
+        self._stall.note(step, running, now)
+        if not self._steps or step != self._steps[-1][1]:
             self._steps.append((now, step))
         while len(self._steps) > 2 and self._steps[1][0] <= now - STEP_SECONDS:
             self._steps.popleft()
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -8,11 +8,13 @@
     ExpertMap,
     MapWatch,
     RankReport,
+    StallWatch,
     SwitchStage,
     begin_switch,
     choose_limits,
     choose_samples,
     draw_version,
+    guard_patience,
     make_first_map,
     withdraw_held,
 )
@@ -42,6 +44,10 @@
 SLOWNESS_RANKS = 3
 """Ranks asked in a look how slow they are: all of twelve within 2 s."""
 
+GUARDS = 2
+"""Entries next in line that look whether the group stands still; each look is
+one datagram to one agent."""
+
 FREE_TRIES = 8
 """Looks at a group in which one's own switch has left a step held, one each
 report's age: 2.4 s; the group stands before that step within 0.5 s."""
@@ -59,6 +65,7 @@
         self._runner = SwitchRunner(self._ranks, gateway.now)
         self._watches: dict[str, MapWatch] = {}
         self._last_versions: dict[str, int] = {}
+        self._stalls: dict[str, StallWatch] = {}
         self._looks = 0
         self._is_near = False
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
@@ -74,24 +81,47 @@
                 return
             self._is_near = False
             for group in find_rank_groups(self._gateway.directory):
-                duty = map_duty(group.name)
-                if self._membership.is_chosen(duty, self._gateway.now()):
-                    self._try_to_look_at(group)
-                    self._is_near |= self._ranks.has_agents(group)
-                else:
-                    self._watches.pop(group.name, None)
+                self._try_to_see_to(group)
+                self._is_near |= self._ranks.has_agents(group)
 
-    def _try_to_look_at(self, group: RankGroup) -> None:
-        """Look at a group; go on with the duty whatever goes wrong.
+    def _try_to_see_to(self, group: RankGroup) -> None:
+        """See to a group; go on with the duty whatever goes wrong.
 
         Guards against a keeper whose thread has died: the entry would still be
         the chosen one, and a held group would stand still for good.
         """
         try:
-            self._look_at(group)
+            self._see_to(group)
         except Exception:
             _log.exception("Look failed %s.", fields(group=group.name))
 
+    def _see_to(self, group: RankGroup) -> None:
+        place = self._membership.place_in_line(
+            map_duty(group.name), self._gateway.now()
+        )
+        if place == 0:
+            self._look_at(group)
+            return
+        self._watches.pop(group.name, None)
+        if place is not None and place <= GUARDS and self._ranks.has_agents(group):
+            self._guard(group, place)
+
+    def _guard(self, group: RankGroup, place: int) -> None:
+        """Free a group whose keeper has died while it held a step.
+
+        The duty passes on seconds later only, when callers have left.
+        """
+        rank = group.serving[0]
+        report = self._ranks.look(group, [rank]).reports.get(rank)
+        stall = self._stalls.setdefault(group.name, StallWatch())
+        now = self._gateway.now()
+        if report is None or not report.is_open:
+            self._stalls.pop(group.name, None)
+            return
+        stall.note(report.step, report.running, now)
+        if stall.is_stuck(now, guard_patience(place)):
+            self._recover(group)
+
     def _look_at(self, group: RankGroup) -> None:
         gateway = self._gateway
         look = self._look(group)
@@ -177,7 +207,8 @@
         switch = begin_switch(current, new_map, reports, self._gateway.now())
         began_at = self._gateway.now()
         slowest = max(reports, key=lambda report: report.slowness)
-        switch = self._runner.carry_out(group, switch, watch.step_seconds)
+        step_seconds = watch.step_seconds
+        switch = self._runner.carry_out(group, switch, step_seconds)
         if switch.stage is SwitchStage.DONE:
             self._maps[group.name] = (switch.epoch, new_map)
         elif switch.stage is SwitchStage.FAILED and switch.holders:
@@ -193,7 +224,7 @@
                 step=switch.step,
                 epoch=switch.epoch,
                 seconds=self._gateway.now() - began_at,
-                step_ms=round(watch.step_seconds * MILLISECONDS),
+                step_ms=round(step_seconds * MILLISECONDS),
                 running=sum(report.running for report in reports),
                 slowest=slowest.rank,
                 slowness=slowest.slowness,
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -27,6 +27,11 @@
 arrives well within the two seconds that a configuration may take. A young
 entry asks as often, to know the others before it takes up duties."""
 
+HOLDER_SECONDS = 0.4
+"""Seconds between two questions to the holder of a duty by those next in line:
+while nobody sees to a group, its map stays the wrong one after each change of
+popularity."""
+
 EXCHANGE_SECONDS = 0.5
 """Seconds for a peer's answer, which needs no waiting; 2 ms is usual."""
 
@@ -74,6 +79,14 @@
             pause = SEARCH_SECONDS if is_hurried else ROUND_SECONDS
             await asyncio.sleep(pause * (0.75 + self._gateway.rng.random() / 2))
 
+    async def watch_holders(self) -> None:
+        """Ask the holders of duties that this entry would follow, for ever."""
+        while True:
+            duties, now = self._gateway.duties(), self._gateway.now()
+            holders = set(self._membership.holders_to_watch(duties, now))
+            await asyncio.gather(*(self._ask(address) for address in holders))
+            await asyncio.sleep(HOLDER_SECONDS)
+
     async def _ask(self, address: str) -> None:
         stub = EntryPeersStub(self._channels.open(address))
         try:
@@ -116,7 +129,7 @@
     def _note_hello(self, hello: pb.EntryHello) -> None:
         now = self._gateway.now()
         if hello.leaving:
-            self._membership.remove(hello.vm)
+            self._membership.remove(hello.vm, now)
         else:
             self._membership.note(KnownEntry(hello.vm, hello.address, now))
         for entry in hello.entries:
@@ -186,4 +199,6 @@
     server: Any = Server([exchange])
     host, _, port = gateway.settings.control.rpartition(":")
     await server.start(host, int(port))
-    gateway.keep(server, asyncio.ensure_future(exchange.run()))
+    rounds = asyncio.ensure_future(exchange.run())
+    watch = asyncio.ensure_future(exchange.watch_holders())
+    gateway.keep(server, rounds, watch)
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -12,6 +12,7 @@
 
 from mintsaddle.decisions.expert_maps import (
     MapOrder,
+    OrderAct,
     Popularity,
     RankReport,
     Verdict,
@@ -41,6 +42,11 @@
 _NETWORK_CALLS = 12
 """Calls over the network at one time."""
 
+OVER_NETWORK = frozenset({OrderAct.HOLD})
+"""Orders that don't go by agents. Guards against a step that stays held for as
+long as the VM that held it is away: entries free a group whose keeper was lost
+in the middle of a switch, but none reaches a rank whose own VM is lost."""
+
 _log = make_logger("maps")
 
 
@@ -154,7 +160,12 @@
     ) -> Mapping[MapOrder, Verdict]:
         """Give orders; at most one to a rank."""
         calls = {order.rank: [order_call(order)] for order in orders}
-        found = self._ask_ranks(group, calls)
+        if any(order.act in OVER_NETWORK for order in orders):
+            addresses = {group.ranks[rank].address: calls[rank] for rank in calls}
+            over_network = self._ask_network(addresses)
+            found = {r: over_network[group.ranks[r].address] for r in calls}
+        else:
+            found = self._ask_ranks(group, calls)
         return {order: decode_verdict(found[order.rank].answers[0]) for order in orders}
 
     def _ask_ranks(
@@ -170,14 +181,17 @@
             calls: For each engine's IP and port the calls to it.
         """
         found = self._ask_agents(calls)
-        left = [address for address in calls if address not in found]
+        left = {one: calls[one] for one in calls if one not in found}
+        return {**found, **self._ask_network(left)}
 
+    def _ask_network(
+        self, calls: Mapping[str, Sequence[RankCall]]
+    ) -> dict[str, _Answers]:
         def call_all(address: str) -> _Answers:
             answers = tuple(call_rank(address, call) for call in calls[address])
             return _Answers(answers, is_fresh=False)
 
-        found.update(zip(left, self._pool.map(call_all, left), strict=True))
-        return found
+        return dict(zip(calls, self._pool.map(call_all, calls), strict=True))
 
     def _ask_agents(
         self, calls: Mapping[str, Sequence[RankCall]]
