Call a group busy by the requests of all its ranks; drop the wait of late requests

Ruled out: too few counts alone (8 ranks' counts instead of 2: no change). Change: requests are summed over all ranks that were asked; guards ask three. Counts of 16,000 experts a look instead of 4,000.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -39,7 +39,6 @@
     KnownEntry,
     Membership,
 )
-from mintsaddle.decisions.direct._pace import PaceBook, has_room_for_late
 from mintsaddle.decisions.direct._placement import choose_incarnation
 from mintsaddle.decisions.direct._replica import PublishedItem, Replica
 from mintsaddle.decisions.direct._reuse import MOST_IDLE, keep_seconds
@@ -92,7 +91,6 @@
     "KeyHolder",
     "KnownEntry",
     "Membership",
-    "PaceBook",
     "PublishedItem",
     "RankPlace",
     "Repeat",
@@ -112,7 +110,6 @@
     "decide_next",
     "drop_lapsed",
     "give_up",
-    "has_room_for_late",
     "hold_until",
     "is_late",
     "keep_seconds",
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -161,10 +161,7 @@
             for data in events:
                 if timing.first is None:
                     self._record(runner.call, Measure.FIRST)
-                now = self._gateway.now()
-                pause = timing.note_event(now)
-                if pause is not None:
-                    self._gateway.note_pause(runner.call.service, pause, now)
+                timing.note_event(self._gateway.now())
                 yield data
             ending = "streamed"
             if timing.is_late(runner.call.route):
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -6,7 +6,6 @@
     DirectCall,
     Incarnation,
     choose_incarnation,
-    has_room_for_late,
     hold_until,
     is_late,
     usable_endpoints,
@@ -18,9 +17,6 @@
 _LOOK_SECONDS = 0.2
 """Seconds between two looks whether a waiting caller has left."""
 
-_ROOM_SECONDS = 0.05
-"""Seconds between two looks whether there is room for a late request."""
-
 _log = make_logger("calls")
 
 
@@ -72,31 +68,17 @@
     while True:
         usable = usable_endpoints(gateway.directory, call.service)
         working = [one for one in usable if gateway.takes_work(one)]
-        left = wait_until - gateway.now()
-        if not usable or (working and (left <= 0 or _has_room(gateway, call, working))):
+        if working or not usable:
             return working
+        left = wait_until - gateway.now()
         if left <= 0:
             is_down = bool(gateway.groups.down_groups())
             return Reason.GROUP_DOWN if is_down else Reason.FULL
-        pause = _ROOM_SECONDS if working else _LOOK_SECONDS
-        gateway.groups_changed.wait(min(left, pause))
+        gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
         if is_gone():
             raise CallerLeftError
 
 
-def _has_room(gateway: Gateway, call: DirectCall, working: list[Incarnation]) -> bool:
-    """Return whether a request may go now; only late ones wait for room."""
-    now = gateway.now()
-    if not call.route.is_stream or not is_late(call, now):
-        return True
-    load, slots = min(
-        (gateway.routing.view(one.name).estimate_load(now), one.slots)
-        for one in working
-    )
-    pause = gateway.pace.pause(call.service, now)
-    return has_room_for_late(load, slots, pause, call.route.longest_pause)
-
-
 def _log_chosen(
     gateway: Gateway, call: DirectCall, endpoint: Incarnation, load: int, choices: int
 ) -> None:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -12,7 +12,6 @@
     Directory,
     GroupBeliefs,
     Incarnation,
-    PaceBook,
     PublishedItem,
     Replica,
     RouteDeadlines,
@@ -55,7 +54,6 @@
         self._groups = GroupBeliefs()
         self._groups_changed = threading.Condition(self._lock)
         self._deadlines = RouteDeadlines()
-        self._pace = PaceBook()
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
         self._pool = ConnectionPool(self.now)
@@ -95,11 +93,6 @@
         """What callers of each route bring; use it under the lock."""
         return self._deadlines
 
-    @property
-    def pace(self) -> PaceBook:
-        """How fast services write; use it under the lock."""
-        return self._pace
-
     @property
     def groups(self) -> GroupBeliefs:
         """Which groups take no work; use it under the lock."""
@@ -260,11 +253,6 @@
             self._groups.note_refusal(group, epoch, self.now())
             self._groups_changed.notify_all()
 
-    def note_pause(self, service: str, pause: float, now: Instant) -> None:
-        """Note the time between two events of a stream of a service."""
-        with self._lock:
-            self._pace.note_pause(service, pause, now)
-
     def count(self, name: str) -> None:
         """Add one to a counter."""
         with self._lock:
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -37,7 +37,7 @@
 over all ranks alike, so two of twelve show the hot experts; reading each costs
 a pause."""
 
-AGENT_COUNTS = 4_000
+AGENT_COUNTS = 16_000
 """Counts of experts that are read in a look by agents at most; it bounds the
 keeper's share of a link and of a core however large the group is."""
 
@@ -45,8 +45,10 @@
 """Ranks asked in a look how slow they are: all of twelve within 2 s."""
 
 GUARDS = 2
-"""Entries next in line that look whether the group stands still; each look is
-one datagram to one agent."""
+"""Entries next in line that look whether the group stands still."""
+
+GUARDED_RANKS = 3
+"""Ranks that they ask: some may have no requests while the group is busy."""
 
 FREE_TRIES = 8
 """Looks at a group in which one's own switch has left a step held, one each
@@ -111,14 +113,14 @@
 
         The duty passes on seconds later only, when callers have left.
         """
-        rank = group.serving[0]
-        report = self._ranks.look(group, [rank]).reports.get(rank)
+        look = self._ranks.look(group, choose_samples(group.serving, GUARDED_RANKS))
+        report = look.reports.get(group.serving[0])
         stall = self._stalls.setdefault(group.name, StallWatch())
         now = self._gateway.now()
         if report is None or not report.is_open:
             self._stalls.pop(group.name, None)
             return
-        stall.note(report.step, report.running, now)
+        stall.note(report.step, look.running, now)
         if stall.is_stuck(now, guard_patience(place)):
             self._recover(group)
 
@@ -133,7 +135,7 @@
         if watch is None or watch.epoch != report.epoch:
             watch = self._begin_watch(group, report.epoch)
             self._recover(group)
-        watch.note_step(report.step, report.running, gateway.now())
+        watch.note_step(report.step, look.running, gateway.now())
         if watch.is_stuck(gateway.now()):
             self._recover(group)
             return
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -64,6 +64,15 @@
     counts: Mapping[int, Popularity]
     """How often each expert was chosen since the rank's start, by rank."""
 
+    @property
+    def running(self) -> int:
+        """Requests that the ranks are writing.
+
+        Of all ranks that were asked: one without any says nothing of a group
+        with few requests for each rank.
+        """
+        return sum(report.running for report in self.reports.values())
+
     @property
     def is_fresh(self) -> bool:
         """Whether every report tells what holds now."""
--- a/mintsaddle/direct/_timing.py
+++ b/mintsaddle/direct/_timing.py
@@ -23,19 +23,13 @@
         """Seconds of the longest pause between two events."""
         return self._longest_pause
 
-    def note_event(self, now: Instant) -> float | None:
-        """Note that an event is passed on.
-
-        Returns:
-            Seconds since the event before; None for the first one.
-        """
-        pause = now - self._last_at
-        self._last_at = now
+    def note_event(self, now: Instant) -> None:
+        """Note that an event is passed on."""
         if self._first is None:
-            self._first = pause
-            return None
-        self._longest_pause = max(self._longest_pause, pause)
-        return pause
+            self._first = now - self._arrived_at
+        else:
+            self._longest_pause = max(self._longest_pause, now - self._last_at)
+        self._last_at = now
 
     def is_late(self, route: Route) -> bool:
         """Return whether its caller got it later than the route aims at."""
