Look by agents while most of them reply; test agents, guards and looks

Cause: one dead agent of a group sent all looks back over the network, each 0.5 s, for as long as its VM was away. Ruled out: leaving out nothing (a look would wait for the dead agent). Change: looks go by agents while those of half the serving ranks reply; the others are left out of the look, since all ranks run in step. The stand-in engine of the agents' tests is shared. Measured: tests of this commit fail without agents' rests, without holds over the network and with requests of a single rank.

--- /dev/null
+++ b/mintsaddle/decisions/expert_maps/tests/test_stall.py
@@ -0,0 +1,37 @@
+"""Noticing a group that stands still, and who acts first."""
+
+import pytest
+
+from mintsaddle.decisions.expert_maps import StallWatch, guard_patience
+
+
+class TestStallWatch:
+    @pytest.mark.parametrize(
+        ("reports", "is_stuck"),
+        [
+            ([(5, 3, 0.0), (5, 3, 0.5)], False),
+            ([(5, 3, 0.0), (5, 3, 0.7)], True),
+            ([(5, 3, 0.0), (6, 3, 0.7)], False),
+            ([(5, 0, 0.0), (5, 0, 0.7)], False),
+            # It had no work until now.
+            ([(5, 0, 0.0), (5, 3, 0.7)], False),
+        ],
+    )
+    def test_only_a_group_with_work_can_stand_still(
+        self, reports: list[tuple[int, int, float]], is_stuck: bool
+    ) -> None:
+        watch = StallWatch()
+        for step, running, now in reports:
+            watch.note(step, running, now)
+        assert watch.is_stuck(reports[-1][2]) == is_stuck
+
+
+class TestGuards:
+    def test_a_group_is_freed_before_callers_leave(self) -> None:
+        """Callers leave their streams, since an entry froze with a step held.
+
+        Its duty passes on after seconds only; they leave after two.
+        """
+        patience = [guard_patience(place) for place in range(3)]
+        assert patience == sorted(set(patience))
+        assert patience[-1] < 1.5
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -37,6 +37,10 @@
 over all ranks alike, so two of twelve show the hot experts; reading each costs
 a pause."""
 
+NEAR_SHARE = 0.5
+"""Share of the ranks that get work whose agents have to reply for looks by
+agents; the others are left out then, since all run in step."""
+
 AGENT_COUNTS = 16_000
 """Counts of experts that are read in a look by agents at most; it bounds the
 keeper's share of a link and of a core however large the group is."""
@@ -84,7 +88,7 @@
             self._is_near = False
             for group in find_rank_groups(self._gateway.directory):
                 self._try_to_see_to(group)
-                self._is_near |= self._ranks.has_agents(group)
+                self._is_near |= self._is_near_to(group)
 
     def _try_to_see_to(self, group: RankGroup) -> None:
         """See to a group; go on with the duty whatever goes wrong.
@@ -105,7 +109,7 @@
             self._look_at(group)
             return
         self._watches.pop(group.name, None)
-        if place is not None and place <= GUARDS and self._ranks.has_agents(group):
+        if place is not None and place <= GUARDS and self._is_near_to(group):
             self._guard(group, place)
 
     def _guard(self, group: RankGroup, place: int) -> None:
@@ -113,8 +117,10 @@
 
         The duty passes on seconds later only, when callers have left.
         """
-        look = self._ranks.look(group, choose_samples(group.serving, GUARDED_RANKS))
-        report = look.reports.get(group.serving[0])
+        near = self._ranks.near_ranks(group)
+        asked = choose_samples(sorted(near), GUARDED_RANKS)
+        look = self._ranks.look(group, asked)
+        report = look.first_of(asked)
         stall = self._stalls.setdefault(group.name, StallWatch())
         now = self._gateway.now()
         if report is None or not report.is_open:
@@ -127,7 +133,7 @@
     def _look_at(self, group: RankGroup) -> None:
         gateway = self._gateway
         look = self._look(group)
-        report = look.reports.get(group.serving[0])
+        report = look.first_of(group.serving)
         if report is None or not report.is_open:
             self._watches.pop(group.name, None)
             return
@@ -155,6 +161,11 @@
         if planned is not None:
             self._switch(group, watch, current, planned)
 
+    def _is_near_to(self, group: RankGroup) -> bool:
+        """Return whether most ranks that get work are reached by agents."""
+        near = self._ranks.near_ranks(group).intersection(group.serving)
+        return len(near) >= len(group.serving) * NEAR_SHARE
+
     def _begin_watch(self, group: RankGroup, epoch: int) -> MapWatch:
         table = self._gateway.directory.table
         pause = bearable_pause(table, group.service) if table else 0.0
@@ -166,10 +177,12 @@
     def _look(self, group: RankGroup) -> GroupLook:
         """Ask the ranks; over the network few of them, others in each look."""
         ranks = len(group.ranks)
-        if self._ranks.has_agents(group):
+        if self._is_near_to(group):
+            near = self._ranks.near_ranks(group)
             numbers = group.model.layers * group.model.experts
-            counted = choose_samples(group.serving, max(1, AGENT_COUNTS // numbers))
-            return self._ranks.look(group, range(ranks), counted)
+            serving = [rank for rank in group.serving if rank in near]
+            counted = choose_samples(serving, max(1, AGENT_COUNTS // numbers))
+            return self._ranks.look(group, near, counted)
         self._looks += 1
         first = self._looks * SLOWNESS_RANKS
         asked = {(first + offset) % ranks for offset in range(SLOWNESS_RANKS)}
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -73,6 +73,11 @@
         """
         return sum(report.running for report in self.reports.values())
 
+    def first_of(self, ranks: Iterable[int]) -> RankReport | None:
+        """Return the report of the first of some ranks that gave one."""
+        found = (self.reports.get(rank) for rank in ranks)
+        return next((report for report in found if report is not None), None)
+
     @property
     def is_fresh(self) -> bool:
         """Whether every report tells what holds now."""
@@ -108,9 +113,15 @@
         self._misses: Counter[str] = Counter()
         self._rests_until: dict[str, Instant] = {}
 
+    def near_ranks(self, group: RankGroup) -> frozenset[int]:
+        """Return the ranks whose agents replied when they were last asked."""
+        return frozenset(
+            rank for rank, one in enumerate(group.ranks) if self._is_asked(one.address)
+        )
+
     def has_agents(self, group: RankGroup) -> bool:
         """Return whether all agents of a group replied when last asked."""
-        return all(self._is_asked(one.address) for one in group.ranks)
+        return len(self.near_ranks(group)) == len(group.ranks)
 
     def read_report(self, address: str, rank: int) -> RankReport | None:
         """Return what one rank says of itself, if it answers."""
--- /dev/null
+++ b/mintsaddle/direct/tests/test_rank_calls.py
@@ -0,0 +1,189 @@
+"""Asking ranks by their agents, and over the network without them."""
+
+import threading
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from mintsaddle.decisions.direct import ExpertModel, Incarnation, RankPlace
+from mintsaddle.decisions.expert_maps import (
+    MapOrder,
+    OrderAct,
+    RankReport,
+    Verdict,
+)
+from mintsaddle.direct import _rank_calls
+from mintsaddle.direct._agents import AgentLink
+from mintsaddle.direct._rank_calls import GroupLook, RankCalls
+from mintsaddle.direct._rank_groups import RankGroup
+from mintsaddle.platform.tests.test_taking_items import SETTINGS
+from mintsaddle.rank_agent._agent import RankAgent
+from mintsaddle.rank_agent.tests.standins import Engine
+
+MODEL = ExpertModel(layers=1, experts=2, places=2, new_places=1, load_seconds=0.1)
+PATIENCE = 3.0
+"""Seconds for answers that do come, however busy the machine is."""
+
+
+def show(path: str) -> Any:
+    if "picked" in path:
+        return {"counts": [[5, 7]]}
+    return {
+        "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+        "step": 9,
+        "num_running": 4,
+    }
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock() -> Clock:
+    return Clock()
+
+
+@pytest.fixture
+def engine() -> Iterator[Engine]:
+    engine = Engine(show)
+    yield engine
+    engine.stop()
+
+
+@pytest.fixture
+def agent(engine: Engine) -> RankAgent:
+    agent = RankAgent("127.0.0.1:0", engine.address, "/mintsaddle/", PATIENCE)
+    threading.Thread(target=agent.serve, daemon=True).start()
+    return agent
+
+
+def make_group(*engines: Engine) -> RankGroup:
+    ranks = tuple(
+        Incarnation(
+            f"r-{rank}",
+            "llm",
+            engine.address,
+            "a",
+            6,
+            False,
+            0.0,
+            1,
+            RankPlace("g", 3, rank, len(engines), True),
+        )
+        for rank, engine in enumerate(engines)
+    )
+    return RankGroup("g", "llm", ranks, MODEL, tuple(range(len(engines))))
+
+
+def make_calls(
+    monkeypatch: pytest.MonkeyPatch, clock: Clock, port: int, seconds: float = PATIENCE
+) -> tuple[RankCalls, Counter[str]]:
+    def make_link(host: str) -> AgentLink:
+        return AgentLink(host, seconds)
+
+    monkeypatch.setattr(_rank_calls, "AgentLink", make_link)
+    counted: Counter[str] = Counter()
+    settings = SETTINGS._replace(agent_port=port)
+    calls = RankCalls(settings, clock, lambda name: counted.update([name]))
+    return calls, counted
+
+
+def port_of(agent: RankAgent) -> int:
+    return int(agent.address.rpartition(":")[2])
+
+
+class TestByAgents:
+    def test_reports_by_an_agent_tell_what_holds_now(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        clock: Clock,
+        engine: Engine,
+        agent: RankAgent,
+    ) -> None:
+        calls, _ = make_calls(monkeypatch, clock, port_of(agent))
+        look = calls.look(make_group(engine), [0], [0])
+        assert look.is_fresh
+        assert (look.running, look.counts) == (4, {0: ((5, 7),)})
+        assert engine.connections == 1
+
+    def test_a_hold_doesnt_go_by_the_ranks_own_vm(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        clock: Clock,
+        engine: Engine,
+        agent: RankAgent,
+    ) -> None:
+        """A group stands still for as long as a frozen VM sleeps.
+
+        The VM that had held the step for a switch froze; nothing reaches the
+        engine behind it, so nobody can let the step begin.
+        """
+        calls, _ = make_calls(monkeypatch, clock, port_of(agent))
+        group = make_group(engine)
+        calls.look(group, [0])
+        for act in (OrderAct.ARM, OrderAct.HOLD):
+            order = MapOrder(0, act, epoch=3, version=4, step=12)
+            assert calls.send(group, [order]) == {order: Verdict.DONE}
+        # The agent keeps its one connection; the hold came on another one.
+        assert engine.connections == 2
+
+
+class TestGroupLook:
+    def test_a_group_has_work_though_some_rank_has_none(self) -> None:
+        """Streams are late for two seconds after each calm spell.
+
+        Sixty ranks share few requests; the one rank that was asked had none,
+        so the whole group counted as idle and no map was planned.
+        """
+        idle = RankReport(0, 3, True, False, 9, 0, 1, None, None, None)
+        busy = idle._replace(rank=1, running=2)
+        assert GroupLook({0: idle, 1: busy}, {}).running == 2
+
+
+class TestWithoutAgents:
+    def test_a_silent_agent_is_left_out_for_a_while(
+        self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
+    ) -> None:
+        """Maps are late on a whole group since one agent is dead.
+
+        Each look waits for its reply before it asks over the network.
+        """
+        calls, counted = make_calls(monkeypatch, clock, port=9, seconds=0.02)
+        group = make_group(engine)
+        for _ in range(4):
+            look = calls.look(group, [0])
+            assert look.reports[0].step == 9
+            assert not look.is_fresh
+        assert counted["agent_silent"] == _rank_calls.MOST_MISSES
+        assert calls.near_ranks(group) == frozenset()
+        clock.now += _rank_calls.AGENT_REST_SECONDS
+        assert calls.near_ranks(group) == frozenset({0})
+
+    def test_no_agents_are_asked_where_there_are_none(
+        self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
+    ) -> None:
+        calls, counted = make_calls(monkeypatch, clock, port=0)
+        group = make_group(engine)
+        assert not calls.look(group, [0]).is_fresh
+        assert not calls.has_agents(group)
+        assert not counted
+
+    def test_an_engine_that_gives_no_answer_is_missing(
+        self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
+    ) -> None:
+        calls, _ = make_calls(monkeypatch, clock, port=0)
+        engine.is_breaking = True
+        group = make_group(engine)
+        look = calls.look(group, [0], [0])
+        assert (look.reports, look.counts) == ({}, {})
+        assert look.first_of([0]) is None
+        assert calls.read_reports(group) is None
+        order = MapOrder(0, OrderAct.ARM, epoch=3, version=4, step=12)
+        assert calls.send(group, [order]) == {order: Verdict.UNKNOWN}
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -1,13 +1,11 @@
 """Agents beside stand-ins of engines, and entries that ask them."""
 
-import json
 import signal
 import socket
 import subprocess
 import sys
 import threading
 from collections.abc import Iterator
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 
@@ -22,6 +20,7 @@
 )
 from mintsaddle.rank_agent._agent import RankAgent
 from mintsaddle.rank_agent._engine import EngineLink
+from mintsaddle.rank_agent.tests.standins import Engine
 
 REPORT = RankCall("GET", "/rank/report")
 ORDER = RankCall("POST", "/rank/order", '{"op":"go"}')
@@ -30,60 +29,6 @@
 """Seconds for answers that do come, however busy the machine is."""
 
 
-class Engine:
-    """An engine that notes calls; it closes its connections when told."""
-
-    def __init__(self) -> None:
-        self.calls: list[RankCall] = []
-        self.connections = 0
-        self.is_closing = False
-        self.is_breaking = False
-        engine = self
-
-        class Handler(BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def setup(self) -> None:
-                engine.connections += 1
-                super().setup()
-
-            def log_message(self, *_: object) -> None:
-                """Keep the test's output quiet."""
-
-            def do_GET(self) -> None:
-                self.answer()
-
-            def do_POST(self) -> None:
-                self.answer()
-
-            def answer(self) -> None:
-                length = int(self.headers.get("Content-Length") or 0)
-                text = self.rfile.read(length).decode()
-                engine.calls.append(RankCall(self.command, self.path, text))
-                if engine.is_breaking:
-                    self.close_connection = True
-                    return
-                body = json.dumps({"step": len(engine.calls)}).encode()
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-                # Without notice, as engines close idle connections.
-                self.close_connection = engine.is_closing
-
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self._server.server_address[1]}"
-
-    def stop(self) -> None:
-        self._server.shutdown()
-        self._server.server_close()
-
-
 @pytest.fixture
 def engine() -> Iterator[Engine]:
     engine = Engine()
