Let a scripted endpoint take its whole script before it answers

Cause: a test of kept connections timed out once: the thread that had sent the first answer read the next request's order to close, set meanwhile by the test, and closed too soon. Ruled out: the connection's own code (the repeat on a fresh connection got the empty script and waited for an answer that the test never sent). Change: answer and closing stand in one script, taken before the answer. Conclusion: the test raced, not the code.

--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import pytest
 
@@ -15,12 +16,18 @@
 PATIENCE = 5.0
 
 
+class Script(NamedTuple):
+    """What an endpoint does with one request."""
+
+    answer: bytes = ANSWER
+    closes: bool = False
+
+
 class Endpoint:
-    """Answers each request with the next script: bytes, then maybe an end."""
+    """Answers each request by the next script, or well."""
 
     def __init__(self) -> None:
-        self.scripts: list[bytes] = []
-        self.closes_after: list[bool] = []
+        self.scripts: list[Script] = []
         self.connections = 0
         self.requests = 0
         self._open: list[socket.socket] = []
@@ -49,8 +56,9 @@
         with contextlib.suppress(ConnectionError), connection:
             while connection.recv(65_536):
                 self.requests += 1
-                connection.sendall(self.scripts.pop(0) if self.scripts else ANSWER)
-                if self.closes_after and self.closes_after.pop(0):
+                script = self.scripts.pop(0) if self.scripts else Script()
+                connection.sendall(script.answer)
+                if script.closes:
                     return
 
 
@@ -198,7 +206,7 @@
     def test_a_connection_closed_by_its_endpoint_isnt_used(
         self, endpoint: Endpoint, pool: ConnectionPool
     ) -> None:
-        endpoint.closes_after = [True]
+        endpoint.scripts = [Script(closes=True)]
         exchange = Exchange(endpoint.address)
         ask(exchange)
         wait_readable(exchange)
@@ -218,8 +226,7 @@
         pool.give(make_run(endpoint), exchange, 3.0)
         kept = pool.take(make_run(endpoint))
         assert kept is not None
-        endpoint.scripts = [b""]
-        endpoint.closes_after = [True]
+        endpoint.scripts = [Script(answer=b"", closes=True)]
         assert ask(kept) == b"ok"
         assert not kept.is_kept
         assert endpoint.connections == 2
@@ -227,8 +234,7 @@
     def test_a_fresh_connection_that_breaks_is_not_repeated(
         self, endpoint: Endpoint
     ) -> None:
-        endpoint.scripts = [b""]
-        endpoint.closes_after = [True]
+        endpoint.scripts = [Script(answer=b"", closes=True)]
         exchange = Exchange(endpoint.address)
         with pytest.raises(ConnectionError):
             ask(exchange)
