Split the armed switch and the runner; drop a tuning story

Ruled out: any change of behaviour; code was moved only. Change: beginning and withdrawing a switch stand in _armed_begin.py, what callers send and get in direct/_answers.py. Measured: tests of the packages pass unchanged but for the module that draws versions. Conclusion: a reading commit.

--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -1,5 +1,10 @@
 """Which rank holds which experts, and how a group changes that in step."""
 
+from mintsaddle.decisions.expert_maps._armed_begin import (
+    begin_switch,
+    draw_version,
+    withdraw_held,
+)
 from mintsaddle.decisions.expert_maps._armed_state import (
     OVER,
     ArmedSwitch,
@@ -10,16 +15,13 @@
     Verdict,
 )
 from mintsaddle.decisions.expert_maps._armed_switch import (
-    begin_switch,
     choose_step,
-    draw_version,
     hold_at,
     must_read_first,
     next_map_orders,
     note_answers,
     note_reports,
     ranks_to_read,
-    withdraw_held,
 )
 from mintsaddle.decisions.expert_maps._maps import (
     ExpertMap,
--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -1,6 +1,7 @@
 """Orders, reports and the state of a switch that is armed rank by rank."""
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from mintsaddle.decisions.expert_maps._maps import ExpertMap
@@ -76,6 +77,15 @@
     """Whether it tells what holds now; else it may be 0.2 s old."""
 
 
+def told_versions(reports: Sequence[RankReport]) -> list[int]:
+    """Return the versions that ranks use, have prepared or are armed for."""
+    return [
+        version
+        for report in reports
+        for version in (report.version, report.prepared or 0, report.armed or 0)
+    ]
+
+
 class SwitchStage(enum.Enum):
     """How far a switch is."""
 
--- a/mintsaddle/decisions/expert_maps/_planner.py
+++ b/mintsaddle/decisions/expert_maps/_planner.py
@@ -12,11 +12,7 @@
 """Least loaded ranks that are looked at; bounds the planning time."""
 
 HORIZON_INTERVALS = 1.4
-"""Intervals between plans over which a gain counts: it outlasts the next one.
-
-Of 1.0 to 3.0 this gave the least total step time in most of the stories in
-benchmarks/expert_maps.py; docs/DESIGN.md has the figures.
-"""
+"""Intervals between plans over which a gain counts; it outlasts the next."""
 
 _MOST_MOVES = 48
 _LEAST_GAIN = 1e-9
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -15,6 +15,7 @@
     RankReport,
     SwitchStage,
     Verdict,
+    _armed_begin,
     _armed_switch,
     begin_switch,
     choose_step,
@@ -173,7 +174,7 @@
         elif held is None and self.rng.random() < (
             0.5 if index == 0 else self.eagerness_of_second
         ):
-            version = _armed_switch.draw_version(reports, self.rng)
+            version = _armed_begin.draw_version(reports, self.rng)
             new_map = ExpertMap(version, MAPS[index])
             self.switches[index] = begin_switch(FIRST_MAP, new_map, reports, now=0.0)
 
@@ -286,7 +287,7 @@
         next version. Each takes what the other one has prepared, armed and
         held for its own; when one withdraws, it disarms the other one's ranks.
         """
-        monkeypatch.setattr(_armed_switch, "draw_version", draw_next_number)
+        monkeypatch.setattr(_armed_begin, "draw_version", draw_next_number)
         with pytest.raises(AssertionError, match="begins with maps"):
             play()
 
@@ -328,8 +329,8 @@
         """
         reports = [Group().report(rank) for rank in range(RANKS)]
         rng = random.Random(1)
-        first = _armed_switch.draw_version(reports, rng)
-        assert _armed_switch.draw_version(reports, rng, above=first) > first
+        first = _armed_begin.draw_version(reports, rng)
+        assert _armed_begin.draw_version(reports, rng, above=first) > first
 
     def test_loaded_weights_are_known_before_a_report_tells(self) -> None:
         """Steps stay long for a third of a second after the weights are there.
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -13,16 +13,12 @@
     match_route,
 )
 from mintsaddle.decisions.routing import note_request
+from mintsaddle.direct._answers import CallerMessage, StreamAnswer, WholeAnswer
 from mintsaddle.direct._calls import find_holder, make_call
 from mintsaddle.direct._choice import CallerLeftError
 from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.direct._runner import (
-    CallerMessage,
-    CallRunner,
-    StreamAnswer,
-    WholeAnswer,
-)
+from mintsaddle.direct._runner import CallRunner
 from mintsaddle.direct._timing import StreamTiming
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import HistogramName, Measure, fields, make_logger
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -2,7 +2,7 @@
 
 import http.client
 from collections.abc import Callable, Generator, Iterator
-from typing import Any, NamedTuple, TypeAlias
+from typing import NamedTuple
 
 from mintsaddle.decisions.direct import (
     DirectCall,
@@ -24,6 +24,12 @@
     note_load,
     spend_retry,
 )
+from mintsaddle.direct._answers import (
+    CallAnswer,
+    CallerMessage,
+    StreamAnswer,
+    WholeAnswer,
+)
 from mintsaddle.direct._choice import CallerLeftError, choose_endpoint
 from mintsaddle.direct._exchange import (
     Exchange,
@@ -53,37 +59,6 @@
 _log = make_logger("calls")
 
 
-class CallerMessage(NamedTuple):
-    """The caller's HTTP request, as it is passed on."""
-
-    environ: dict[str, Any]
-    method: str
-    target: str
-    """Raw path and query."""
-
-    body: bytes
-
-
-class WholeAnswer(NamedTuple):
-    """An endpoint's whole answer."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-class StreamAnswer(NamedTuple):
-    """A stream that has begun."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    events: Iterator[bytes]
-
-
-CallAnswer: TypeAlias = WholeAnswer | StreamAnswer | GiveUp
-"""What the caller gets."""
-
-
 class _Attempt(NamedTuple):
     endpoint: Incarnation
     exchange: Exchange
