--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -19,12 +19,14 @@
     choose_incarnation,
 )
 from mintsaddle.decisions.expert_maps import (
-    SpreadLimits,
+    MapWatch,
+    choose_limits,
     make_first_map,
     spread_experts,
 )
 from mintsaddle.decisions.routing import RoutingState
 from mintsaddle.platform import decode_items
+from mintsaddle.rank_agent import AgentReply, RankAnswer, encode_reply
 from mintsaddle.transport.proto import peer_pb2 as pb
 
 _ROUNDS = 50
@@ -123,7 +125,7 @@
     """Return the time to plan a map with one expert that is hot."""
     first = make_first_map(0, ranks, experts, layers, -(-experts // ranks))
     popularity = [[1.0 / (1 + e) ** 1.3 for e in range(experts)]] * layers
-    limits = SpreadLimits(-(-experts // ranks) + 3, 4)
+    limits = choose_limits(-(-experts // ranks) + 3, 4, 0.1)
     return measure_seconds(lambda: spread_experts(1, first, popularity, limits)) * 1e3
 
 
@@ -137,6 +139,38 @@
     return 2 * ranks * len(text) / 1e3
 
 
+def make_counts(experts: int, layers: int, times: int) -> list[list[int]]:
+    """Return counts of experts as they stand after some time."""
+    rng = random.Random(times)
+    return [
+        [rng.randrange(900, 1100) * times for _ in range(experts)]
+        for _ in range(layers)
+    ]
+
+
+def look_bytes(experts: int, layers: int) -> int:
+    """Return the size of an agent's reply with a report and counts."""
+    body = json.dumps({"counts": make_counts(experts, layers, 100)})
+    report = json.dumps({"group": {"name": "g", "epoch": 1}, "step": 812, "map": 7})
+    answers = (RankAnswer(200, report), RankAnswer(200, body))
+    return len(encode_reply(AgentReply(1, answers)))
+
+
+def look_milliseconds(experts: int, layers: int, counted: int) -> float:
+    """Return the time to take the counts of one look into the popularity."""
+    watch = MapWatch(1, layers, experts, 0.12)
+    rounds = iter(range(1, 10_000))
+
+    def look() -> None:
+        times = next(rounds)
+        counts = make_counts(experts, layers, times)
+        for rank in range(counted):
+            watch.note_counts(rank, counts)
+        watch.finish_counts(float(times))
+
+    return measure_seconds(look) * 1e3
+
+
 def measure() -> tuple[Row, ...]:
     """Return all slopes."""
     return (
@@ -165,6 +199,16 @@
             f"{spread_milliseconds(12, 96, 3):.1f} ms, 12 ranks, 96 experts, 3 layers",
             f"{spread_milliseconds(128, 256, 8):.1f} ms, 128 ranks, 256, 8 layers",
         ),
+        Row(
+            "reply of a rank's agent, with counts",
+            f"{look_bytes(96, 3) / 1e3:.1f} KB, 96 experts, 3 layers",
+            f"{look_bytes(256, 8) / 1e3:.1f} KB, 256 experts, 8 layers",
+        ),
+        Row(
+            "taking the counts of a look",
+            f"{look_milliseconds(96, 3, 12):.1f} ms of 12 ranks, 96, 3 layers",
+            f"{look_milliseconds(256, 8, 7):.1f} ms of 7 ranks, 256, 8 layers",
+        ),
         Row(
             "orders of one switch of a map",
             f"{switch_kilobytes(12, 96, 3):.0f} KB, 12 ranks, 96 experts, 3 layers",
