Bear routes that name no pause; name a counter's callback by its job

Cause: read as a newcomer, the keeper counted a group as busy at any step, idle ones too, where no route to its service names a longest pause; and what adds to a counter was called spend. Ruled out: any effect on the deployments at hand, all of whose routes name a pause. Change: 0.12 s where none is named; spend is now count.

--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -24,6 +24,9 @@
 long: a better map is looked for well before pauses are too long, since loading
 weights makes steps longer by 15 in 100."""
 
+USUAL_PAUSE = 0.12
+"""Seconds between two events that callers bear where no route names them."""
+
 LEAST_GAIN = 0.1
 """Share of the slowest rank's load that a new map has to take away."""
 
@@ -71,12 +74,14 @@
             epoch: The group's epoch.
             layers: Layers of its model.
             experts: Experts of each layer.
-            longest_pause: Seconds between two events that callers bear.
+            longest_pause: Seconds between two events that callers bear; 0 if no
+                route names them.
         """
         self._epoch = epoch
         self._layers = layers
         self._experts = experts
-        self._longest_pause = longest_pause
+        # With a pause of 0 an idle group would count as busy.
+        self._longest_pause = longest_pause or USUAL_PAUSE
         self._steps: deque[tuple[Instant, int]] = deque()
         self._stall = StallWatch()
         self._running = 0
--- a/mintsaddle/decisions/expert_maps/tests/test_spread.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -158,6 +158,18 @@
         assert not self.watch_steps(0.05).is_busy
         assert self.watch_steps(0.1).is_busy
 
+    def test_a_group_without_a_named_pause_isnt_always_busy(self) -> None:
+        """Weights are moved all day on a group that has nothing to do.
+
+        No route to its service names a longest pause, and any step is longer
+        than none.
+        """
+        watch = MapWatch(1, LAYERS, EXPERTS, 0.0)
+        assert not watch.is_busy
+        for look in range(4):
+            watch.note_step(1 + 50 * look, 5, look * 0.5)
+        assert not watch.is_busy
+
     def test_a_map_is_planned_once_for_the_same_popularity(self) -> None:
         watch = self.watch_steps(0.1)
         planned = watch.plan(FIRST_MAP, LIMITS)
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -96,19 +96,19 @@
         self,
         settings: DirectSettings,
         now: Callable[[], Instant],
-        spend: Callable[[str], None],
+        count: Callable[[str], None],
     ) -> None:
         """Open the way to the agents.
 
         Args:
             settings: Names the port of agents, if there are any.
             now: Returns the present instant.
-            spend: Adds one to a counter.
+            count: Adds one to a counter.
         """
         self._port = settings.agent_port
         self._link = AgentLink(settings.host) if settings.agent_port else None
         self._now = now
-        self._spend = spend
+        self._count = count
         self._pool = ThreadPoolExecutor(_NETWORK_CALLS, "ranks")
         self._misses: Counter[str] = Counter()
         self._rests_until: dict[str, Instant] = {}
@@ -238,7 +238,7 @@
         if came:
             del self._misses[engine]
             return
-        self._spend("agent_silent")
+        self._count("agent_silent")
         self._misses[engine] += 1
         if self._misses[engine] >= MOST_MISSES:
             self._rests_until[engine] = self._now() + AGENT_REST_SECONDS
