--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -74,8 +74,8 @@
             epoch: The group's epoch.
             layers: Layers of its model.
             experts: Experts of each layer.
-            longest_pause: Seconds between two events that callers bear; 0 if no
-                route names them.
+            longest_pause: Seconds between two events that callers bear; 0 if
+                no route names them.
         """
         self._epoch = epoch
         self._layers = layers
