Count new experts as they are added; note a switch in one branch; one test clock

Cause: reading the whole change again: the planner took differences of sets of all layers for each candidate, the keeper asked twice whether a switch is done, and two test files held the same clock. Ruled out: any change of behaviour. Change: counts of new experts are kept with each addition and removal; note_switch moved into the first branch; the clock stands in tests/clocks.

--- a/mintsaddle/decisions/expert_maps/_spread.py
+++ b/mintsaddle/decisions/expert_maps/_spread.py
@@ -106,6 +106,7 @@
         self.speeds = speeds
         self.held = [set(experts) for experts in layer]
         self.before = [frozenset(experts) for experts in layer]
+        self.new_counts = [0] * len(layer)
         self.holders: dict[int, set[int]] = {}
         for rank, experts in enumerate(self.held):
             for expert in experts:
@@ -124,17 +125,16 @@
     def piece(self, expert: int) -> float:
         return self.tokens[expert] / len(self.holders[expert])
 
-    def new_count(self, rank: int) -> int:
-        return len(self.held[rank] - self.before[rank])
-
     def add(self, expert: int, rank: int) -> None:
         self.held[rank].add(expert)
         self.holders[expert].add(rank)
+        self.new_counts[rank] += expert not in self.before[rank]
         self._reload(expert)
 
     def drop(self, expert: int, rank: int) -> None:
         self.held[rank].discard(expert)
         self.holders[expert].discard(rank)
+        self.new_counts[rank] -= expert not in self.before[rank]
         self._reload(expert)
         self.loads[rank] = self._load(rank)
 
@@ -174,9 +174,9 @@
         """Return whether a rank can get an expert without loading too much."""
         if expert in layer.before[rank]:
             return True
-        if layer.new_count(rank) >= self.limits.new_places:
+        if layer.new_counts[rank] >= self.limits.new_places:
             return False
-        return sum(one.new_count(rank) for one in self.layers) < self.limits.loads
+        return sum(one.new_counts[rank] for one in self.layers) < self.limits.loads
 
 
 def _relieve_slowest(layer: _Layer, plan: _Plan) -> bool:
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -226,10 +226,9 @@
         switch = self._runner.carry_out(group, switch, step_seconds)
         if switch.stage is SwitchStage.DONE:
             self._maps[group.name] = (switch.epoch, new_map)
+            watch.note_switch(version, self._gateway.now())
         elif switch.stage is SwitchStage.FAILED and switch.holders:
             self._free_own_hold(group)
-        if switch.stage is SwitchStage.DONE:
-            watch.note_switch(version, self._gateway.now())
         _log.info(
             "Switch over %s.",
             fields(
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -11,6 +11,7 @@
 from mintsaddle.decisions.direct import MOST_IDLE, Incarnation, keep_seconds
 from mintsaddle.direct._exchange import Exchange, read_body
 from mintsaddle.direct._pool import ConnectionPool
+from mintsaddle.direct.tests.clocks import Clock
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 PATIENCE = 5.0
@@ -67,19 +68,6 @@
     return Endpoint()
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
-@pytest.fixture
-def clock() -> Clock:
-    return Clock()
-
-
 @pytest.fixture
 def pool(clock: Clock) -> Iterator[ConnectionPool]:
     pool = ConnectionPool(clock)
--- a/mintsaddle/direct/tests/test_rank_calls.py
+++ b/mintsaddle/direct/tests/test_rank_calls.py
@@ -18,6 +18,7 @@
 from mintsaddle.direct._agents import AgentLink
 from mintsaddle.direct._rank_calls import GroupLook, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
+from mintsaddle.direct.tests.clocks import Clock
 from mintsaddle.platform.tests.test_taking_items import SETTINGS
 from mintsaddle.rank_agent._agent import RankAgent
 from mintsaddle.rank_agent.tests.standins import Engine
@@ -37,19 +38,6 @@
     }
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
-@pytest.fixture
-def clock() -> Clock:
-    return Clock()
-
-
 @pytest.fixture
 def engine() -> Iterator[Engine]:
     engine = Engine(show)
