Relay what is published from one reader in each data centre; start threads as needed

Ruled out: batches of changes (tried before: nothing, since the number of readers counts); longer watches (the bound on a silent connection); stale reads for all (may be seconds old, no bound).

Change: entries of a data centre form a relay tree by rendezvous rank, one reader at its root, fan-out 6, over a gRPC stream that carries changes and confirmations. Nobody is elected: an entry whose copy is unconfirmed for 0.6 of the smallest published bound polls the store for itself, and leaves an upstream whose copy is older than its own. The first reading may be old (a tenth of a call); a peer or a watch confirms it. Lapses after an outage are relayed too. Calls that bring changes are 0.05 of the bound apart. Caller threads start at 4 and grow to a bound from the VM's memory and descriptors.

--- a/mintsaddle/decisions/configuration/_relays.py
+++ b/mintsaddle/decisions/configuration/_relays.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from mintsaddle.fleet import Fleet
-from mintsaddle.values import rank_by_score
+from mintsaddle.values import rank_by_score, relay_parent
 
 READERS = 3
 """VMs of a data centre that read the platform themselves."""
@@ -63,11 +63,10 @@
     if vm not in near:
         near.append(vm)
     ranked = rank_by_score(f"relay {data_centre}", near)
-    place = ranked.index(vm)
-    if place < READERS:
+    parent = relay_parent(ranked, vm, roots=READERS, fan_out=FAN_OUT)
+    if parent is None:
         far = [name for name in names if fleet.data_centre_of(name) != data_centre]
         return (PLATFORM, *_first_peer(rank_by_score(f"relay {vm}", far)))
-    parent = ranked[(place - READERS) // FAN_OUT]
     readers = [name for name in ranked[:READERS] if name != parent]
     peers = [Source(SourceKind.PEER, name) for name in (parent, *readers)]
     return (*peers, PLATFORM)
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -55,6 +55,14 @@
     choose_service,
     match_route,
 )
+from mintsaddle.decisions.direct._upstream import (
+    COALESCE_SHARE,
+    RETRY_SHARE,
+    STALE_SHARE,
+    WATCH_SHARE,
+    Upstreams,
+    must_poll,
+)
 from mintsaddle.decisions.direct._urgency import (
     FIRST_URGENCY,
     LATE_URGENCY,
@@ -70,7 +78,11 @@
     "MOST_IDLE",
     "MOST_TOLD",
     "NEVER_RAN",
+    "RETRY_SHARE",
     "SETTLE_SECONDS",
+    "STALE_SHARE",
+    "WATCH_SHARE",
+    "COALESCE_SHARE",
     "CallerLimits",
     "ColdGate",
     "DataCentreBack",
@@ -100,6 +112,7 @@
     "RoutingTable",
     "TablePublished",
     "TryAgain",
+    "Upstreams",
     "advise_retry",
     "apply_facts",
     "attempt_until",
@@ -114,6 +127,7 @@
     "is_late",
     "keep_seconds",
     "match_route",
+    "must_poll",
     "note_attempt",
     "usable_endpoints",
 ]
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -57,6 +57,7 @@
     vm: str
     address: str
     heard_at: Instant
+    data_centre: str = ""
 
 
 class Membership:
@@ -124,6 +125,12 @@
             if now - entry.heard_at <= ALIVE_SECONDS
         )
 
+    def reachable(self, now: Instant) -> tuple[KnownEntry, ...]:
+        """Return the other entries that are alive and answer this one."""
+        return tuple(
+            entry for entry in self.alive(now) if entry.address not in self._suspects
+        )
+
     def is_settled(self, now: Instant) -> bool:
         """Return whether this entry has had time to hear of the others."""
         return now >= self._settles_at
@@ -200,8 +207,7 @@
         if not self.is_settled(now):
             return None
         names = [self._vm]
-        for entry in self.alive(now):
-            is_late = now - entry.heard_at > DUTY_SECONDS
-            if not is_late and entry.address not in self._suspects:
+        for entry in self.reachable(now):
+            if now - entry.heard_at <= DUTY_SECONDS:
                 names.append(entry.vm)
         return rank_by_score(duty, names).index(self._vm)
--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -59,8 +59,8 @@
         self._confirmed_at = max(self._confirmed_at, at)
 
     def expect_lapses(self, until: Instant) -> None:
-        """Note that the platform has just come back from an absence."""
-        self._lapse_until = until
+        """Record that the platform came back a moment ago."""
+        self._lapse_until = max(self._lapse_until, until)
 
     def merge(
         self, items: Iterable[PublishedItem], position: int
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -5,18 +5,14 @@
 
 from returns.result import Failure, Result, Success
 
-from mintsaddle.decisions.direct import Replica
+from mintsaddle.decisions.direct import COALESCE_SHARE, RETRY_SHARE, WATCH_SHARE
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import StoreAnswer, StoreClient, StoreProblem
+from mintsaddle.values import Instant
 
-WATCH_SECONDS = 2.5
-"""Seconds for which a watch may wait. A connection that has gone silent is
-noticed a second later: within the contact time and what a configuration may
-take (5 s). Each renewal costs one read."""
-
-PAUSE_SECONDS = 0.3
-"""Seconds between two tries while the platform gives nothing."""
+IDLE_SECONDS = 0.2
+"""Seconds between two checks of whether the copy has become stale."""
 
 _log = make_logger("directory")
 
@@ -29,57 +25,99 @@
 
 
 def _follow(gateway: Gateway) -> None:
-    """Follow what is published; begin anew whatever goes wrong.
-
-    Guards against a thread that dies: its entry would go on with old beliefs,
-    which shows as work sent to endpoints that have long left.
-    """
+    """Follow what is published; begin anew whatever goes wrong."""
     while True:
         try:
-            _follow_until_failure(gateway)
+            _Follower(gateway).run()
         except Exception:
             _log.exception("Following failed.")
-            threading.Event().wait(PAUSE_SECONDS)
+            threading.Event().wait(gateway.settings.news_within * RETRY_SHARE)
 
 
-def _follow_until_failure(gateway: Gateway) -> NoReturn:
-    client = StoreClient(gateway.settings.store)
-    must_read = True
-    is_well = True
-    while True:
-        asked_at = gateway.now()
-        result = _ask(client, gateway.replica, must_read=must_read)
-        match result:
+class _Follower:
+    """Reads and watches the platform while nobody else tells what changes."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self._client = StoreClient(gateway.settings.store)
+        settings = gateway.settings
+        # Without peers nobody else would confirm an old reading.
+        self._may_start_old = any(peer != settings.control for peer in settings.peers)
+        self._is_history_gone = False
+        self._is_well = True
+
+    def run(self) -> NoReturn:
+        while True:
+            if self._gateway.must_poll:
+                self._poll()
+            else:
+                self._rest()
+            self._gateway.drop_lapsed()
+
+    def _rest(self) -> None:
+        # An idle connection may go silent; the next poll has no time for that.
+        self._client.close()
+        if not self._is_well:
+            self._record_regained()
+        threading.Event().wait(IDLE_SECONDS)
+
+    def _poll(self) -> None:
+        gateway = self._gateway
+        asked_at, is_first = gateway.now(), not gateway.replica.position
+        is_reading = is_first or self._is_history_gone
+        match self._ask(is_reading=is_reading, is_first=is_first):
             case Success(answer):
-                if not is_well:
-                    gateway.note_regained()
-                    position = gateway.replica.position
-                    _log.info("Platform regained %s.", fields(position=position))
-                # A watch's answer is current as it is sent, a reading as it
-                # is asked for.
-                confirmed_at = asked_at if must_read else gateway.now()
+                if not self._is_well:
+                    self._record_regained()
                 gateway.take_items(
                     answer.items,
                     answer.position,
-                    is_complete=must_read,
-                    confirmed_at=confirmed_at,
+                    is_complete=is_reading,
+                    confirmed_at=self._confirmed_at(
+                        asked_at, is_reading=is_reading, is_first=is_first
+                    ),
                     source="platform",
                 )
-                must_read, is_well = False, True
+                self._is_history_gone = False
+                if answer.items:
+                    threading.Event().wait(
+                        gateway.settings.news_within * COALESCE_SHARE
+                    )
             case Failure(StoreProblem.HISTORY_GONE):
-                must_read = True
+                self._is_history_gone = True
             case Failure(problem):
-                if is_well:
-                    _log.warning("Platform lost %s.", fields(why=problem.value))
-                is_well = False
-                gateway.note_lost()
-                threading.Event().wait(PAUSE_SECONDS * (0.5 + gateway.rng.random()))
-        gateway.drop_lapsed()
-
-
-def _ask(
-    client: StoreClient, replica: Replica, *, must_read: bool
-) -> Result[StoreAnswer, StoreProblem]:
-    if must_read:
-        return client.read_all(replica.prefix)
-    return client.watch(replica.prefix, replica.position, WATCH_SECONDS)
+                self._record_lost(problem)
+                pause = gateway.settings.news_within * RETRY_SHARE
+                threading.Event().wait(pause * (0.5 + gateway.rng.random()))
+
+    def _ask(
+        self, *, is_reading: bool, is_first: bool
+    ) -> Result[StoreAnswer, StoreProblem]:
+        replica = self._gateway.replica
+        if is_reading:
+            may_be_old = is_first and self._may_start_old
+            return self._client.read_all(replica.prefix, may_be_old=may_be_old)
+        wait = self._gateway.settings.news_within * WATCH_SHARE
+        return self._client.watch(replica.prefix, replica.position, wait)
+
+    def _confirmed_at(
+        self, asked_at: Instant, *, is_reading: bool, is_first: bool
+    ) -> Instant:
+        """Return when an answer was current."""
+        if is_first and self._may_start_old:
+            # A peer or a watch confirms it.
+            return 0.0
+        # A watch's answer is current as it is sent.
+        return asked_at if is_reading else self._gateway.now()
+
+    def _record_regained(self) -> None:
+        self._is_well = True
+        self._gateway.note_regained()
+        position = self._gateway.replica.position
+        _log.info("Platform regained %s.", fields(position=position))
+
+    def _record_lost(self, problem: StoreProblem) -> None:
+        if self._is_well:
+            _log.warning("Platform lost %s.", fields(why=problem.value))
+        self._is_well = False
+        self._gateway.note_lost()
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -4,10 +4,11 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mintsaddle.decisions.direct import (
     LAPSE_GRACE,
+    SETTLE_SECONDS,
     ColdGate,
     Directory,
     GroupBeliefs,
@@ -17,6 +18,7 @@
     RouteDeadlines,
     apply_facts,
     drop_lapsed,
+    must_poll,
 )
 from mintsaddle.decisions.routing import RoutingState, note_sent
 from mintsaddle.direct._pool import ConnectionPool
@@ -61,6 +63,9 @@
         self._counts: Counter[str] = Counter()
         self._leaving = False
         self._is_platform_lost = False
+        self._is_reader = False
+        self._settles_at = self.now() + SETTLE_SECONDS
+        self._copy_listeners: list[Callable[[], None]] = []
         self._kept: list[object] = []
 
     @property
@@ -128,6 +133,17 @@
         """The copy of what is published."""
         return self._replica
 
+    @property
+    def must_poll(self) -> bool:
+        """Whether this entry has to ask the platform itself."""
+        return not self._replica.position or must_poll(
+            is_reader=self._is_reader,
+            # A young entry still learns whom to follow.
+            confirmed_at=max(self._replica.confirmed_at, self._settles_at),
+            bound=self._settings.news_within,
+            now=self.now(),
+        )
+
     def now(self) -> Instant:
         """Return the present instant.
 
@@ -141,6 +157,21 @@
         """Note that this process was told to stop."""
         self._leaving = True
 
+    def set_reader(self, is_reader: bool) -> None:
+        """Record whether this entry watches the platform for others."""
+        if is_reader != self._is_reader:
+            self._is_reader = is_reader
+            _log.info("Reader changed %s.", fields(is_reader=is_reader))
+
+    def on_copy(self, listener: Callable[[], None]) -> None:
+        """Call a function whenever the copy has changed or was confirmed."""
+        self._copy_listeners.append(listener)
+
+    def expect_lapses(self, until: Instant) -> None:
+        """Record until when removals may stem from an outage."""
+        with self._lock:
+            self._replica.expect_lapses(until)
+
     def note_lost(self) -> None:
         """Note that the platform gives nothing."""
         with self._lock:
@@ -201,6 +232,8 @@
             replica.confirm(confirmed_at)
             if changed:
                 self._apply(changed, source, self.now())
+        for listener in self._copy_listeners:
+            listener()
 
     def drop_lapsed(self) -> None:
         """Forget endpoints whose announcements haven't come back in time."""
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -1,23 +1,18 @@
 """Exchanging beliefs with other direct entries, by gRPC."""
 
 import asyncio
-from collections.abc import Sequence
+import contextlib
 from typing import Any
 
 from grpclib.server import Server, Stream
 
-from mintsaddle.decisions.direct import (
-    KnownEntry,
-    Membership,
-    PublishedItem,
-    Replica,
-)
+from mintsaddle.decisions.direct import KnownEntry, Membership, Upstreams
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._relay import CopyRelay, StaleUpstreamError, position_in
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.transport import ChannelPool, LoopThread
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.transport.proto.peer_grpc import EntryPeersBase, EntryPeersStub
-from mintsaddle.values import Instant
 
 ROUND_SECONDS = 1.0
 """Seconds between two rounds while the platform is well."""
@@ -38,6 +33,9 @@
 STALE_SECONDS = 1.0
 """Age of one's own reading from which a peer's newer one is asked for."""
 
+CHOICE_SECONDS = 0.2
+"""Seconds between two choices of a reader that might follow another entry."""
+
 _log = make_logger("peers")
 
 
@@ -49,6 +47,8 @@
         self._membership = membership
         self._channels = ChannelPool()
         self._silent: set[str] = set()
+        self._relay = CopyRelay(gateway)
+        self._upstreams = Upstreams(membership.vm, gateway.settings.data_centre)
 
     async def Exchange(  # noqa: N802 - the name that gRPC gives it
         self, stream: "Stream[pb.EntryHello, pb.EntryNews]"
@@ -58,12 +58,27 @@
         if hello is None:
             return
         self._note_hello(hello)
-        news = pb.EntryNews(hello=self._make_hello())
-        with self._gateway.lock:
-            replica = self._gateway.replica
-            news.items.extend(_missing_items(replica, _position_in(hello)))
+        news, _ = self._relay.make_news(self._make_hello(), position_in(hello))
         await stream.send_message(news)
 
+    async def Follow(  # noqa: N802 - the name that gRPC gives it
+        self, stream: "Stream[pb.EntryHello, pb.EntryNews]"
+    ) -> None:
+        """Give a follower what it is missing, then each change."""
+        hello = await stream.recv_message()
+        if hello is None:
+            return
+        self._note_hello(hello)
+        await self._relay.serve(stream, self._make_brief_hello, position_in(hello))
+
+    def watch_copy(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Tell followers in the given loop of each change of the copy."""
+
+        def notify() -> None:
+            loop.call_soon_threadsafe(self._relay.notify)
+
+        self._gateway.on_copy(notify)
+
     async def run(self) -> None:
         """Exchange beliefs, round after round, until cancelled."""
         while True:
@@ -79,6 +94,39 @@
             pause = SEARCH_SECONDS if is_hurried else ROUND_SECONDS
             await asyncio.sleep(pause * (0.75 + self._gateway.rng.random() / 2))
 
+    async def follow_upstreams(self) -> None:
+        """Follow one upstream after the other, until cancelled."""
+        while True:
+            now = self._gateway.now()
+            upstream = None
+            if self._membership.is_settled(now):
+                reachable = self._membership.reachable(now)
+                upstream = self._upstreams.choose(reachable, now)
+                self._gateway.set_reader(upstream is None)
+            if upstream is None:
+                await asyncio.sleep(CHOICE_SECONDS)
+            else:
+                await self._follow(upstream)
+
+    async def _follow(self, upstream: KnownEntry) -> None:
+        """Follow one entry until it fails, leaves or ends the stream."""
+        gateway = self._gateway
+        stub = EntryPeersStub(self._channels.open(upstream.address))
+        hello = self._make_hello()
+        try:
+            async with contextlib.aclosing(self._relay.follow(stub, hello)) as told:
+                async for news in told:
+                    self._note_hello(news.hello)
+                    if news.hello.leaving:
+                        return
+        except StaleUpstreamError:
+            # Its copy is as old as this one's while the platform is down.
+            if not gateway.must_poll:
+                self._upstreams.reject(upstream.vm, gateway.now())
+                _log.info("Upstream rejected %s.", fields(vm=upstream.vm))
+        except Exception as error:
+            self._record_silence(upstream.address, error)
+
     async def watch_holders(self) -> None:
         """Ask the holders of duties that this entry would follow, for ever."""
         while True:
@@ -92,37 +140,54 @@
         try:
             news = await stub.Exchange(self._make_hello(), timeout=EXCHANGE_SECONDS)
         except Exception as error:
-            # Whatever grpclib raises, the peer is tried again over a fresh
-            # connection in a later round.
-            self._channels.drop(address)
-            self._membership.note_silence(address)
-            if address not in self._silent:
-                self._silent.add(address)
-                name = type(error).__name__
-                _log.info("Peer lost %s.", fields(address=address, error=name))
+            self._record_silence(address, error)
             return
         self._membership.note_answer(address)
         if address in self._silent:
             self._silent.discard(address)
             _log.info("Peer regained %s.", fields(address=address))
         self._note_hello(news.hello)
-        self._take_news(news)
+        for position in news.hello.positions:
+            if self._is_news(position):
+                self._relay.take(news, position)
+
+    def _record_silence(self, address: str, error: Exception) -> None:
+        """Record that a peer failed, whatever grpclib raised.
+
+        It is tried again over a fresh connection in a later round.
+        """
+        self._channels.drop(address)
+        self._membership.note_silence(address)
+        if address not in self._silent:
+            self._silent.add(address)
+            name = type(error).__name__
+            _log.info("Peer lost %s.", fields(address=address, error=name))
+
+    def _is_news(self, position: pb.Position) -> bool:
+        """Return whether a peer has a newer or fresher copy."""
+        replica, now = self._gateway.replica, self._gateway.now()
+        is_behind = position.revision > replica.position
+        return is_behind or now - replica.confirmed_at > STALE_SECONDS
+
+    def _make_brief_hello(self) -> pb.EntryHello:
+        """Return who this entry is, without whom it knows."""
+        return pb.EntryHello(
+            vm=self._membership.vm,
+            address=self._membership.address,
+            leaving=self._gateway.leaving,
+            data_centre=self._gateway.settings.data_centre,
+        )
 
     def _make_hello(self) -> pb.EntryHello:
-        gateway, membership = self._gateway, self._membership
-        now = gateway.now()
-        hello = pb.EntryHello(
-            vm=membership.vm, address=membership.address, leaving=gateway.leaving
-        )
-        replica = gateway.replica
-        hello.positions.add(
-            prefix=replica.prefix,
-            revision=replica.position,
-            age=now - replica.confirmed_at,
-        )
-        for entry in membership.heard_last(now):
+        now = self._gateway.now()
+        hello = self._make_brief_hello()
+        hello.positions.append(self._relay.make_position(now))
+        for entry in self._membership.heard_last(now):
             hello.entries.add(
-                vm=entry.vm, address=entry.address, age=now - entry.heard_at
+                vm=entry.vm,
+                address=entry.address,
+                age=now - entry.heard_at,
+                data_centre=entry.data_centre,
             )
         return hello
 
@@ -131,60 +196,14 @@
         if hello.leaving:
             self._membership.remove(hello.vm, now)
         else:
-            self._membership.note(KnownEntry(hello.vm, hello.address, now))
+            self._membership.note(
+                KnownEntry(hello.vm, hello.address, now, hello.data_centre)
+            )
         for entry in hello.entries:
             heard_at = now - entry.age
-            self._membership.note(KnownEntry(entry.vm, entry.address, heard_at))
-
-    def _take_news(self, news: pb.EntryNews) -> None:
-        """Take over items of a peer that has a newer or fresher reading."""
-        now = self._gateway.now()
-        items = [
-            PublishedItem(
-                item.key, item.revision, None if item.removed else bytes(item.value)
+            self._membership.note(
+                KnownEntry(entry.vm, entry.address, heard_at, entry.data_centre)
             )
-            for item in news.items
-        ]
-        for position in news.hello.positions:
-            self._take_position(position, items, news.hello.vm, now)
-
-    def _take_position(
-        self,
-        position: pb.Position,
-        items: Sequence[PublishedItem],
-        source: str,
-        now: Instant,
-    ) -> None:
-        replica = self._gateway.replica
-        if position.prefix != replica.prefix or position.revision == 0:
-            return
-        is_behind = position.revision > replica.position
-        is_stale = now - replica.confirmed_at > STALE_SECONDS
-        if is_behind or (is_stale and self._gateway.is_platform_lost):
-            self._gateway.take_items(
-                items,
-                position.revision,
-                is_complete=False,
-                confirmed_at=now - position.age,
-                source=source,
-            )
-
-
-def _position_in(hello: pb.EntryHello) -> int:
-    """Return the revision up to which a peer misses nothing."""
-    return max((one.revision for one in hello.positions), default=0)
-
-
-def _missing_items(replica: Replica, revision: int) -> list[pb.RelayedItem]:
-    return [
-        pb.RelayedItem(
-            key=item.key,
-            revision=item.revision,
-            removed=item.value is None,
-            value=item.value or b"",
-        )
-        for item in replica.changes_since(revision)
-    ]
 
 
 def start_peers(gateway: Gateway, membership: Membership) -> None:
@@ -196,9 +215,11 @@
 
 async def _start(gateway: Gateway, membership: Membership) -> None:
     exchange = PeerExchange(gateway, membership)
+    exchange.watch_copy(asyncio.get_running_loop())
     server: Any = Server([exchange])
     host, _, port = gateway.settings.control.rpartition(":")
     await server.start(host, int(port))
     rounds = asyncio.ensure_future(exchange.run())
     watch = asyncio.ensure_future(exchange.watch_holders())
-    gateway.keep(server, rounds, watch)
+    following = asyncio.ensure_future(exchange.follow_upstreams())
+    gateway.keep(server, rounds, watch, following)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -13,7 +13,7 @@
 from mintsaddle.direct._groups import start_asking
 from mintsaddle.direct._maps import MapKeeper
 from mintsaddle.direct._peers import start_peers
-from mintsaddle.direct._server import CALLER_THREADS, CallerServer, serve_pages
+from mintsaddle.direct._server import CallerServer, most_callers, serve_pages
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import READY_PATH
@@ -50,8 +50,9 @@
     signals = _catch_signals()
     gateway = Gateway(settings)
     watchdog = Watchdog(gateway.now)
-    app = DirectApp(gateway, watchdog, CALLER_THREADS)
-    server = CallerServer(app, settings.callers, lambda: gateway.leaving)
+    callers = most_callers(settings)
+    app = DirectApp(gateway, watchdog, callers)
+    server = CallerServer(app, settings.callers, lambda: gateway.leaving, callers)
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
         {
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -9,10 +9,21 @@
 from waitress.task import WSGITask
 
 from mintsaddle.decisions.direct import CallerLimits
+from mintsaddle.direct._threads import FIRST_THREADS, GrowingDispatcher
+from mintsaddle.settings import DirectSettings
 
-CALLER_THREADS = 96
-"""Callers served at one time: twelve engines of 6 places and as many waiting
-streams could be held by one entry alone."""
+CALLER_MEGABYTES = 0.5
+"""Memory for a caller: its thread's stack, its body and its answer."""
+
+CALLER_MEMORY_SHARE = 0.25
+"""Share of the VM's memory for callers."""
+
+CALLER_DESCRIPTORS = 3
+"""Descriptors for a caller: its connection, its endpoint's, and one that is
+being closed."""
+
+RESERVED_DESCRIPTORS = 300
+"""Descriptors for files, peers, agents and the platform."""
 
 _SPARE_THREADS = 4
 """Threads beyond that, which refuse at once what is too much."""
@@ -37,14 +48,29 @@
     task_class = _ClosingTask
 
 
+def most_callers(settings: DirectSettings) -> int:
+    """Return how many callers the VM bears at one time."""
+    by_memory = settings.memory_megabytes * CALLER_MEMORY_SHARE / CALLER_MEGABYTES
+    descriptors = settings.descriptors - RESERVED_DESCRIPTORS
+    return max(1, int(min(by_memory, descriptors / CALLER_DESCRIPTORS)))
+
+
 class CallerServer:
     """Takes callers' connections."""
 
-    def __init__(self, app: Any, address: str, is_leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        is_leaving: Callable[[], bool],
+        most_callers: int,
+    ) -> None:
+        dispatcher = GrowingDispatcher(most_callers + _SPARE_THREADS)
+        dispatcher.set_thread_count(FIRST_THREADS)
         self._server: TcpWSGIServer = create_server(
             app,
             listen=address,
-            threads=CALLER_THREADS + _SPARE_THREADS,
+            _dispatcher=dispatcher,
             backlog=_BACKLOG,
             connection_limit=_MOST_CONNECTIONS,
             cleanup_interval=_CLEANUP_SECONDS,
--- a/mintsaddle/platform/_settings.py
+++ b/mintsaddle/platform/_settings.py
@@ -24,6 +24,9 @@
 """Place in the port range of the port at which rank agents are reached, as the
 deploy file gives it to them; ports are the same on all VMs."""
 
+_NEWS_BOUNDS = ("config_apply_ms", "drain_ms", "evacuate_ms")
+"""Bounds of how soon a change of what is published takes effect."""
+
 
 def settings_path() -> str:
     """Return the path of this process's settings file."""
@@ -53,6 +56,7 @@
     bounds = reader.read_table("bounds")
     listen = reader.read_table("listen")
     platform = reader.read_table("platform")
+    limits = reader.read_table("limits")
     host = reader.read_text("ip")
     ports = values.get("port_range") or []
     settings = DirectSettings(
@@ -67,6 +71,8 @@
         agent_port=int(ports[_AGENT_PLACE]) if len(ports) > _AGENT_PLACE else 0,
         store=platform.read_text("address"),
         stop_seconds=bounds.read_number("grace_s"),
+        news_within=min(bounds.read_number(name) for name in _NEWS_BOUNDS)
+        / MILLISECONDS,
         retry_share=bounds.read_number("retry_budget_ratio"),
         retry_slack=bounds.read_number("retry_slack"),
         retry_window=bounds.read_number("budget_window_s"),
@@ -74,12 +80,15 @@
         cold_slack=bounds.read_number("cold_slack"),
         stall=bounds.read_number("stall_ms") / MILLISECONDS,
         first_start=bool(values.get("bootstrap")),
+        memory_megabytes=limits.read_number("memory_mb"),
+        descriptors=limits.read_number("max_fds"),
     )
     findings = (
         *reader.findings,
         *bounds.findings,
         *listen.findings,
         *platform.findings,
+        *limits.findings,
     )
     return Failure(findings) if findings else Success(settings)
 
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -46,17 +46,26 @@
         self._address = address
         self._connection: http.client.HTTPConnection | None = None
 
-    def read_all(self, prefix: str) -> Result[StoreAnswer, StoreProblem]:
+    def read_all(
+        self, prefix: str, *, may_be_old: bool = False
+    ) -> Result[StoreAnswer, StoreProblem]:
         """Return all items under a prefix.
 
-        Pages are no snapshot, so the first page's revision counts: what
-        changed while later pages were read comes again by the watch.
+        Pages are no snapshot, so the lowest revision of any page counts: what
+        changed after it comes again by the watch.
+
+        Args:
+            prefix: Keys that begin so are read.
+            may_be_old: Whether an answer that is seconds old will do; it
+                costs the store a tenth.
         """
         items: list[PublishedItem] = []
         position = -1
         after = ""
         for _ in range(_MOST_PAGES):
             query = {"prefix": prefix}
+            if may_be_old:
+                query["stale_ok"] = "1"
             if after:
                 query["after"] = after
             match self._get("kv-range", query, READ_SECONDS):
@@ -66,7 +75,8 @@
                     page = _read_items(answer.get("items"))
                     if page is None or not isinstance(answer.get("at"), int):
                         return Failure(StoreProblem.UNREADABLE)
-                    position = answer["at"] if position < 0 else position
+                    at = answer["at"]
+                    position = at if position < 0 else min(position, at)
                     items.extend(page)
                     if not answer.get("has_more") or not page:
                         return Success(StoreAnswer(tuple(items), position))
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -454,12 +454,18 @@
 control = "127.0.0.1:{control}"
 [bounds]
 grace_s = 8
+config_apply_ms = 2000
+drain_ms = 2000
+evacuate_ms = 5000
 retry_budget_ratio = 0.2
 retry_slack = 90
 budget_window_s = 10
 cold_overshoot = 1.5
 cold_slack = 5
 stall_ms = 1500
+[limits]
+memory_mb = 200
+max_fds = 4100
 [platform]
 address = "{store}"
 """
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -225,6 +225,54 @@
     return standins.make_configuration(version=2)
 
 
+def wait_for_table(entry: standins.Entry) -> None:
+    """Wait until an entry knows the newer table."""
+    wait_for(lambda: "version=2" in entry.log(), "newer table")
+
+
+class TestReaders:
+    @pytest.fixture
+    def entries(self, site: Site) -> list[standins.Entry]:
+        """Three entries, the reader of their data centre first."""
+        seeds = [site.entry.control]
+        entries = [
+            site.entry,
+            *(site.add_entry(site.store.address, seeds) for _ in "12"),
+        ]
+        for entry in entries[1:]:
+            wait_for(entry.is_ready, "ready entry")
+
+        def reads(entry: standins.Entry) -> bool:
+            lines = [line for line in entry.log().splitlines() if "is_reader" in line]
+            return bool(lines) and "is_reader=True" in lines[-1]
+
+        wait_for(lambda: sum(map(reads, entries)) == 1, "single reader")
+        return sorted(entries, key=reads, reverse=True)
+
+    def test_followers_hear_from_their_reader(
+        self, site: Site, entries: list[standins.Entry]
+    ) -> None:
+        """Guards against a store call for each change and entry."""
+        site.store.put("op/config", make_newer())
+        for follower in entries[1:]:
+            wait_for_table(follower)
+            (line,) = [one for one in follower.log().splitlines() if "version=2" in one]
+            assert "source=entry-" in line
+
+    def test_followers_of_a_frozen_reader_still_hear(
+        self, site: Site, entries: list[standins.Entry]
+    ) -> None:
+        """Guards against followers that trust a silent reader."""
+        reader, *followers = entries
+        reader.process.send_signal(signal.SIGSTOP)
+        try:
+            site.store.put("op/config", make_newer())
+            for follower in followers:
+                wait_for_table(follower)
+        finally:
+            reader.process.send_signal(signal.SIGCONT)
+
+
 class TestReload:
     def test_a_changed_file_is_read_again_and_cuts_nobody(self, site: Site) -> None:
         """An entry dies when its settings change.
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -23,6 +23,7 @@
     agent_port=0,
     store="127.0.0.1:4",
     stop_seconds=8.0,
+    news_within=2.0,
     retry_share=0.2,
     retry_slack=90.0,
     retry_window=10.0,
@@ -30,6 +31,8 @@
     cold_slack=5.0,
     stall=1.5,
     first_start=True,
+    memory_megabytes=200,
+    descriptors=4100,
 )
 
 
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -183,8 +183,12 @@
             "brand_new": 1,
             "listen": {"front": "f", "ready_addr": "r", "control": "c"},
             "platform": {"address": "p"},
+            "limits": {"memory_mb": 200, "max_fds": 4100},
             "bounds": {
                 "grace_s": 8,
+                "config_apply_ms": 2000,
+                "drain_ms": 2000,
+                "evacuate_ms": 5000,
                 "retry_budget_ratio": 0.2,
                 "retry_slack": 90,
                 "budget_window_s": 10,
--- a/mintsaddle/settings/_direct.py
+++ b/mintsaddle/settings/_direct.py
@@ -37,6 +37,9 @@
     stop_seconds: float
     """Seconds from SIGTERM to SIGKILL."""
 
+    news_within: float
+    """Seconds from a change of what is published until entries act on it."""
+
     retry_share: float
     """Retries allowed for each request, over all entries."""
 
@@ -58,4 +61,10 @@
     first_start: bool
     """Whether the whole system starts for the first time."""
 
+    memory_megabytes: float
+    """Memory that this process may use."""
+
+    descriptors: float
+    """Descriptors that this process may open."""
+
     log_level: str = "INFO"
--- a/mintsaddle/transport/proto/peer_grpc.py
+++ b/mintsaddle/transport/proto/peer_grpc.py
@@ -154,6 +154,10 @@
     async def Exchange(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.EntryHello, mintsaddle.transport.proto.peer_pb2.EntryNews]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Follow(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.EntryHello, mintsaddle.transport.proto.peer_pb2.EntryNews]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/mintsaddle.v1.EntryPeers/Exchange': grpclib.const.Handler(
@@ -162,6 +166,12 @@
                 mintsaddle.transport.proto.peer_pb2.EntryHello,
                 mintsaddle.transport.proto.peer_pb2.EntryNews,
             ),
+            '/mintsaddle.v1.EntryPeers/Follow': grpclib.const.Handler(
+                self.Follow,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                mintsaddle.transport.proto.peer_pb2.EntryHello,
+                mintsaddle.transport.proto.peer_pb2.EntryNews,
+            ),
         }
 
 
@@ -174,3 +184,9 @@
             mintsaddle.transport.proto.peer_pb2.EntryHello,
             mintsaddle.transport.proto.peer_pb2.EntryNews,
         )
+        self.Follow = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/Follow',
+            mintsaddle.transport.proto.peer_pb2.EntryHello,
+            mintsaddle.transport.proto.peer_pb2.EntryNews,
+        )
--- a/mintsaddle/values/__init__.py
+++ b/mintsaddle/values/__init__.py
@@ -14,6 +14,7 @@
 from mintsaddle.values._outcomes import Claim, Outcome, Reason, Refusal
 from mintsaddle.values._stamps import Boot, Load, Stamp
 from mintsaddle.values._time import MILLISECONDS, Clock, Instant
+from mintsaddle.values._trees import relay_parent
 
 __all__ = [
     "BOOT_BITS",
@@ -37,6 +38,7 @@
     "issue_key",
     "parse_key",
     "rank_by_score",
+    "relay_parent",
     "render_findings",
     "stable_hash",
 ]
