--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -37,8 +37,8 @@
     RouteRequest,
     RoutingState,
     choose_endpoint,
-    note_load,
-    note_sent,
+    record_load,
+    record_sent,
 )
 from mintsaddle.fleet import NO_MARKS, Fleet, read_fleet
 from mintsaddle.observe import HistogramBook, HistogramName, Measure
@@ -155,7 +155,7 @@
     def act() -> None:
         name = choose_endpoint(state, fleet, NO_MARKS, request, NOW, rng)
         assert name is not None
-        note_sent(state, name)
+        record_sent(state, name)
 
     seconds = timed(act, 300)
     memory = sized(lambda: _make_routing(fleet)) / size.endpoints
@@ -168,7 +168,7 @@
 def _make_routing(fleet: Fleet) -> RoutingState:
     state = RoutingState("entry-0", "dc0")
     for name in fleet.endpoints:
-        note_load(state, name, 1, Load(3, 400, 0, False), NOW)
+        record_load(state, name, 1, Load(3, 400, 0, False), NOW)
     return state
 
 
--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -157,18 +157,18 @@
 
 
 def look_milliseconds(experts: int, layers: int, counted: int) -> float:
-    """Return the time to take the counts of one look into the popularity."""
+    """Return the time to take the counts of one poll into the popularity."""
     watch = MapWatch(1, layers, experts, 0.12)
     rounds = iter(range(1, 10_000))
 
-    def look() -> None:
+    def poll() -> None:
         times = next(rounds)
         counts = make_counts(experts, layers, times)
         for rank in range(counted):
-            watch.note_counts(rank, counts)
+            watch.record_counts(rank, counts)
         watch.finish_counts(float(times))
 
-    return measure_seconds(look) * 1e3
+    return measure_seconds(poll) * 1e3
 
 
 def measure() -> tuple[Row, ...]:
@@ -205,7 +205,7 @@
             f"{look_bytes(256, 8) / 1e3:.1f} KB, 256 experts, 8 layers",
         ),
         Row(
-            "taking the counts of a look",
+            "taking the counts of a poll",
             f"{look_milliseconds(96, 3, 12):.1f} ms of 12 ranks, 96, 3 layers",
             f"{look_milliseconds(256, 8, 7):.1f} ms of 7 ranks, 256, 8 layers",
         ),
--- a/benchmarks/move_site.py
+++ b/benchmarks/move_site.py
@@ -31,7 +31,7 @@
 """Seconds for daemons to start before callers come."""
 
 _BURST_SHAPE = 0.5
-_PATIENCE = 20.0
+_TIMEOUT = 20.0
 """Seconds for which a refused caller comes back."""
 
 _LONGEST = 60.0
@@ -141,7 +141,7 @@
         self.world.after(SETTLED + timing.back - 5.0, self._restart_engines)
         self.world.after(SETTLED + timing.back, lambda: self._mark("in"))
         self.world.after(SETTLED, self._watch_limits)
-        self.world.run_until(begin + timing.end + _PATIENCE + _LONGEST)
+        self.world.run_until(begin + timing.end + _TIMEOUT + _LONGEST)
 
     def _add_endpoint(self, name: str, centre: str) -> None:
         engine = MoveEngine(self.world, name, centre, COLD_LIMIT, LIMIT)
@@ -278,7 +278,7 @@
         world = self._site.world
         back = finish.retry_at if finish else 0.0
         refused = finish is not None and finish.outcome is Outcome.NOT_RUN
-        if refused and back < self._came + _PATIENCE:
+        if refused and back < self._came + _TIMEOUT:
             world.after(max(0.0, back - world.now), self.call)
             return
         call = self._call
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -1,7 +1,7 @@
 """A stand-in for a model engine or a plain order service.
 
 A ``POST`` with ``{"tokens": N, "pace": SECONDS}`` streams N events and an end
-event. Any other ``POST`` is an order or a look-up: it is counted under its
+event. Any other ``POST`` is an order or a lookup: it is counted under its
 ``Request-Id`` and answered as a whole. ``GET /status`` shows the boot and
 ``GET /executions`` what has run, for tests.
 """
--- a/fakes/lockstep/_callers.py
+++ b/fakes/lockstep/_callers.py
@@ -21,7 +21,7 @@
     longest_pause: float = 0.12
     deadline: float = 8.0
     deadline_spread: float = 0.15
-    patience: float = 2.0
+    timeout: float = 2.0
     """Seconds without an event after which a caller leaves its attempt."""
 
     retries: int = 1
@@ -55,11 +55,11 @@
         return 1.0 if self.is_on_time else LATE_WORTH
 
     def begin_attempt(self, leave: Callable[[], None]) -> None:
-        """Note a new attempt; ``leave`` is called when patience ends."""
+        """Note a new attempt; ``leave`` is called when timeout ends."""
         self.attempts += 1
         self._await_event(leave)
 
-    def note_event(self, leave: Callable[[], None]) -> None:
+    def record_event(self, leave: Callable[[], None]) -> None:
         """Note an event of the stream."""
         now = self.world.now
         if self.last_event is None:
@@ -77,10 +77,10 @@
     def _await_event(self, leave: Callable[[], None]) -> None:
         self._watch += 1
         number = self._watch
-        patience = min(self.model.patience, self.ends_at - self.world.now)
+        timeout = min(self.model.timeout, self.ends_at - self.world.now)
 
-        def look() -> None:
+        def check() -> None:
             if number == self._watch and not self.is_over:
                 leave()
 
-        self.world.after(max(0.0, patience), look)
+        self.world.after(max(0.0, timeout), check)
--- a/fakes/lockstep/_day.py
+++ b/fakes/lockstep/_day.py
@@ -100,7 +100,7 @@
     def learn() -> None:
         for entry in entries:
             delay = _OPEN_LOOK * world.rng.random()
-            world.after(delay, entry.note_open)
+            world.after(delay, entry.record_open)
 
     world.after(outage.at, group.lose)
     world.after(outage.until, lambda: group.come_back(learn))
--- a/fakes/lockstep/_entry.py
+++ b/fakes/lockstep/_entry.py
@@ -23,13 +23,13 @@
 )
 from mintsaddle.decisions.routing import (
     RoutingState,
-    note_finished,
-    note_load,
-    note_sent,
+    record_finished,
+    record_load,
+    record_sent,
 )
 from mintsaddle.values import Load
 
-LOOK_SECONDS = 0.05
+POLL_SECONDS = 0.05
 GROUP = "g"
 ROUTE = Route(
     name="draft",
@@ -89,9 +89,9 @@
             for place in [RankPlace(GROUP, 1, rank, ranks, True)]
         ]
 
-    def note_open(self) -> None:
+    def record_open(self) -> None:
         """Learn from a report that the group has formed anew."""
-        self._beliefs.note_report(GROUP, self._group.epoch, True, self._world.now)
+        self._beliefs.record_report(GROUP, self._group.epoch, True, self._world.now)
 
     def take(self, visit: Visit, on_refusal: Callable[[float], None]) -> None:
         """Serve an attempt of a caller.
@@ -124,7 +124,7 @@
             return
         if self._beliefs.is_down(GROUP):
             if self._policy.holds and now < hold_until(serving.call):
-                self._world.after(LOOK_SECONDS, lambda: self._try(serving))
+                self._world.after(POLL_SECONDS, lambda: self._try(serving))
             else:
                 self._refuse(serving, 4.0)
             return
@@ -137,7 +137,7 @@
     def _send(self, serving: "_Serving", chosen: Incarnation) -> None:
         name = chosen.name
         rank = chosen.place.rank if chosen.place else 0
-        note_sent(self._state, name)
+        record_sent(self._state, name)
         serving.call = serving.call._replace(sends=serving.call.sends + 1)
         visit = serving.visit
         urgency = 0
@@ -149,16 +149,16 @@
                 serving.call = serving.call._replace(began=True)
                 running, waiting = self._group.load(rank)
                 load = Load(running, chosen.slots, waiting, leaving=False)
-                note_load(self._state, name, 0, load, self._world.now)
-            visit.note_event(leave)
+                record_load(self._state, name, 0, load, self._world.now)
+            visit.record_event(leave)
 
         def on_end(end: WorkEnd) -> None:
-            note_finished(self._state, name)
+            record_finished(self._state, name)
             self._end(serving, end)
 
         def leave() -> None:
             self._group.cancel(work)
-            note_finished(self._state, name)
+            record_finished(self._state, name)
             serving.leave()
 
         rest = visit.events - visit.events_seen
@@ -173,7 +173,7 @@
             visit.is_over = visit.is_served = True
             return
         if not self._group.is_open:
-            self._beliefs.note_refusal(GROUP, self._group.epoch, self._world.now)
+            self._beliefs.record_refusal(GROUP, self._group.epoch, self._world.now)
         if serving.call.began:
             # The stream breaks off; its caller comes back on its own.
             serving.leave()
--- a/fakes/model/_callers.py
+++ b/fakes/model/_callers.py
@@ -9,7 +9,7 @@
 from mintsaddle.decisions.calls import CallRequest, FinishCall
 from mintsaddle.values import OrderKey, Outcome, parse_key
 
-PATIENCE = 4.0
+TIMEOUT = 4.0
 """Seconds that a caller gives each call."""
 
 _COME_BACK = 0.5
@@ -103,8 +103,8 @@
             return
         service = "letters" if self.kind is Kind.STREAM else "redirections"
         call_id = f"{self.name}-{len(self.calls)}"
-        deadline = entry.now() + PATIENCE
-        self.calls.append((call_id, self.world.now + PATIENCE))
+        deadline = entry.now() + TIMEOUT
+        self.calls.append((call_id, self.world.now + TIMEOUT))
         request = CallRequest(
             call_id,
             fleet.services[service],
--- a/fakes/model/_daemons.py
+++ b/fakes/model/_daemons.py
@@ -26,7 +26,7 @@
 _POLL = 0.4
 _ANSWER = 0.3
 _REST = 2.0
-_GATE_PATIENCE = 2.0
+_GATE_TIMEOUT = 2.0
 
 
 class Platform(Process):
@@ -71,7 +71,7 @@
         super().start()
         self.boot = self.world.rng.getrandbits(BOOT_BITS)
         self.configuration = ConfigurationState()
-        self.gate = StartGate(frozenset(), give_up_at=self.now() + _GATE_PATIENCE)
+        self.gate = StartGate(frozenset(), give_up_at=self.now() + _GATE_TIMEOUT)
         self._resting = {}
         self.later(self.world.rng.random() * _POLL, self._poll)
 
--- a/fakes/model/_endpoint.py
+++ b/fakes/model/_endpoint.py
@@ -44,7 +44,7 @@
     ask_homes,
     bequeath,
     keep_bequest,
-    note_answer,
+    record_answer,
     settle_alone,
 )
 from mintsaddle.values import Claim, Reason, Refusal
@@ -321,7 +321,7 @@
                 if fleet is not None:
                     own = self.configuration.text_revision
                     bound = fleet.clock_bound
-                    note_answer(self.state.orders, answer, own, bound, self.now())
+                    record_answer(self.state.orders, answer, own, bound, self.now())
 
             self.world.send(peer, self, take)
 
--- a/fakes/model/_entry.py
+++ b/fakes/model/_entry.py
@@ -26,7 +26,7 @@
     RouteRequest,
     RoutingState,
     draw_key,
-    note_load,
+    record_load,
     welcome_back,
 )
 from mintsaddle.values import Load, OrderKey, Stamp
@@ -45,7 +45,7 @@
         self.routing = RoutingState(self.name, self.data_centre)
         self.calls: set[EntryCallModel] = set()
         self.leaving = False
-        self.later(_LOOK, self._look)
+        self.later(_LOOK, self._poll_endpoints)
 
     def die(self) -> None:
         """End; connections to callers and endpoints break."""
@@ -82,16 +82,16 @@
         drawn = draw_key(self.routing, fleet, marks, route, now, rng)
         return drawn.key if drawn else None
 
-    def _look(self) -> None:
-        self.later(_LOOK, self._look)
+    def _poll_endpoints(self) -> None:
+        self.later(_LOOK, self._poll_endpoints)
         fleet = self.configuration.fleet
         if fleet is None:
             return
         for name in fleet.endpoints:
             if self.routing.view(name).boot is None:
-                self._look_at(name)
+                self._poll_endpoint(name)
 
-    def _look_at(self, name: str) -> None:
+    def _poll_endpoint(self, name: str) -> None:
         peer = self.peers[name]
         assert isinstance(peer, EndpointDaemon)
 
@@ -100,7 +100,7 @@
             load = describe_endpoint_load(peer.state, peer.now())
 
             def take() -> None:
-                note_load(self.routing, name, stamp.boot, load, self.now())
+                record_load(self.routing, name, stamp.boot, load, self.now())
 
             self.world.send(peer, self, take)
 
@@ -155,7 +155,7 @@
             return
         self.entry.catch_up(stamp, lambda _: None)
         now = self.entry.now()
-        note_load(self.entry.routing, endpoint.name, stamp.boot, load, now)
+        record_load(self.entry.routing, endpoint.name, stamp.boot, load, now)
         self.handle(event)
 
     def break_attempt(self, endpoint: EndpointDaemon, number: int) -> None:
@@ -201,7 +201,7 @@
                         self.entry, endpoint, self._make_hang_up(endpoint, name)
                     )
                 case DeliverChunk(_, data):
-                    self._note_chunk()
+                    self._record_chunk()
                     self._chunks.append(data)
                 case FinishCall():
                     self._reach("answered")
@@ -209,7 +209,7 @@
                         self.entry.calls.discard(self)
                         self._tell(action, self._chunks)
 
-    def _note_chunk(self) -> None:
+    def _record_chunk(self) -> None:
         now = self.entry.world.now
         if self.first_at is None:
             self.first_at = now
--- a/fakes/model/_faults.py
+++ b/fakes/model/_faults.py
@@ -114,7 +114,7 @@
     lines = [f"data centre {name} = out" for name in sorted(site.centres_out)]
     revision = site.platform.newest_marks + 1
     site.platform.publish_marks(revision, "\n".join(["[marks]", *lines]))
-    site.note_plan(f"mark {state}", f"{centre} {revision}")
+    site.record_plan(f"mark {state}", f"{centre} {revision}")
 
 
 def _mark_out(site: Site) -> None:
@@ -161,7 +161,7 @@
 
 def _leave_endpoint(site: Site) -> None:
     endpoint = site.endpoints[_endpoint(site).name]
-    site.note_plan("leave", endpoint.name)
+    site.record_plan("leave", endpoint.name)
     endpoint.leave(lambda: site.world.after(_RESTART, endpoint.start))
 
 
--- a/fakes/model/_site.py
+++ b/fakes/model/_site.py
@@ -96,7 +96,7 @@
         """Let the world come to its end."""
         self.world.run_until(END)
 
-    def note_plan(self, what: str, subject: str) -> None:
+    def record_plan(self, what: str, subject: str) -> None:
         """Remember a planned act for the oracle."""
         moments = self.planned_moments.setdefault(what, [])
         moments.append((subject, self.world.now))
--- a/mintsaddle/daemon/_follow.py
+++ b/mintsaddle/daemon/_follow.py
@@ -149,7 +149,7 @@
     )
     match result:
         case Success(value):
-            node.note_platform()
+            node.record_platform()
             if value is not None:
                 await adopt(value)
         case Failure(problem):
--- a/mintsaddle/daemon/_node.py
+++ b/mintsaddle/daemon/_node.py
@@ -39,7 +39,7 @@
 """Seconds for a peer to answer a question that it needn't wait for."""
 
 _HELPERS = 8
-_GATE_PATIENCE = 2.0
+_GATE_TIMEOUT = 2.0
 _log = make_logger("configuration")
 
 
@@ -67,7 +67,7 @@
         self._channels = ChannelPool()
         self._helpers = ThreadPoolExecutor(_HELPERS, "helper")
         self._book = HistogramBook()
-        self._gate = StartGate(frozenset(), give_up_at=self._boot_at + _GATE_PATIENCE)
+        self._gate = StartGate(frozenset(), give_up_at=self._boot_at + _GATE_TIMEOUT)
         self._changed = asyncio.Event()
         self._followers: list[Callable[[], None]] = []
         self._pulls: dict[str, asyncio.Task[bool]] = {}
@@ -178,9 +178,9 @@
         task = asyncio.ensure_future(coroutine)
         # The loop itself holds tasks only weakly.
         self._tasks.add(task)
-        task.add_done_callback(self._note_task_end)
+        task.add_done_callback(self._record_task_end)
 
-    def note_platform(self) -> None:
+    def record_platform(self) -> None:
         """Note that the platform has answered."""
         self._gate = self._gate._replace(platform_heard=True)
 
@@ -218,7 +218,7 @@
         await self.pull_from(address)
         return not must_wait_for_text(self._configuration, stamp)
 
-    def note_stamp(self, stamp: Stamp, address: str) -> None:
+    def record_stamp(self, stamp: Stamp, address: str) -> None:
         """Pull in the background from a sender that knows more."""
         if address and must_wait_for_text(self._configuration, stamp):
             self.pull_from(address)
@@ -284,7 +284,7 @@
                 return
             own = self.stamp()
 
-    def _note_task_end(self, task: "asyncio.Task[None]") -> None:
+    def _record_task_end(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _log.error("A background task broke.", exc_info=task.exception())
--- a/mintsaddle/decisions/calls/_answers.py
+++ b/mintsaddle/decisions/calls/_answers.py
@@ -72,7 +72,7 @@
     """Finish once every chunk was delivered.
 
     An end that overtook a chunk isn't enough: until the chunk comes, the
-    attempt's patience runs, and then it is resumed elsewhere.
+    attempt's timeout runs, and then it is resumed elsewhere.
     """
     whole = state.head_delivered and state.end_count == state.delivered
     if not whole or state.attempt is None:
--- a/mintsaddle/decisions/calls/_attempts.py
+++ b/mintsaddle/decisions/calls/_attempts.py
@@ -11,7 +11,7 @@
     RouteRequest,
     choose_endpoint,
     draw_key,
-    note_sent,
+    record_sent,
 )
 from mintsaddle.fleet import find_home, list_homes
 from mintsaddle.values import (
@@ -22,14 +22,14 @@
     home_tag,
 )
 
-ACCEPT_PATIENCE = 0.5
+ACCEPT_TIMEOUT = 0.5
 """Seconds for an endpoint daemon to accept; it decides at once, so a longer
 silence means that it is frozen or cut off."""
 
-ORDER_PATIENCE = 2.0
+ORDER_TIMEOUT = 2.0
 """The same for an order, which can't be tried elsewhere."""
 
-_TARGETS_OF_PATIENCE = 3.0
+_TARGETS_OF_TIMEOUT = 3.0
 _MOST_ATTEMPTS = 6
 
 
@@ -84,10 +84,10 @@
     key: OrderKey | None,
     now: Instant,
 ) -> CallActions:
-    patience = ORDER_PATIENCE if is_order(state) else ACCEPT_PATIENCE
+    timeout = ORDER_TIMEOUT if is_order(state) else ACCEPT_TIMEOUT
     number = state.attempts + 1
-    state.begin_attempt(Attempt(number, endpoint, key, now + patience))
-    note_sent(facts.routing, endpoint)
+    state.begin_attempt(Attempt(number, endpoint, key, now + timeout))
+    record_sent(facts.routing, endpoint)
     return (SendAttempt(number, endpoint, key, state.delivered),)
 
 
@@ -109,4 +109,4 @@
     service = state.request.service
     if is_order(state):
         return state.request.deadline
-    return now + service.longest_queue + _TARGETS_OF_PATIENCE * service.target
+    return now + service.longest_queue + _TARGETS_OF_TIMEOUT * service.target
--- a/mintsaddle/decisions/calls/_commands.py
+++ b/mintsaddle/decisions/calls/_commands.py
@@ -18,7 +18,7 @@
 )
 from mintsaddle.decisions.calls._state import CallState, RouteFacts
 from mintsaddle.decisions.routing import (
-    note_request,
+    record_request,
 )
 from mintsaddle.values import (
     Instant,
@@ -28,7 +28,7 @@
 
 def start_call(state: CallState, facts: RouteFacts, now: Instant) -> CallActions:
     """Begin a call: send its first attempt, or refuse it at once."""
-    note_request(facts.routing)
+    record_request(facts.routing)
     if now >= state.request.deadline:
         return give_up(state, facts, Reason.TOO_LATE, now)
     return try_next(state, facts, Reason.NO_ENDPOINT, now)
--- a/mintsaddle/decisions/calls/_endings.py
+++ b/mintsaddle/decisions/calls/_endings.py
@@ -9,7 +9,7 @@
 from mintsaddle.decisions.routing import (
     RouteRequest,
     draw_key,
-    note_finished,
+    record_finished,
 )
 from mintsaddle.values import (
     Instant,
@@ -24,7 +24,7 @@
 
 def end_attempt(state: CallState, facts: RouteFacts, attempt: Attempt) -> None:
     """Note that the present attempt is over."""
-    note_finished(facts.routing, attempt.endpoint)
+    record_finished(facts.routing, attempt.endpoint)
     state.replace_attempt(None)
 
 
--- a/mintsaddle/decisions/calls/_failures.py
+++ b/mintsaddle/decisions/calls/_failures.py
@@ -12,8 +12,8 @@
 from mintsaddle.decisions.routing import (
     has_free_place,
     may_retry,
-    note_failed,
-    note_refused,
+    record_failed,
+    record_refused,
     spend_retry,
 )
 from mintsaddle.values import (
@@ -37,7 +37,7 @@
     """Go on after a refusal."""
     refusal = event.refusal
     end_attempt(state, facts, attempt)
-    note_refused(facts.routing, attempt.endpoint, refusal.reason, now)
+    record_refused(facts.routing, attempt.endpoint, refusal.reason, now)
     state.put_retry_at(refusal.retry_at)
     if refusal.claim is Claim.MAYBE:
         state.mark_reached()
@@ -70,7 +70,7 @@
 
     Once anywhere, since another endpoint's queue may be shorter or fairer to
     it; after that only where a free place is believed to be: under overload a
-    refusal would otherwise cost every endpoint a look at every request.
+    refusal would otherwise cost every endpoint a poll at every request.
     """
     if state.attempts < _BLIND_ATTEMPTS:
         return True
@@ -89,7 +89,7 @@
 ) -> CallActions:
     """Go on after a broken way to the endpoint daemon."""
     end_attempt(state, facts, attempt)
-    note_failed(facts.routing, attempt.endpoint, now)
+    record_failed(facts.routing, attempt.endpoint, now)
     if sent or attempt.accepted:
         state.mark_reached()
     return _retry(state, facts, Reason.UNREACHABLE, now)
@@ -117,7 +117,7 @@
 
 
 def pass_time(state: CallState, facts: RouteFacts, now: Instant) -> CallActions:
-    """Look at the deadline and at the attempt's patience."""
+    """Look at the deadline and at the attempt's timeout."""
     attempt = state.attempt
     if now >= state.request.deadline:
         if attempt is None:
@@ -130,7 +130,7 @@
     # A silent attempt may have reached an engine; no later refusal may turn
     # the answer into not-run.
     state.mark_reached()
-    note_failed(facts.routing, attempt.endpoint, now)
+    record_failed(facts.routing, attempt.endpoint, now)
     cancel = _cancel(state, facts, attempt)
     return (*cancel, *_retry(state, facts, Reason.SILENT, now))
 
--- a/mintsaddle/decisions/calls/tests/test_calls.py
+++ b/mintsaddle/decisions/calls/tests/test_calls.py
@@ -25,7 +25,7 @@
     start_call,
 )
 from mintsaddle.decisions.calls._messages import CallAction
-from mintsaddle.decisions.routing import RoutingState, note_load
+from mintsaddle.decisions.routing import RoutingState, record_load
 from mintsaddle.fleet import NO_MARKS, read_fleet
 from mintsaddle.values import Claim, Load, OrderKey, Outcome, Reason, Refusal, parse_key
 
@@ -65,7 +65,7 @@
     def __init__(self, service: str, key: OrderKey | None = None) -> None:
         routing = RoutingState("entry", "a")
         for name in FLEET.endpoints:
-            note_load(routing, name, 5, Load(0, 4, 0, False), NOW)
+            record_load(routing, name, 5, Load(0, 4, 0, False), NOW)
         self.facts = RouteFacts(FLEET, NO_MARKS, routing, random.Random(1))
         request = CallRequest("r", FLEET.services[service], "w", 0, NOW + 10, key=key)
         self.state = CallState(request)
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -9,7 +9,7 @@
     attempt_until,
     decide_next,
     give_up,
-    note_attempt,
+    record_attempt,
 )
 from mintsaddle.decisions.direct._cold import ColdGate
 from mintsaddle.decisions.direct._directory import (
@@ -128,6 +128,6 @@
     "keep_seconds",
     "match_route",
     "must_poll",
-    "note_attempt",
+    "record_attempt",
     "usable_endpoints",
 ]
--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -98,7 +98,7 @@
     return now + (call.deadline - now) * SHARE_OF_FIRST
 
 
-def note_attempt(call: DirectCall, endpoint: str, ending: Ending) -> DirectCall:
+def record_attempt(call: DirectCall, endpoint: str, ending: Ending) -> DirectCall:
     """Return the call after an attempt that gave no usable answer."""
     return call._replace(
         tried=call.tried | {endpoint},
--- a/mintsaddle/decisions/direct/_cold.py
+++ b/mintsaddle/decisions/direct/_cold.py
@@ -47,7 +47,7 @@
         self._sent[endpoint.name] = recent
         return len(recent) < max(1, int(share))
 
-    def note_sent(self, endpoint: Incarnation, now: Instant) -> None:
+    def record_sent(self, endpoint: Incarnation, now: Instant) -> None:
         """Count a request that is sent."""
         if now < endpoint.cold_until:
             self._sent.setdefault(endpoint.name, []).append(now)
--- a/mintsaddle/decisions/direct/_groups.py
+++ b/mintsaddle/decisions/direct/_groups.py
@@ -17,7 +17,7 @@
 """Seconds after a refusal from which a report of an open group in the same
 epoch counts: reports are up to 0.2 s old."""
 
-LEAST_PATIENCE = 2.0
+LEAST_TIMEOUT = 2.0
 """Seconds without an event after which callers leave a stream at the soonest,
 by the platform's page; four objectives or eight pauses may be longer."""
 
@@ -45,12 +45,14 @@
         """Return all groups that take no work."""
         return tuple(self._down)
 
-    def note_refusal(self, group: str, epoch: int, now: Instant) -> None:
+    def record_refusal(self, group: str, epoch: int, now: Instant) -> None:
         """Note that a rank refused for its group's sake."""
         known_epoch, _ = self._down.get(group, (0, 0.0))
         self._down[group] = (max(epoch, known_epoch), now)
 
-    def note_report(self, group: str, epoch: int, is_open: bool, now: Instant) -> None:
+    def record_report(
+        self, group: str, epoch: int, is_open: bool, now: Instant
+    ) -> None:
         """Note what a rank says of its group now."""
         if not is_open:
             self._down.setdefault(group, (epoch, now))
@@ -74,8 +76,8 @@
     Longer would be in vain: its caller leaves.
     """
     route = call.route
-    patience = max(LEAST_PATIENCE, 4 * route.objective, 8 * route.longest_pause)
-    waited = call.arrived_at + patience - HOLD_MARGIN
+    timeout = max(LEAST_TIMEOUT, 4 * route.objective, 8 * route.longest_pause)
+    waited = call.arrived_at + timeout - HOLD_MARGIN
     return min(waited, call.deadline - HOLD_MARGIN)
 
 
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -16,7 +16,7 @@
 
 DUTY_SECONDS = 2.5
 """Seconds without a word after which an entry's duties pass to another one.
-A duty bears two entries that both see to it; nobody doing so is worse: a group
+A duty bears two entries that both manage it; nobody doing so is worse: a group
 that is held then stands still, and callers leave streams after 2 s."""
 
 SETTLE_SECONDS = 1.5
@@ -39,8 +39,8 @@
 of a third entry seems to be as much younger."""
 
 WATCHERS = 3
-"""Entries next in line for a duty that ask its holder in every round; however
-many entries there are, its holder answers no more than these."""
+"""Successors for a duty that ask its holder in every round; however many
+entries there are, its holder answers no more than these."""
 
 _LONG_AGO: Instant = float("-inf")
 
@@ -104,11 +104,11 @@
         if known is None or entry.heard_at > known.heard_at:
             self._entries[entry.vm] = entry
 
-    def note_answer(self, address: str) -> None:
+    def record_answer(self, address: str) -> None:
         """Note that an entry has answered."""
         self._suspects.discard(address)
 
-    def note_silence(self, address: str) -> None:
+    def record_silence(self, address: str) -> None:
         """Note that an entry didn't answer: its duties pass to another one."""
         self._suspects.add(address)
 
@@ -190,18 +190,18 @@
         return watched
 
     def is_chosen(self, duty: str, now: Instant) -> bool:
-        """Return whether this entry is the one to see to a duty.
+        """Return whether this entry is the one to manage a duty.
 
         Entries with different views may both think so: a duty has to bear
         that.
         """
-        return self.place_in_line(duty, now) == 0
+        return self.succession_place(duty, now) == 0
 
-    def place_in_line(self, duty: str, now: Instant) -> int | None:
+    def succession_place(self, duty: str, now: Instant) -> int | None:
         """Return how many entries go before this one for a duty.
 
         Returns:
-            0 for the one that sees to it; None for an entry that is too young
+            0 for the one that manages it; None for an entry that is too young
             to know the others.
         """
         if not self.is_settled(now):
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -39,11 +39,11 @@
     decide_next,
     drop_lapsed,
     hold_until,
-    note_attempt,
+    record_attempt,
     usable_endpoints,
 )
 from mintsaddle.decisions.direct.tests.samples import ROUTE
-from mintsaddle.decisions.routing import RoutingState, note_failed, note_sent
+from mintsaddle.decisions.routing import RoutingState, record_failed, record_sent
 from mintsaddle.values import Outcome
 
 
@@ -71,12 +71,12 @@
     def test_what_may_go_to_another_endpoint_does(
         self, repeat: Repeat, ending: Ending, next_step: TryAgain
     ) -> None:
-        call = note_attempt(make_call(repeat), "e-1", ending)
+        call = record_attempt(make_call(repeat), "e-1", ending)
         assert decide_next(call, ending, has_budget=True, now=1.0) == next_step
 
     @pytest.mark.parametrize("ending", [Ending.BROKEN, Ending.SILENT, Ending.FAILED])
     def test_what_may_have_run_once_is_in_doubt(self, ending: Ending) -> None:
-        call = note_attempt(make_call(Repeat.ONCE), "e-1", ending)
+        call = record_attempt(make_call(Repeat.ONCE), "e-1", ending)
         decision = decide_next(call, ending, has_budget=True, now=1.0)
         assert isinstance(decision, GiveUp)
         assert decision.outcome is Outcome.IN_DOUBT
@@ -86,14 +86,14 @@
 
         The first endpoint ran it and was cut off; the second one refused.
         """
-        call = note_attempt(make_call(), "e-1", Ending.BROKEN)
-        call = note_attempt(call, "e-2", Ending.NOT_RUN)
+        call = record_attempt(make_call(), "e-1", Ending.BROKEN)
+        call = record_attempt(call, "e-2", Ending.NOT_RUN)
         decision = decide_next(call, Ending.NOT_RUN, has_budget=True, now=1.0)
         assert isinstance(decision, GiveUp)
         assert decision.outcome is Outcome.IN_DOUBT
 
     def test_without_budget_or_time_nothing_is_repeated(self) -> None:
-        call = note_attempt(make_call(), "e-1", Ending.NOT_RUN)
+        call = record_attempt(make_call(), "e-1", Ending.NOT_RUN)
         for has_budget, now in ((False, 1.0), (True, 8.0)):
             decision = decide_next(call, Ending.NOT_RUN, has_budget=has_budget, now=now)
             assert isinstance(decision, GiveUp)
@@ -104,7 +104,7 @@
     def test_an_idempotent_call_leaves_time_for_a_second_attempt(self) -> None:
         call = make_call()
         assert attempt_until(call, 0.0) == 4.0
-        again = note_attempt(call, "e-1", Ending.SILENT)
+        again = record_attempt(call, "e-1", Ending.SILENT)
         assert attempt_until(again, 4.0) == 8.0
 
     def test_what_may_run_once_waits_to_its_end(self) -> None:
@@ -170,14 +170,14 @@
     def test_the_least_utilised_endpoint_is_chosen(self) -> None:
         state = RoutingState("entry", "a")
         ends = [make_endpoint("e-1"), make_endpoint("e-2")]
-        note_sent(state, "e-1")
+        record_sent(state, "e-1")
         chosen = choose_incarnation(state, ends, frozenset(), 0.0, random.Random(1))
         assert chosen is ends[1]
 
     def test_a_failed_endpoint_rests_unless_it_is_the_last(self) -> None:
         state = RoutingState("entry", "a")
         ends = [make_endpoint("e-1"), make_endpoint("e-2")]
-        note_failed(state, "e-1", 0.0)
+        record_failed(state, "e-1", 0.0)
         for tried, expected in ((frozenset(), "e-2"), (frozenset({"e-2"}), "e-1")):
             chosen = choose_incarnation(state, ends, tried, 0.1, random.Random(1))
             assert chosen is not None
@@ -208,7 +208,7 @@
         for gate in gates:
             for _ in range(50):
                 if gate.allows(endpoint, self.SERVICE, len(gates), 0.5):
-                    gate.note_sent(endpoint, 0.5)
+                    gate.record_sent(endpoint, 0.5)
                     sent += 1
         assert 7 <= sent <= 26 * 1.5 + 5
 
@@ -220,7 +220,7 @@
         for tick in range(1000):
             now = tick * 0.02
             if gate.allows(endpoint, service, 16, now):
-                gate.note_sent(endpoint, now)
+                gate.record_sent(endpoint, now)
                 sent += 1
         assert sent == 2
 
@@ -228,7 +228,7 @@
         gate = ColdGate(1.5, 5.0)
         endpoint = make_endpoint("e-1", cold_until=10.0)
         for _ in range(100):
-            gate.note_sent(endpoint, 9.9)
+            gate.record_sent(endpoint, 9.9)
         assert not gate.allows(endpoint, self.SERVICE, 1, 9.9)
         assert gate.allows(endpoint, self.SERVICE, 1, 10.0)
 
@@ -263,17 +263,17 @@
         beliefs = GroupBeliefs()
         place = RankPlace("llm/g", 1, 0, 12, is_open=True)
         other = make_endpoint("e-2", place=place._replace(rank=1))
-        beliefs.note_refusal("llm/g", 1, 10.0)
+        beliefs.record_refusal("llm/g", 1, 10.0)
         assert not beliefs.takes_work(other)
-        beliefs.note_report("llm/g", 1, True, 10.1)
+        beliefs.record_report("llm/g", 1, True, 10.1)
         assert not beliefs.takes_work(other)
-        beliefs.note_report("llm/g", 2, True, 10.2)
+        beliefs.record_report("llm/g", 2, True, 10.2)
         assert beliefs.takes_work(other)
 
     def test_a_false_alarm_ends_in_the_same_epoch(self) -> None:
         beliefs = GroupBeliefs()
-        beliefs.note_refusal("llm/g", 1, 10.0)
-        beliefs.note_report("llm/g", 1, True, 10.6)
+        beliefs.record_refusal("llm/g", 1, 10.0)
+        beliefs.record_report("llm/g", 1, True, 10.6)
         assert not beliefs.is_down("llm/g")
 
     def test_nobody_is_held_longer_than_callers_wait(self) -> None:
@@ -316,7 +316,7 @@
         """After a power cut a group stands still for 2.6 s.
 
         All entries start together, none knows the others yet, and two of them
-        take themselves for the keeper of the group's map.
+        take themselves for the coordinator of the group's map.
         """
         member = Membership("e-1", "a:1", ["a:2"], started_at=100.0)
         assert not member.is_chosen("maps g", 100.0 + SETTLE_SECONDS / 2)
@@ -338,14 +338,14 @@
         for one in others:
             asked = one.choose_peers(1.0, rng, ["maps g"], is_searching=False)
             assert holder in asked
-            one.note_silence(holder)
+            one.record_silence(holder)
         assert [one.is_chosen("maps g", 1.5) for one in others].count(True) == 1
 
     def test_a_leaving_entry_is_not_brought_back_by_gossip(self) -> None:
         """No map is changed for four seconds while entries are replaced.
 
         An entry says that it is leaving; a peer that hasn't heard so yet tells
-        of it once more, and it counts as the keeper of the maps again.
+        of it once more, and it counts as the coordinator of the maps again.
         """
         member = Membership("e-1", "a:1", [])
         gossip = KnownEntry("e-2", "a:2", 9.9)
@@ -364,7 +364,7 @@
             member = Membership(name, name, [])
             for other in names:
                 member.note(KnownEntry(other, other, 1.0))
-            places.append(member.place_in_line("maps g", 1.0))
+            places.append(member.succession_place("maps g", 1.0))
         assert sorted(place for place in places if place is not None) == [0, 1, 2]
 
     def test_exactly_one_of_those_who_know_each_other_is_chosen(self) -> None:
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -19,9 +19,9 @@
     hold_at,
     must_read_first,
     next_map_orders,
-    note_answers,
-    note_reports,
     ranks_to_read,
+    record_answers,
+    record_reports,
 )
 from mintsaddle.decisions.expert_maps._maps import (
     ExpertMap,
@@ -50,7 +50,7 @@
     slowest_share,
     spread_experts,
 )
-from mintsaddle.decisions.expert_maps._stall import StallWatch, guard_patience
+from mintsaddle.decisions.expert_maps._stall import StallWatch, watchdog_timeout
 from mintsaddle.decisions.expert_maps._switch import (
     GroupAct,
     GroupOrder,
@@ -59,7 +59,7 @@
     SwitchPhase,
     SwitchState,
     next_orders,
-    note_reply,
+    record_reply,
     start_switch,
 )
 from mintsaddle.decisions.expert_maps._watch import MapWatch, choose_samples
@@ -94,7 +94,7 @@
     "choose_step",
     "count_moved",
     "draw_version",
-    "guard_patience",
+    "watchdog_timeout",
     "hold_at",
     "is_complete",
     "judge_order",
@@ -103,9 +103,9 @@
     "must_read_first",
     "next_map_orders",
     "next_orders",
-    "note_answers",
-    "note_reply",
-    "note_reports",
+    "record_answers",
+    "record_reply",
+    "record_reports",
     "plan_afresh",
     "plan_moves",
     "ranks_to_read",
--- a/mintsaddle/decisions/expert_maps/_armed_begin.py
+++ b/mintsaddle/decisions/expert_maps/_armed_begin.py
@@ -15,7 +15,7 @@
 from mintsaddle.decisions.expert_maps._maps import ExpertMap
 from mintsaddle.values import Instant
 
-COPY_PATIENCE = 8.0
+COPY_TIMEOUT = 8.0
 """Seconds for all ranks to load: 12 weights of 0.14 s each take 1.7 s, and an
 order that is carried out late does so within a few seconds."""
 
@@ -64,7 +64,7 @@
         old_map=old_map,
         new_map=new_map,
         stage=SwitchStage.PREPARE,
-        give_up_at=now + COPY_PATIENCE,
+        give_up_at=now + COPY_TIMEOUT,
         holder=new_map.version % len(reports),
         doomed=(new_map.version,) * len(reports),
         fence=new_map.version + 1,
@@ -105,7 +105,7 @@
         old_map=old_map,
         new_map=ExpertMap(max(told), ()),
         stage=SwitchStage.HOLD,
-        give_up_at=now + COPY_PATIENCE,
+        give_up_at=now + COPY_TIMEOUT,
         holder=rng.choice(free) if free else 0,
         holders=frozenset(report.rank for report in held if report.held == step),
         step=step,
--- a/mintsaddle/decisions/expert_maps/_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/_armed_switch.py
@@ -95,7 +95,7 @@
             return tuple(sorted(waiting))
 
 
-def note_answers(
+def record_answers(
     switch: ArmedSwitch, answers: Mapping[MapOrder, Verdict], now: Instant
 ) -> ArmedSwitch:
     """Return the switch after a round of answers."""
@@ -103,11 +103,11 @@
     for order, verdict in answers.items():
         # What was asked in a stage that a refusal has ended counts no more.
         if switch.stage is stage:
-            switch = _note_answer(switch, order, verdict)
+            switch = _record_answer(switch, order, verdict)
     return _advance(switch, now)
 
 
-def note_reports(
+def record_reports(
     switch: ArmedSwitch, reports: Sequence[RankReport], now: Instant
 ) -> ArmedSwitch:
     """Return the switch after reports of some ranks.
@@ -118,7 +118,7 @@
     for report in reports:
         if report.epoch != switch.epoch or not report.is_open:
             return switch._replace(stage=SwitchStage.VOID)
-        switch = _note_report(switch, report)
+        switch = _record_report(switch, report)
     return _advance(switch, now)
 
 
@@ -146,7 +146,9 @@
     return MapOrder(rank, act, switch.epoch, version, switch.step, layers)
 
 
-def _note_answer(switch: ArmedSwitch, order: MapOrder, verdict: Verdict) -> ArmedSwitch:
+def _record_answer(
+    switch: ArmedSwitch, order: MapOrder, verdict: Verdict
+) -> ArmedSwitch:
     rank = order.rank
     switch = switch._replace(refused=switch.refused - {rank})
     if verdict is Verdict.UNKNOWN:
@@ -168,7 +170,7 @@
             return _settle(switch, rank)
 
 
-def _note_report(switch: ArmedSwitch, report: RankReport) -> ArmedSwitch:
+def _record_report(switch: ArmedSwitch, report: RankReport) -> ArmedSwitch:
     rank = report.rank
     is_refused = rank in switch.refused
     if _has_lost_hold(switch, report):
@@ -178,7 +180,7 @@
             return _settle(switch, rank)
         case SwitchStage.PREPARE if max(told_versions([report])) > switch.version:
             # Another coordinator is ahead: its weights took the place of
-            # these, and waiting for them would last until patience ends.
+            # these, and waiting for them would last until timeout ends.
             return switch._replace(stage=SwitchStage.FAILED)
         case SwitchStage.PREPARE if is_refused and not report.is_busy:
             return switch._replace(stage=SwitchStage.FAILED)
@@ -191,7 +193,7 @@
                 return _settle(switch, rank)
             return _doom(switch, rank, report.armed)
         case SwitchStage.FENCE if (report.prepared or 0) > switch.version:
-            return _note_fenced(switch, rank, report.prepared or 0)
+            return _record_fenced(switch, rank, report.prepared or 0)
         case SwitchStage.FENCE if is_refused:
             # It has had a higher version that isn't there any more.
             return switch._replace(fence=switch.fence + 1)
@@ -211,7 +213,7 @@
             return switch
 
 
-def _note_fenced(switch: ArmedSwitch, rank: int, prepared: int) -> ArmedSwitch:
+def _record_fenced(switch: ArmedSwitch, rank: int, prepared: int) -> ArmedSwitch:
     """Return the switch after a rank was found with a higher version.
 
     Guards against a hold that two coordinators share: the same step at the
--- a/mintsaddle/decisions/expert_maps/_stall.py
+++ b/mintsaddle/decisions/expert_maps/_stall.py
@@ -11,22 +11,22 @@
 """Seconds without a step, with requests running, after which a held step is
 looked for: the longest steps take 0.25 s."""
 
-GUARD_SECONDS = 0.3
-"""Seconds more for each entry that goes before in the line of keepers: two
-that withdraw a switch at once hinder each other."""
+WATCHDOG_SECONDS = 0.3
+"""Seconds more for each successor that ranks higher: two that withdraw a
+switch at once hinder each other."""
 
 
-def guard_patience(place: int) -> float:
-    """Return for how long a group may stand still until a guard acts.
+def watchdog_timeout(place: int) -> float:
+    """Return for how long a group may stand still until a successor acts.
 
     Args:
-        place: The guard's place in the line of keepers; 0 is the keeper.
+        place: Place in the order of succession; 0 is the coordinator.
     """
-    return STUCK_SECONDS + GUARD_SECONDS * place
+    return STUCK_SECONDS + WATCHDOG_SECONDS * place
 
 
 class StallWatch:
-    """When a group was last seen to begin a step."""
+    """When a group was last managed begin a step."""
 
     def __init__(self) -> None:
         self._step = -1
@@ -40,6 +40,6 @@
         self._step = step
         self._running = running
 
-    def is_stuck(self, now: Instant, patience: float = STUCK_SECONDS) -> bool:
+    def is_stuck(self, now: Instant, timeout: float = STUCK_SECONDS) -> bool:
         """Return whether the group stands still although it has work."""
-        return self._running > 0 and now - self._moved_at > patience
+        return self._running > 0 and now - self._moved_at > timeout
--- a/mintsaddle/decisions/expert_maps/_switch.py
+++ b/mintsaddle/decisions/expert_maps/_switch.py
@@ -240,7 +240,7 @@
     )
 
 
-def note_reply(state: SwitchState, reply: RankReply) -> None:
+def record_reply(state: SwitchState, reply: RankReply) -> None:
     """Take in a reply; a late one of another phase or round is ignored."""
     if reply.ballot > state.ballot:
         state.enter(SwitchPhase.LOST)
--- a/mintsaddle/decisions/expert_maps/_watch.py
+++ b/mintsaddle/decisions/expert_maps/_watch.py
@@ -40,7 +40,7 @@
 a mixture of both would suit neither."""
 
 STEP_SECONDS = 0.3
-"""Seconds over which a step's time is measured; a look may see none begin."""
+"""Seconds over which a step's time is measured; a poll may see none begin."""
 
 IN_FORCE_SECONDS = 1.0
 """Seconds for an ordered map to come into use, after which it is planned from
@@ -127,7 +127,7 @@
         """
         return version == self._ordered_version or now >= self._ordered_until
 
-    def note_step(self, step: int, running: int, now: Instant) -> None:
+    def record_step(self, step: int, running: int, now: Instant) -> None:
         """Note a report's step and requests."""
         if not running or not self._running:
             self._steps.clear()
@@ -138,7 +138,7 @@
             self._steps.popleft()
         self._running = running
 
-    def note_counts(self, rank: int, counts: Popularity) -> None:
+    def record_counts(self, rank: int, counts: Popularity) -> None:
         """Note a rank's counts since its start."""
         before = self._last_counts.get(rank)
         self._last_counts[rank] = counts
@@ -149,7 +149,7 @@
                 fresh[expert] += max(0, now - was)
 
     def finish_counts(self, now: Instant) -> None:
-        """Take the counts of one look into the popularity."""
+        """Take the counts of one poll into the popularity."""
         fresh = self._fresh
         if not all(sum(layer) for layer in fresh):
             return
@@ -164,11 +164,11 @@
             _average(old, new, keep) for old, new in zip(before, shares, strict=True)
         ]
 
-    def note_slowness(self, rank: int, slowness: float) -> None:
+    def record_slowness(self, rank: int, slowness: float) -> None:
         """Note how slow a rank says that it is."""
         self._slowness[rank] = max(1.0, slowness)
 
-    def note_switch(self, version: int, now: Instant) -> None:
+    def record_switch(self, version: int, now: Instant) -> None:
         """Note that a map was ordered.
 
         The time of a step is forgotten: it was measured around a switch.
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -23,9 +23,9 @@
     make_first_map,
     must_read_first,
     next_map_orders,
-    note_answers,
-    note_reports,
     ranks_to_read,
+    record_answers,
+    record_reports,
     withdraw_held,
 )
 from mintsaddle.decisions.expert_maps._maps import LayerSlots
@@ -143,7 +143,7 @@
         self.rng = random.Random(seed)
         self.group = Group()
         self.switches: list[ArmedSwitch | None] = [None, None]
-        # After a power cut each entry takes itself for the keeper of maps.
+        # After a power cut each entry takes itself for the coordinator.
         self.share_of_second = self.rng.choice([0.2, 0.5])
         self.eagerness_of_second = self.rng.choice([0.1, 0.5])
         self.loss = self.rng.choice([0.0, 0.1, 0.4])
@@ -183,14 +183,14 @@
             switch = hold_at(switch, choose_step([self.group.report(0)], 1.0))
         if must_read_first(switch):
             reports = [self.group.report(rank) for rank in ranks_to_read(switch)]
-            switch = note_reports(switch, reports, now=0.0)
+            switch = record_reports(switch, reports, now=0.0)
         answers = {order: self._send(order) for order in next_map_orders(switch)}
-        switch = note_answers(switch, answers, now=0.0)
+        switch = record_answers(switch, answers, now=0.0)
         if {Verdict.UNKNOWN, Verdict.REFUSED} & set(answers.values()) or (
             not answers or switch.stage is SwitchStage.PREPARE
         ):
             reports = [self.group.report(rank) for rank in ranks_to_read(switch)]
-            switch = note_reports(switch, reports, now=0.0)
+            switch = record_reports(switch, reports, now=0.0)
         self.switches[index] = switch
 
     def _send(self, order: MapOrder) -> Verdict:
@@ -283,7 +283,7 @@
     ) -> None:
         """All entries lose power, and some of their streams turn to garbage.
 
-        Two entries take themselves for the keeper of maps, and both draw the
+        Two entries take themselves for the coordinator, and both draw the
         next version. Each takes what the other one has prepared, armed and
         held for its own; when one withdraws, it disarms the other one's ranks.
         """
@@ -300,7 +300,7 @@
         other one's withdraws and releases it, while the other one still arms.
         """
         monkeypatch.setattr(
-            _armed_switch, "_note_fenced", take_any_higher_version_for_a_fence
+            _armed_switch, "_record_fenced", take_any_higher_version_for_a_fence
         )
         with pytest.raises(AssertionError, match="begins with maps"):
             play(6000)
@@ -309,18 +309,18 @@
         """After a power cut no map is changed for eight seconds.
 
         A second coordinator prepared a higher version; the first one, whose
-        weights were never reported, waited for them until its patience ended,
-        and it was the one chosen to see to the group.
+        weights were never reported, waited for them until its timeout ended,
+        and it was the one chosen to manage the group.
         """
         group = Group()
         reports = [group.report(rank) for rank in range(RANKS)]
         switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
         answers = dict.fromkeys(next_map_orders(switch), Verdict.BEGUN)
-        switch = note_answers(switch, answers, now=0.0)
+        switch = record_answers(switch, answers, now=0.0)
         for engine in group.engines:
             engine.highest = engine.prepared = 9
         reports = [group.report(rank) for rank in ranks_to_read(switch)]
-        assert note_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
+        assert record_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
 
     def test_a_refused_version_is_not_tried_again(self) -> None:
         """After a group has formed anew its map is never changed again.
@@ -343,7 +343,7 @@
         switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
         for stage in (SwitchStage.PREPARE, SwitchStage.HOLD):
             answers = {order: group.obey(order) for order in next_map_orders(switch)}
-            switch = note_answers(switch, answers, now=0.0)
+            switch = record_answers(switch, answers, now=0.0)
             assert switch.stage is stage
 
     def test_a_switch_goes_through_when_all_answer(self) -> None:
@@ -355,9 +355,9 @@
             if switch.stage is SwitchStage.HOLD and not switch.step:
                 switch = hold_at(switch, choose_step([group.report(0)], 1.0))
             answers = {order: group.obey(order) for order in next_map_orders(switch)}
-            switch = note_answers(switch, answers, now=0.0)
+            switch = record_answers(switch, answers, now=0.0)
             reports = [group.report(rank) for rank in ranks_to_read(switch)]
-            switch = note_reports(switch, reports, now=0.0)
+            switch = record_reports(switch, reports, now=0.0)
         for _ in range(10):
             group.begin_step()
         assert switch.stage is SwitchStage.DONE
@@ -380,14 +380,14 @@
         withdrawal = withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1))
         assert withdrawal is not None
         answers = {order: group.obey(order) for order in next_map_orders(withdrawal)}
-        withdrawal = note_answers(withdrawal, answers, now=0.0)
+        withdrawal = record_answers(withdrawal, answers, now=0.0)
         assert withdrawal.stage is SwitchStage.FENCE
 
         for engine in group.engines:
             engine.highest = engine.prepared = 9
             engine.armed = (9, 6)
         reports = [group.report(rank) for rank in range(RANKS)]
-        withdrawal = note_reports(withdrawal, reports, now=0.1)
+        withdrawal = record_reports(withdrawal, reports, now=0.1)
 
         assert withdrawal.stage is SwitchStage.RELEASE
         assert [engine.armed for engine in group.engines] == [(9, 6)] * RANKS
@@ -450,9 +450,9 @@
         assert switch is not None
         while switch.stage not in OVER:
             answers = {order: group.obey(order) for order in next_map_orders(switch)}
-            switch = note_answers(switch, answers, now=0.0)
+            switch = record_answers(switch, answers, now=0.0)
             reports = [group.report(rank) for rank in ranks_to_read(switch)]
-            switch = note_reports(switch, reports, now=0.0)
+            switch = record_reports(switch, reports, now=0.0)
         group.begin_step()
 
         assert group.step == 3
--- a/mintsaddle/decisions/expert_maps/tests/test_shifts.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_shifts.py
@@ -20,7 +20,7 @@
 )
 
 RANKS, EXPERTS, LAYERS, PLACES, NEW_PLACES = 12, 72, 4, 8, 3
-LOOK_SECONDS, SHIFT_SECONDS, DAY_SECONDS = 0.1, 3.1, 30.0
+POLL_SECONDS, SHIFT_SECONDS, DAY_SECONDS = 0.1, 3.1, 30.0
 SHIFT_SHARE = 0.7
 """Share of the experts of a layer whose popularity changes."""
 
@@ -31,7 +31,7 @@
 """Seconds from loaded weights to the step that begins with the new map."""
 
 TOKENS = 20_000
-"""Choices of experts in one layer that a look shows."""
+"""Choices of experts in one layer that a poll shows."""
 
 MOST_SKEW = 1.5
 """The aim: slowest rank over the mean, averaged over the day."""
@@ -63,7 +63,7 @@
 
 
 def show_look(rng: random.Random, popularity: Shares) -> Shares:
-    """Return the counts of one look, uneven as few requests make them."""
+    """Return the counts of one poll, uneven as few requests make them."""
     return [
         [TOKENS * share * rng.uniform(0.7, 1.3) for share in layer]
         for layer in popularity
@@ -91,7 +91,7 @@
     popularity = draw_popularity(rng)
     shift_at, now, skews = SHIFT_SECONDS, 0.0, []
     while now < DAY_SECONDS:
-        now += LOOK_SECONDS
+        now += POLL_SECONDS
         if now >= shift_at:
             popularity = shift_popularity(rng, popularity)
             shift_at += SHIFT_SECONDS
@@ -102,7 +102,7 @@
             [was + more for was, more in zip(*layers, strict=True)]
             for layers in zip(counts, fresh, strict=True)
         ]
-        watch.note_counts(0, counts)
+        watch.record_counts(0, counts)
         watch.finish_counts(now)
         skews.append(slowest_share(current, popularity))
         if coming is None:
--- a/mintsaddle/decisions/expert_maps/tests/test_spread.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -107,7 +107,7 @@
         watch = TestMapWatch().watch_steps(0.1)
         planned = watch.plan(FIRST_MAP, LIMITS)
         assert planned is not None
-        watch.note_slowness(0, 3.0)
+        watch.record_slowness(0, 3.0)
         again = watch.plan(planned, LIMITS)
         assert again is not None
         assert again.layers != planned.layers
@@ -148,9 +148,9 @@
         watch = MapWatch(1, LAYERS, EXPERTS, LONGEST_PAUSE)
         for look in range(4):
             now = look * 0.5
-            watch.note_step(1 + round(now / step_seconds), 5, now)
+            watch.record_step(1 + round(now / step_seconds), 5, now)
             counts = [[x * 1e6 * (look + 1) for x in y] for y in make_popularity(1)]
-            watch.note_counts(0, counts)
+            watch.record_counts(0, counts)
             watch.finish_counts(now)
         return watch
 
@@ -167,7 +167,7 @@
         watch = MapWatch(1, LAYERS, EXPERTS, 0.0)
         assert not watch.is_busy
         for look in range(4):
-            watch.note_step(1 + 50 * look, 5, look * 0.5)
+            watch.record_step(1 + 50 * look, 5, look * 0.5)
         assert not watch.is_busy
 
     def test_a_map_is_planned_once_for_the_same_popularity(self) -> None:
@@ -179,11 +179,11 @@
     def test_a_group_with_work_that_makes_no_steps_is_stuck(self) -> None:
         """A group stands still because a dead entry had held a step."""
         watch = self.watch_steps(0.1)
-        watch.note_step(16, 5, 2.0)
-        watch.note_step(16, 5, 2.7)
+        watch.record_step(16, 5, 2.0)
+        watch.record_step(16, 5, 2.7)
         assert watch.is_stuck(2.7)
         idle = self.watch_steps(0.1)
-        idle.note_step(16, 0, 9.0)
+        idle.record_step(16, 0, 9.0)
         assert not idle.is_stuck(9.0)
 
     def test_a_change_of_popularity_is_followed_within_one_look(self) -> None:
@@ -198,7 +198,7 @@
             [was * 4e6 + now * 1e6 for was, now in zip(*layers, strict=True)]
             for layers in zip(before, after, strict=True)
         ]
-        watch.note_counts(0, counts)
+        watch.record_counts(0, counts)
         watch.finish_counts(1.6)
         planned = watch.plan(FIRST_MAP, LIMITS)
         assert planned is not None
@@ -212,7 +212,7 @@
         old map until the step comes for which they are.
         """
         watch = self.watch_steps(0.1)
-        watch.note_switch(7, now=2.0)
+        watch.record_switch(7, now=2.0)
         assert not watch.is_in_force(3, now=2.1)
         assert watch.is_in_force(7, now=2.1)
         assert watch.is_in_force(3, now=3.0)
--- a/mintsaddle/decisions/expert_maps/tests/test_stall.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_stall.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mintsaddle.decisions.expert_maps import StallWatch, guard_patience
+from mintsaddle.decisions.expert_maps import StallWatch, watchdog_timeout
 
 
 class TestStallWatch:
@@ -32,6 +32,6 @@
 
         Its duty passes on after seconds only; they leave after two.
         """
-        patience = [guard_patience(place) for place in range(3)]
-        assert patience == sorted(set(patience))
-        assert patience[-1] < 1.5
+        timeout = [watchdog_timeout(place) for place in range(3)]
+        assert timeout == sorted(set(timeout))
+        assert timeout[-1] < 1.5
--- a/mintsaddle/decisions/expert_maps/tests/test_switch_machine.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_switch_machine.py
@@ -32,7 +32,7 @@
     _ranks,
     _switch,
     next_orders,
-    note_reply,
+    record_reply,
     start_switch,
 )
 from mintsaddle.decisions.expert_maps._ranks import ORDER_TIMEOUT
@@ -165,7 +165,7 @@
         """Deliver one of the newest answers."""
         current = self.rounds[which]
         if current is not None and back < len(self.replies):
-            note_reply(current, self.replies[-1 - back])
+            record_reply(current, self.replies[-1 - back])
 
     @rule(
         which=st.integers(0, 1),
--- a/mintsaddle/decisions/orders/__init__.py
+++ b/mintsaddle/decisions/orders/__init__.py
@@ -13,7 +13,7 @@
     adopt_homes,
     answer_question,
     ask_homes,
-    note_answer,
+    record_answer,
     settle_alone,
 )
 from mintsaddle.decisions.orders._homes_messages import HomeAnswer, HomeQuestion
@@ -49,7 +49,7 @@
     "home_is_settled",
     "is_awaited",
     "keep_bequest",
-    "note_answer",
+    "record_answer",
     "purge_ledger",
     "settle_alone",
 ]
--- a/mintsaddle/decisions/orders/_homes.py
+++ b/mintsaddle/decisions/orders/_homes.py
@@ -49,7 +49,7 @@
 clock one bound ahead of the clock of the home that took its place.
 """
 
-VOUCH_PATIENCE = 1.5
+VOUCH_TIMEOUT = 1.5
 """Seconds for all homes to answer before one settled home's word is enough."""
 
 _ASK_AGAIN = 2.0
@@ -101,7 +101,7 @@
     answered = home.second_boots if second else home.first_boots
     others = sorted(home.wanted.to_ask - {state.vm} - set(answered))
     nonces = {name: rng.getrandbits(_NONCE_BITS) for name in others}
-    vouch_at = home.vouch_at or now + VOUCH_PATIENCE
+    vouch_at = home.vouch_at or now + VOUCH_TIMEOUT
     state.put_home(service, home._replace(nonces=nonces, vouch_at=vouch_at))
     return tuple(
         (name, HomeQuestion(state.vm, state.boot, service, nonce, second))
@@ -136,7 +136,7 @@
     return answer._replace(floor=floor, handed=handed, offer=offer)
 
 
-def note_answer(
+def record_answer(
     state: OrdersState,
     answer: HomeAnswer,
     text_revision: int,
--- a/mintsaddle/decisions/orders/tests/test_homes_machine.py
+++ b/mintsaddle/decisions/orders/tests/test_homes_machine.py
@@ -36,7 +36,7 @@
     decide_key,
     home_is_settled,
     keep_bequest,
-    note_answer,
+    record_answer,
 )
 from mintsaddle.decisions.orders._state import HomeState
 from mintsaddle.fleet import OrderHomes, find_home
@@ -174,7 +174,7 @@
         if home.orders.boot != boot:
             return
         home.adopt(answer.text_revision, self.bootstrap)
-        note_answer(home.orders, answer, home.revision, BOUND, self.now)
+        record_answer(home.orders, answer, home.revision, BOUND, self.now)
 
     def draw(self) -> None:
         number = len(self.keys)
--- a/mintsaddle/decisions/routing/__init__.py
+++ b/mintsaddle/decisions/routing/__init__.py
@@ -1,12 +1,12 @@
 """Which endpoint an entry tries, from what it knows, which may be old."""
 
 from mintsaddle.decisions.routing._commands import (
-    note_failed,
-    note_finished,
-    note_load,
-    note_refused,
-    note_request,
-    note_sent,
+    record_failed,
+    record_finished,
+    record_load,
+    record_refused,
+    record_request,
+    record_sent,
     spend_retry,
     welcome_back,
 )
@@ -31,12 +31,12 @@
     "draw_key",
     "has_free_place",
     "may_retry",
-    "note_failed",
-    "note_finished",
-    "note_load",
-    "note_refused",
-    "note_request",
-    "note_sent",
+    "record_failed",
+    "record_finished",
+    "record_load",
+    "record_refused",
+    "record_request",
+    "record_sent",
     "spend_retry",
     "welcome_back",
 ]
--- a/mintsaddle/decisions/routing/_commands.py
+++ b/mintsaddle/decisions/routing/_commands.py
@@ -11,7 +11,7 @@
 _AWAY_REASONS = frozenset({Reason.LEAVING, Reason.MARKED_OUT, Reason.ENGINE_DOWN})
 
 
-def note_request(state: RoutingState) -> None:
+def record_request(state: RoutingState) -> None:
     """Count a fresh request: it earns a share of a retry.
 
     Guards against retry storms: when most attempts fail, a count for each
@@ -26,19 +26,19 @@
     state.replace_budget(state.budget - 1.0)
 
 
-def note_sent(state: RoutingState, endpoint: str) -> None:
+def record_sent(state: RoutingState, endpoint: str) -> None:
     """Count an attempt that is on its way."""
     view = state.view(endpoint)
     state.replace_view(endpoint, view._replace(sent=view.sent + 1))
 
 
-def note_finished(state: RoutingState, endpoint: str) -> None:
+def record_finished(state: RoutingState, endpoint: str) -> None:
     """Count an attempt that is over, however it ended."""
     view = state.view(endpoint)
     state.replace_view(endpoint, view._replace(sent=max(0, view.sent - 1)))
 
 
-def note_load(
+def record_load(
     state: RoutingState, endpoint: str, boot: Boot, load: Load, now: Instant
 ) -> None:
     """Take over the exact load that an endpoint daemon reported."""
@@ -51,7 +51,7 @@
     state.replace_view(endpoint, view)
 
 
-def note_refused(
+def record_refused(
     state: RoutingState, endpoint: str, reason: Reason, now: Instant
 ) -> None:
     """Rest an endpoint that is away; a full one only has its load noted."""
@@ -61,7 +61,7 @@
     state.replace_view(endpoint, view._replace(blocked_until=now + _REFUSED_BLOCK))
 
 
-def note_failed(state: RoutingState, endpoint: str, now: Instant) -> None:
+def record_failed(state: RoutingState, endpoint: str, now: Instant) -> None:
     """Rest an endpoint that failed or was silent, longer each time.
 
     It is tried again when its rest is over, so it is never forgotten.
--- a/mintsaddle/decisions/routing/tests/test_routing.py
+++ b/mintsaddle/decisions/routing/tests/test_routing.py
@@ -12,11 +12,11 @@
     choose_endpoint,
     choose_subset,
     may_retry,
-    note_failed,
-    note_finished,
-    note_load,
-    note_request,
-    note_sent,
+    record_failed,
+    record_finished,
+    record_load,
+    record_request,
+    record_sent,
     spend_retry,
     welcome_back,
 )
@@ -46,7 +46,7 @@
 def make_state(free: int = 4, fleet: Fleet = FLEET) -> RoutingState:
     state = RoutingState("entry", "a")
     for name in fleet.endpoints:
-        note_load(state, name, 1, Load(0, free, 0, False), NOW)
+        record_load(state, name, 1, Load(0, free, 0, False), NOW)
     return state
 
 
@@ -91,7 +91,7 @@
     def test_other_data_centre_when_own_is_full(self) -> None:
         state = make_state()
         for name in ("e0", "e2", "e4"):
-            note_load(state, name, 1, Load(4, 4, 0, False), NOW)
+            record_load(state, name, 1, Load(4, 4, 0, False), NOW)
         assert choose(state) in {"e1", "e3", "e5"}
 
     def test_marked_out_endpoints_get_nothing(self) -> None:
@@ -108,7 +108,7 @@
         own = choose(state, prefix="p")
         assert own is not None
         for _ in range(6):
-            note_sent(state, own)
+            record_sent(state, own)
         assert choose(state, prefix="p") != own
 
     def test_nothing_left_gives_none(self) -> None:
@@ -122,7 +122,7 @@
         for _ in range(count):
             name = choose_endpoint(state, FLEET, NO_MARKS, request, NOW, rng)
             assert name is not None
-            note_sent(state, name)
+            record_sent(state, name)
         loads = [state.view(name).sent for name in ("e0", "e2", "e4")]
         assert max(loads) - min(loads) <= 3 + count // 10
 
@@ -130,7 +130,7 @@
 class TestOutliers:
     def test_failed_endpoint_rests_and_is_tried_again(self) -> None:
         state = make_state()
-        note_failed(state, "e0", NOW)
+        record_failed(state, "e0", NOW)
         assert choose(state, tried=frozenset(["e2", "e4"])) in {"e1", "e3", "e5"}
         rest = state.view("e0").blocked_until
         assert NOW < rest < NOW + 1.0
@@ -138,27 +138,27 @@
     def test_rest_grows_but_has_an_end(self) -> None:
         state = make_state()
         for _ in range(20):
-            note_failed(state, "e0", NOW)
+            record_failed(state, "e0", NOW)
         assert state.view("e0").blocked_until <= NOW + 30.0
 
     def test_all_at_rest_still_gives_one(self) -> None:
         state = make_state()
         for name in FLEET.endpoints:
-            note_failed(state, name, NOW)
+            record_failed(state, name, NOW)
         assert choose(state) is not None
 
     def test_endpoint_marked_in_is_used_at_once(self) -> None:
         state = make_state()
-        note_failed(state, "e0", NOW)
+        record_failed(state, "e0", NOW)
         welcome_back(state, ["e0"])
         assert choose(state, tried=frozenset(["e2", "e4"])) == "e0"
 
     def test_loads_follow_own_attempts(self) -> None:
         state = make_state()
-        note_load(state, "e0", 1, Load(2, 4, 0, False), NOW)
-        note_sent(state, "e0")
+        record_load(state, "e0", 1, Load(2, 4, 0, False), NOW)
+        record_sent(state, "e0")
         assert state.view("e0").estimate_load(NOW) == 3
-        note_finished(state, "e0")
+        record_finished(state, "e0")
         assert state.view("e0").estimate_load(NOW) == 2
 
 
@@ -168,7 +168,7 @@
         state = make_state()
         retries = 0
         for _ in range(1000):
-            note_request(state)
+            record_request(state)
             while may_retry(state):
                 spend_retry(state)
                 retries += 1
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -12,7 +12,7 @@
     advise_retry,
     match_route,
 )
-from mintsaddle.decisions.routing import note_request
+from mintsaddle.decisions.routing import record_request
 from mintsaddle.direct._answers import CallerMessage, StreamAnswer, WholeAnswer
 from mintsaddle.direct._calls import find_holder, make_call
 from mintsaddle.direct._choice import CallerLeftError
@@ -126,7 +126,7 @@
     ) -> Iterable[bytes]:
         gateway = self._gateway
         with gateway.lock:
-            note_request(gateway.routing)
+            record_request(gateway.routing)
         is_gone = environ["waitress.client_disconnected"]
         runner = CallRunner(gateway, self._watchdog, call, message, is_gone)
         try:
@@ -157,7 +157,7 @@
             for data in events:
                 if timing.first is None:
                     self._record(runner.call, Measure.FIRST)
-                timing.note_event(self._gateway.now())
+                timing.record_event(self._gateway.now())
                 yield data
             ending = "streamed"
             if timing.is_late(runner.call.route):
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -14,8 +14,8 @@
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import Reason
 
-_LOOK_SECONDS = 0.2
-"""Seconds between two looks whether a waiting caller has left."""
+_POLL_SECONDS = 0.2
+"""Seconds between two polls whether a waiting caller has left."""
 
 _log = make_logger("calls")
 
@@ -56,7 +56,7 @@
         if endpoint is None:
             return Reason.NO_ENDPOINT
         load = gateway.routing.view(endpoint.name).estimate_load(now)
-        gateway.note_chosen(endpoint)
+        gateway.record_chosen(endpoint)
     _log_chosen(gateway, call, endpoint, load, len(working))
     return endpoint
 
@@ -74,7 +74,7 @@
         if left <= 0:
             is_down = bool(gateway.groups.down_groups())
             return Reason.GROUP_DOWN if is_down else Reason.FULL
-        gateway.groups_changed.wait(min(left, _LOOK_SECONDS))
+        gateway.groups_changed.wait(min(left, _POLL_SECONDS))
         if is_gone():
             raise CallerLeftError
 
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -156,9 +156,9 @@
         # Guards against a peer that is cut off: without it, unacknowledged
         # bytes would keep the connection alive for minutes.
         silent_seconds = min(seconds, KEPT_SILENT_SECONDS) if self._is_kept else seconds
-        patience = int(silent_seconds * MILLISECONDS)
+        timeout = int(silent_seconds * MILLISECONDS)
         self._socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, patience)
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, timeout)
         )
         connection.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
         for name, value in headers:
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -112,7 +112,7 @@
 
     def _record_regained(self) -> None:
         self._is_well = True
-        self._gateway.note_regained()
+        self._gateway.record_regained()
         position = self._gateway.replica.position
         _log.info("Platform regained %s.", fields(position=position))
 
@@ -120,4 +120,4 @@
         if self._is_well:
             _log.warning("Platform lost %s.", fields(why=problem.value))
         self._is_well = False
-        self._gateway.note_lost()
+        self._gateway.record_lost()
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -20,7 +20,7 @@
     drop_lapsed,
     must_poll,
 )
-from mintsaddle.decisions.routing import RoutingState, note_sent
+from mintsaddle.decisions.routing import RoutingState, record_sent
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
@@ -34,7 +34,7 @@
 
 
 def map_duty(group: str) -> str:
-    """Return the name of the duty to see to a group's expert map."""
+    """Return the name of the duty to manage a group's expert map."""
     return f"maps {group}"
 
 
@@ -172,12 +172,12 @@
         with self._lock:
             self._replica.expect_lapses(until)
 
-    def note_lost(self) -> None:
+    def record_lost(self) -> None:
         """Note that the platform gives nothing."""
         with self._lock:
             self._is_platform_lost = True
 
-    def note_regained(self) -> None:
+    def record_regained(self) -> None:
         """Note that the platform gives something again.
 
         Announcements that lapsed in the meantime get their grace from here:
@@ -188,7 +188,7 @@
             self._replica.expect_lapses(self.now() + LAPSE_GRACE)
 
     def duties(self) -> set[str]:
-        """Return the names of the duties that some entry has to see to."""
+        """Return the names of the duties that some entry has to manage."""
         places = (one.place for one in self._directory.endpoints.values())
         return {map_duty(place.group) for place in places if place is not None}
 
@@ -248,10 +248,10 @@
             return False
         return self._cold_gate.allows(endpoint, service, self._entries, self.now())
 
-    def note_chosen(self, endpoint: Incarnation) -> None:
+    def record_chosen(self, endpoint: Incarnation) -> None:
         """Count a request that is about to be sent; under the lock."""
-        note_sent(self._routing, endpoint.name)
-        self._cold_gate.note_sent(endpoint, self.now())
+        record_sent(self._routing, endpoint.name)
+        self._cold_gate.record_sent(endpoint, self.now())
 
     def replace_settings(self, settings: DirectSettings) -> None:
         """Take over limits from a settings file that has changed."""
@@ -259,16 +259,16 @@
             self._settings = settings
             self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
 
-    def note_group(self, group: str, epoch: int, is_open: bool) -> None:
+    def record_group(self, group: str, epoch: int, is_open: bool) -> None:
         """Take over what a rank or its announcement says of its group."""
         with self._groups_changed:
             was_down = self._groups.is_down(group)
-            self._groups.note_report(group, epoch, is_open, self.now())
+            self._groups.record_report(group, epoch, is_open, self.now())
             if was_down and not self._groups.is_down(group):
                 _log.info("Group regained %s.", fields(group=group, epoch=epoch))
             self._groups_changed.notify_all()
 
-    def note_group_refusal(self, group: str, epoch: int, at_fault: str) -> None:
+    def record_group_refusal(self, group: str, epoch: int, at_fault: str) -> None:
         """Note that a rank refused a request for its group's sake.
 
         Args:
@@ -283,7 +283,7 @@
                     "Group lost %s.",
                     fields(group=group, epoch=epoch, at_fault=at_fault),
                 )
-            self._groups.note_refusal(group, epoch, self.now())
+            self._groups.record_refusal(group, epoch, self.now())
             self._groups_changed.notify_all()
 
     def count(self, name: str) -> None:
@@ -320,7 +320,7 @@
         after = self._directory
         for one in after.endpoints.values():
             if one.place is not None and one is not before.endpoints.get(one.name):
-                self.note_group(one.place.group, one.place.epoch, one.place.is_open)
+                self.record_group(one.place.group, one.place.epoch, one.place.is_open)
         if after.table is not None and after.table is not before.table:
             routes = {r.name for all_of in after.table.hosts.values() for r in all_of}
             self._deadlines.keep_only(routes)
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -1,4 +1,4 @@
-"""Seeing to the expert maps of rank groups, one duty for each group."""
+"""Managing the expert maps of rank groups, one duty for each group."""
 
 import threading
 import time
@@ -14,55 +14,55 @@
     choose_limits,
     choose_samples,
     draw_version,
-    guard_patience,
     make_first_map,
+    watchdog_timeout,
     withdraw_held,
 )
 from mintsaddle.direct._gateway import Gateway, map_duty
-from mintsaddle.direct._rank_calls import GroupLook, RankCalls
+from mintsaddle.direct._rank_calls import GroupPoll, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup, find_rank_groups
 from mintsaddle.direct._switches import REPORT_AGE_SECONDS, SwitchRunner
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import MILLISECONDS
 
-LOOK_SECONDS = 0.5
-"""Seconds between two looks at a group over the network: popularity changes
-every few seconds, and a look costs reports and the counts of a few ranks."""
+POLL_SECONDS = 0.5
+"""Seconds between two polls at a group over the network: popularity changes
+every few seconds, and a poll costs reports and the counts of a few ranks."""
 
-AGENT_LOOK_SECONDS = 0.1
-"""The same by agents, where a look costs little more than its datagrams."""
+AGENT_POLL_SECONDS = 0.1
+"""The same by agents, where a poll costs little more than its datagrams."""
 
 SAMPLE_RANKS = 2
-"""Ranks whose counts are read in a look over the network. Requests are spread
+"""Ranks whose counts are read in a poll over the network. Requests are spread
 over all ranks alike, so two of twelve show the hot experts; reading each costs
 a pause."""
 
-NEAR_SHARE = 0.5
+REACHABLE_SHARE = 0.5
 """Share of the ranks that get work whose agents have to reply for looks by
 agents; the others are left out then, since all run in step."""
 
 AGENT_COUNTS = 16_000
-"""Counts of experts that are read in a look by agents at most; it bounds the
-keeper's share of a link and of a core however large the group is."""
+"""Counts of experts that are read in a poll by agents at most; it bounds the
+coordinator's share of a link and of a core however large the group is."""
 
 SLOWNESS_RANKS = 3
-"""Ranks asked in a look how slow they are: all of twelve within 2 s."""
+"""Ranks asked in a poll how slow they are: all of twelve within 2 s."""
 
-GUARDS = 2
-"""Entries next in line that look whether the group stands still."""
+WATCHDOGS = 2
+"""Successors that check whether the group stands still."""
 
-GUARDED_RANKS = 3
+WATCHED_RANKS = 3
 """Ranks that they ask: some may have no requests while the group is busy."""
 
 FREE_TRIES = 8
-"""Looks at a group in which one's own switch has left a step held, one each
+"""Polls of a group in which one's own switch has left a step held, one each
 report's age: 2.4 s; the group stands before that step within 0.5 s."""
 
 _log = make_logger("maps")
 
 
-class MapKeeper:
-    """Watches the groups that this entry sees to; one thread."""
+class MapCoordinator:
+    """Watches the groups that this entry manages; one thread."""
 
     def __init__(self, gateway: Gateway, membership: Membership) -> None:
         self._gateway = gateway
@@ -72,8 +72,8 @@
         self._watches: dict[str, MapWatch] = {}
         self._last_versions: dict[str, int] = {}
         self._stalls: dict[str, StallWatch] = {}
-        self._looks = 0
-        self._is_near = False
+        self._polls = 0
+        self._has_agents = False
         self._maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
     def start(self) -> None:
@@ -82,58 +82,57 @@
 
     def _run(self) -> None:
         while True:
-            time.sleep(AGENT_LOOK_SECONDS if self._is_near else LOOK_SECONDS)
+            time.sleep(AGENT_POLL_SECONDS if self._has_agents else POLL_SECONDS)
             if self._gateway.leaving:
                 return
-            self._is_near = False
+            self._has_agents = False
             for group in find_rank_groups(self._gateway.directory):
-                self._try_to_see_to(group)
-                self._is_near |= self._is_near_to(group)
+                self._try_to_manage(group)
+                self._has_agents |= self._is_reachable(group)
 
-    def _try_to_see_to(self, group: RankGroup) -> None:
+    def _try_to_manage(self, group: RankGroup) -> None:
         """See to a group; go on with the duty whatever goes wrong.
 
-        Guards against a keeper whose thread has died: the entry would still be
-        the chosen one, and a held group would stand still for good.
+        A coordinator without its thread would leave a held group held.
         """
         try:
-            self._see_to(group)
+            self._manage(group)
         except Exception:
-            _log.exception("Look failed %s.", fields(group=group.name))
+            _log.exception("Poll failed %s.", fields(group=group.name))
 
-    def _see_to(self, group: RankGroup) -> None:
-        place = self._membership.place_in_line(
+    def _manage(self, group: RankGroup) -> None:
+        place = self._membership.succession_place(
             map_duty(group.name), self._gateway.now()
         )
         if place == 0:
-            self._look_at(group)
+            self._poll_group(group)
             return
         self._watches.pop(group.name, None)
-        if place is not None and place <= GUARDS and self._is_near_to(group):
-            self._guard(group, place)
+        if place is not None and place <= WATCHDOGS and self._is_reachable(group):
+            self._watch_for_stall(group, place)
 
-    def _guard(self, group: RankGroup, place: int) -> None:
-        """Free a group whose keeper has died while it held a step.
+    def _watch_for_stall(self, group: RankGroup, place: int) -> None:
+        """Free a group whose coordinator has died while it held a step.
 
         The duty passes on seconds later only, when callers have left.
         """
-        near = self._ranks.near_ranks(group)
-        asked = choose_samples(sorted(near), GUARDED_RANKS)
-        look = self._ranks.look(group, asked)
-        report = look.first_of(asked)
+        reachable = self._ranks.reachable_ranks(group)
+        asked = choose_samples(sorted(reachable), WATCHED_RANKS)
+        poll = self._ranks.poll(group, asked)
+        report = poll.first_of(asked)
         stall = self._stalls.setdefault(group.name, StallWatch())
         now = self._gateway.now()
         if report is None or not report.is_open:
             self._stalls.pop(group.name, None)
             return
-        stall.note(report.step, look.running, now)
-        if stall.is_stuck(now, guard_patience(place)):
+        stall.note(report.step, poll.running, now)
+        if stall.is_stuck(now, watchdog_timeout(place)):
             self._recover(group)
 
-    def _look_at(self, group: RankGroup) -> None:
+    def _poll_group(self, group: RankGroup) -> None:
         gateway = self._gateway
-        look = self._look(group)
-        report = look.first_of(group.serving)
+        poll = self._poll(group)
+        report = poll.first_of(group.serving)
         if report is None or not report.is_open:
             self._watches.pop(group.name, None)
             return
@@ -141,14 +140,14 @@
         if watch is None or watch.epoch != report.epoch:
             watch = self._begin_watch(group, report.epoch)
             self._recover(group)
-        watch.note_step(report.step, look.running, gateway.now())
+        watch.record_step(report.step, poll.running, gateway.now())
         if watch.is_stuck(gateway.now()):
             self._recover(group)
             return
-        for rank, one in look.reports.items():
-            watch.note_slowness(rank, one.slowness)
-        for rank, counts in look.counts.items():
-            watch.note_counts(rank, counts)
+        for rank, one in poll.reports.items():
+            watch.record_slowness(rank, one.slowness)
+        for rank, counts in poll.counts.items():
+            watch.record_counts(rank, counts)
         watch.finish_counts(gateway.now())
         if not watch.is_busy or not watch.is_in_force(report.version, gateway.now()):
             return
@@ -161,10 +160,10 @@
         if planned is not None:
             self._switch(group, watch, current, planned)
 
-    def _is_near_to(self, group: RankGroup) -> bool:
+    def _is_reachable(self, group: RankGroup) -> bool:
         """Return whether most ranks that get work are reached by agents."""
-        near = self._ranks.near_ranks(group).intersection(group.serving)
-        return len(near) >= len(group.serving) * NEAR_SHARE
+        reachable = self._ranks.reachable_ranks(group).intersection(group.serving)
+        return len(reachable) >= len(group.serving) * REACHABLE_SHARE
 
     def _begin_watch(self, group: RankGroup, epoch: int) -> MapWatch:
         table = self._gateway.directory.table
@@ -174,20 +173,20 @@
         self._watches[group.name] = watch
         return watch
 
-    def _look(self, group: RankGroup) -> GroupLook:
-        """Ask the ranks; over the network few of them, others in each look."""
+    def _poll(self, group: RankGroup) -> GroupPoll:
+        """Ask the ranks; over the network few of them, others in each poll."""
         ranks = len(group.ranks)
-        if self._is_near_to(group):
-            near = self._ranks.near_ranks(group)
+        if self._is_reachable(group):
+            reachable = self._ranks.reachable_ranks(group)
             numbers = group.model.layers * group.model.experts
-            serving = [rank for rank in group.serving if rank in near]
+            serving = [rank for rank in group.serving if rank in reachable]
             counted = choose_samples(serving, max(1, AGENT_COUNTS // numbers))
-            return self._ranks.look(group, near, counted)
-        self._looks += 1
-        first = self._looks * SLOWNESS_RANKS
+            return self._ranks.poll(group, reachable, counted)
+        self._polls += 1
+        first = self._polls * SLOWNESS_RANKS
         asked = {(first + offset) % ranks for offset in range(SLOWNESS_RANKS)}
         counted = choose_samples(group.serving, SAMPLE_RANKS)
-        return self._ranks.look(group, asked | {group.serving[0], *counted}, counted)
+        return self._ranks.poll(group, asked | {group.serving[0], *counted}, counted)
 
     def _current_map(self, group: RankGroup, report: RankReport) -> ExpertMap | None:
         """Return the map in use, as set here or as the ranks tell."""
@@ -226,7 +225,7 @@
         switch = self._runner.carry_out(group, switch, step_seconds)
         if switch.stage is SwitchStage.DONE:
             self._maps[group.name] = (switch.epoch, new_map)
-            watch.note_switch(version, self._gateway.now())
+            watch.record_switch(version, self._gateway.now())
         elif switch.stage is SwitchStage.FAILED and switch.holders:
             self._free_own_hold(group)
         _log.info(
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -23,9 +23,8 @@
 entry asks as often, to know the others before it takes up duties."""
 
 HOLDER_SECONDS = 0.4
-"""Seconds between two questions to the holder of a duty by those next in line:
-while nobody sees to a group, its map stays the wrong one after each change of
-popularity."""
+"""Seconds between two questions to the holder of a duty by its successors:
+while nobody manages a group, its map stays wrong after each change."""
 
 EXCHANGE_SECONDS = 0.5
 """Seconds for a peer's answer, which needs no waiting; 2 ms is usual."""
@@ -57,7 +56,7 @@
         hello = await stream.recv_message()
         if hello is None:
             return
-        self._note_hello(hello)
+        self._record_hello(hello)
         news, _ = self._relay.make_news(self._make_hello(), position_in(hello))
         await stream.send_message(news)
 
@@ -68,7 +67,7 @@
         hello = await stream.recv_message()
         if hello is None:
             return
-        self._note_hello(hello)
+        self._record_hello(hello)
         await self._relay.serve(stream, self._make_brief_hello, position_in(hello))
 
     def watch_copy(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -116,7 +115,7 @@
         try:
             async with contextlib.aclosing(self._relay.follow(stub, hello)) as told:
                 async for news in told:
-                    self._note_hello(news.hello)
+                    self._record_hello(news.hello)
                     if news.hello.leaving:
                         return
         except StaleUpstreamError:
@@ -142,11 +141,11 @@
         except Exception as error:
             self._record_silence(address, error)
             return
-        self._membership.note_answer(address)
+        self._membership.record_answer(address)
         if address in self._silent:
             self._silent.discard(address)
             _log.info("Peer regained %s.", fields(address=address))
-        self._note_hello(news.hello)
+        self._record_hello(news.hello)
         for position in news.hello.positions:
             if self._is_news(position):
                 self._relay.take(news, position)
@@ -157,7 +156,7 @@
         It is tried again over a fresh connection in a later round.
         """
         self._channels.drop(address)
-        self._membership.note_silence(address)
+        self._membership.record_silence(address)
         if address not in self._silent:
             self._silent.add(address)
             name = type(error).__name__
@@ -191,7 +190,7 @@
             )
         return hello
 
-    def _note_hello(self, hello: pb.EntryHello) -> None:
+    def _record_hello(self, hello: pb.EntryHello) -> None:
         now = self._gateway.now()
         if hello.leaving:
             self._membership.remove(hello.vm, now)
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -48,14 +48,13 @@
 """Calls over the network at one time."""
 
 OVER_NETWORK = frozenset({OrderAct.HOLD})
-"""Orders that don't go by agents. Guards against a step that stays held for as
-long as the VM that held it is away: entries free a group whose keeper was lost
-in the middle of a switch, but none reaches a rank whose own VM is lost."""
+"""Orders that don't go by agents, so that the VM of a rank that is lost never
+holds a step that only this rank could release."""
 
 _log = make_logger("maps")
 
 
-class GroupLook(NamedTuple):
+class GroupPoll(NamedTuple):
     """What the ranks of a group said when they were asked."""
 
     reports: Mapping[int, RankReport]
@@ -113,7 +112,7 @@
         self._misses: Counter[str] = Counter()
         self._rests_until: dict[str, Instant] = {}
 
-    def near_ranks(self, group: RankGroup) -> frozenset[int]:
+    def reachable_ranks(self, group: RankGroup) -> frozenset[int]:
         """Return the ranks whose agents replied when they were last asked."""
         return frozenset(
             rank for rank, one in enumerate(group.ranks) if self._is_asked(one.address)
@@ -121,7 +120,7 @@
 
     def has_agents(self, group: RankGroup) -> bool:
         """Return whether all agents of a group replied when last asked."""
-        return len(self.near_ranks(group)) == len(group.ranks)
+        return len(self.reachable_ranks(group)) == len(group.ranks)
 
     def read_report(self, address: str, rank: int) -> RankReport | None:
         """Return what one rank says of itself, if it answers."""
@@ -129,9 +128,9 @@
         report = decode_rank_report(found.answers[0], rank)
         return report.value_or(None)
 
-    def look(
+    def poll(
         self, group: RankGroup, ranks: Iterable[int], counted: Iterable[int] = ()
-    ) -> GroupLook:
+    ) -> GroupPoll:
         """Ask ranks what they say of themselves.
 
         Args:
@@ -153,12 +152,12 @@
                 case Failure(problem):
                     self._log_missing(group, rank, problem)
             if rank in with_counts:
-                self._note_counts(group, rank, found.answers[1], counts)
-        return GroupLook(reports, counts)
+                self._record_counts(group, rank, found.answers[1], counts)
+        return GroupPoll(reports, counts)
 
     def read_reports(self, group: RankGroup) -> list[RankReport] | None:
         """Return a report of every rank, or None if one is missing."""
-        reports = self.look(group, range(len(group.ranks))).reports
+        reports = self.poll(group, range(len(group.ranks))).reports
         known = [report for _, report in sorted(reports.items())]
         if len(known) < len(group.ranks):
             return None
@@ -227,14 +226,14 @@
         asked = {one: self._agent(one) for one in calls if self._is_asked(one)}
         replies = self._link.ask({agent: calls[one] for one, agent in asked.items()})
         for engine, agent in asked.items():
-            self._note_reply(engine, came=agent in replies)
+            self._record_reply(engine, came=agent in replies)
         return {
             engine: _Answers(replies[agent], is_fresh=True)
             for engine, agent in asked.items()
             if agent in replies
         }
 
-    def _note_reply(self, engine: str, *, came: bool) -> None:
+    def _record_reply(self, engine: str, *, came: bool) -> None:
         if came:
             del self._misses[engine]
             return
@@ -252,7 +251,7 @@
         host, _, _ = engine.rpartition(":")
         return f"{host}:{self._port}"
 
-    def _note_counts(
+    def _record_counts(
         self,
         group: RankGroup,
         rank: int,
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -11,7 +11,7 @@
 from mintsaddle.direct._follow import start_following
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_asking
-from mintsaddle.direct._maps import MapKeeper
+from mintsaddle.direct._maps import MapCoordinator
 from mintsaddle.direct._peers import start_peers
 from mintsaddle.direct._server import CallerServer, most_callers, serve_pages
 from mintsaddle.direct._watchdog import Watchdog
@@ -66,7 +66,7 @@
         settings.vm, settings.control, settings.peers, gateway.now()
     )
     start_peers(gateway, membership)
-    MapKeeper(gateway, membership).start()
+    MapCoordinator(gateway, membership).start()
     start_asking(gateway)
     threading.Thread(
         target=_keep_limits, args=(gateway, server), name="limits", daemon=True
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -15,13 +15,13 @@
     decide_next,
     give_up,
     keep_seconds,
-    note_attempt,
+    record_attempt,
 )
 from mintsaddle.decisions.routing import (
     may_retry,
-    note_failed,
-    note_finished,
-    note_load,
+    record_failed,
+    record_finished,
+    record_load,
     spend_retry,
 )
 from mintsaddle.direct._answers import (
@@ -170,13 +170,13 @@
             is_silent = self._gateway.now() >= watched.end_at
             return Ending.SILENT if is_silent else Ending.BROKEN, None
         head = read_answer_head(response, call.request_id, endpoint.slots)
-        self._note_head(endpoint, head)
+        self._record_head(endpoint, head)
         if head.is_misdirected:
             return Ending.MISDIRECTED, None
         if head.never_ran:
             place = endpoint.place
             if head.at_fault and place is not None:
-                self._gateway.note_group_refusal(
+                self._gateway.record_group_refusal(
                     place.group, place.epoch, head.at_fault
                 )
             return Ending.NOT_RUN, None
@@ -260,11 +260,11 @@
         if self._is_gone():
             raise CallerLeftError
         gateway = self._gateway
-        self._call = note_attempt(self._call, endpoint.name, ending)
+        self._call = record_attempt(self._call, endpoint.name, ending)
         now: Instant = gateway.now()
         with gateway.lock:
             if ending is not Ending.FAILED:
-                note_failed(gateway.routing, endpoint.name, now)
+                record_failed(gateway.routing, endpoint.name, now)
             has_budget = may_retry(gateway.routing)
             decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
             if not isinstance(decision, GiveUp) and ending is not Ending.NOT_SENT:
@@ -283,12 +283,12 @@
         )
         return decision if isinstance(decision, GiveUp) else None
 
-    def _note_head(self, endpoint: Incarnation, head: AnswerHead) -> None:
+    def _record_head(self, endpoint: Incarnation, head: AnswerHead) -> None:
         if head.load is None:
             return
         gateway = self._gateway
         with gateway.lock:
-            note_load(
+            record_load(
                 gateway.routing,
                 endpoint.name,
                 _RUN_UNKNOWN,
@@ -306,7 +306,7 @@
         else:
             exchange.close()
         with self._gateway.lock:
-            note_finished(self._gateway.routing, endpoint.name)
+            record_finished(self._gateway.routing, endpoint.name)
 
     def _close(
         self, endpoint: Incarnation, exchange: Exchange, watched: Watched
@@ -314,7 +314,7 @@
         self._watchdog.remove(watched)
         exchange.close()
         with self._gateway.lock:
-            note_finished(self._gateway.routing, endpoint.name)
+            record_finished(self._gateway.routing, endpoint.name)
 
     def _log_broken(self, endpoint: Incarnation, error: Exception) -> None:
         _log.info(
--- a/mintsaddle/direct/_switches.py
+++ b/mintsaddle/direct/_switches.py
@@ -12,9 +12,9 @@
     hold_at,
     must_read_first,
     next_map_orders,
-    note_answers,
-    note_reports,
     ranks_to_read,
+    record_answers,
+    record_reports,
 )
 from mintsaddle.direct._rank_calls import RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
@@ -68,7 +68,7 @@
             stage = switch.stage
             orders = next_map_orders(switch)
             answers = self._ranks.send(group, orders)
-            switch = note_answers(switch, answers, self._now())
+            switch = record_answers(switch, answers, self._now())
             if switch.stage in OVER:
                 break
             rounds += 1
@@ -134,8 +134,8 @@
                 one that may be old could have been made before it.
         """
         ranks = ranks_to_read(switch)
-        look = self._ranks.look(group, ranks)
-        if is_sure and not look.is_fresh:
+        poll = self._ranks.poll(group, ranks)
+        if is_sure and not poll.is_fresh:
             time.sleep(REPORT_AGE_SECONDS)
-            look = self._ranks.look(group, ranks)
-        return note_reports(switch, list(look.reports.values()), self._now())
+            poll = self._ranks.poll(group, ranks)
+        return record_reports(switch, list(poll.reports.values()), self._now())
--- a/mintsaddle/direct/_timing.py
+++ b/mintsaddle/direct/_timing.py
@@ -23,7 +23,7 @@
         """Seconds of the longest pause between two events."""
         return self._longest_pause
 
-    def note_event(self, now: Instant) -> None:
+    def record_event(self, now: Instant) -> None:
         """Note that an event is passed on."""
         if self._first is None:
             self._first = now - self._arrived_at
--- a/mintsaddle/direct/_watchdog.py
+++ b/mintsaddle/direct/_watchdog.py
@@ -11,8 +11,8 @@
 from mintsaddle.direct._exchange import Exchange
 from mintsaddle.values import Instant
 
-LOOK_SECONDS = 0.1
-"""Seconds between two looks: a fifth of the half second within which an
+POLL_SECONDS = 0.1
+"""Seconds between two polls: a fifth of the half second within which an
 endpoint has to be freed."""
 
 
@@ -71,4 +71,4 @@
             for one in watched:
                 if now >= one.end_at or one.is_gone():
                     self._abort(one)
-            pause.wait(LOOK_SECONDS)
+            pause.wait(POLL_SECONDS)
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -14,7 +14,7 @@
 from mintsaddle.direct.tests.clocks import Clock
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-PATIENCE = 5.0
+TIMEOUT = 5.0
 
 
 class Script(NamedTuple):
@@ -81,7 +81,7 @@
 
 def ask(exchange: Exchange) -> bytes:
     assert exchange.connect()
-    response = exchange.send("GET", "/x", [], b"", PATIENCE)
+    response = exchange.send("GET", "/x", [], b"", TIMEOUT)
     return read_body(response)
 
 
@@ -186,7 +186,7 @@
     ) -> None:
         exchange = Exchange(endpoint.address)
         assert exchange.connect()
-        response = exchange.send("GET", "/x", [], b"", PATIENCE)
+        response = exchange.send("GET", "/x", [], b"", TIMEOUT)
         assert response.read(1) == b"o"
         pool.give(make_run(endpoint), exchange, 3.0)
         assert pool.take(make_run(endpoint)) is None
--- a/mintsaddle/direct/tests/test_rank_calls.py
+++ b/mintsaddle/direct/tests/test_rank_calls.py
@@ -16,7 +16,7 @@
 )
 from mintsaddle.direct import _rank_calls
 from mintsaddle.direct._agents import AgentLink
-from mintsaddle.direct._rank_calls import GroupLook, RankCalls
+from mintsaddle.direct._rank_calls import GroupPoll, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
 from mintsaddle.direct.tests.clocks import Clock
 from mintsaddle.platform.tests.test_taking_items import SETTINGS
@@ -24,7 +24,7 @@
 from mintsaddle.rank_agent.tests.standins import Engine
 
 MODEL = ExpertModel(layers=1, experts=2, places=2, new_places=1, load_seconds=0.1)
-PATIENCE = 3.0
+TIMEOUT = 3.0
 """Seconds for answers that do come, however busy the machine is."""
 
 
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def agent(engine: Engine) -> RankAgent:
-    agent = RankAgent("127.0.0.1:0", engine.address, "/mintsaddle/", PATIENCE)
+    agent = RankAgent("127.0.0.1:0", engine.address, "/mintsaddle/", TIMEOUT)
     threading.Thread(target=agent.serve, daemon=True).start()
     return agent
 
@@ -71,7 +71,7 @@
 
 
 def make_calls(
-    monkeypatch: pytest.MonkeyPatch, clock: Clock, port: int, seconds: float = PATIENCE
+    monkeypatch: pytest.MonkeyPatch, clock: Clock, port: int, seconds: float = TIMEOUT
 ) -> tuple[RankCalls, Counter[str]]:
     def make_link(host: str) -> AgentLink:
         return AgentLink(host, seconds)
@@ -96,9 +96,9 @@
         agent: RankAgent,
     ) -> None:
         calls, _ = make_calls(monkeypatch, clock, port_of(agent))
-        look = calls.look(make_group(engine), [0], [0])
-        assert look.is_fresh
-        assert (look.running, look.counts) == (4, {0: ((5, 7),)})
+        poll = calls.poll(make_group(engine), [0], [0])
+        assert poll.is_fresh
+        assert (poll.running, poll.counts) == (4, {0: ((5, 7),)})
         assert engine.connections == 1
 
     def test_a_hold_doesnt_go_by_the_ranks_own_vm(
@@ -115,7 +115,7 @@
         """
         calls, _ = make_calls(monkeypatch, clock, port_of(agent))
         group = make_group(engine)
-        calls.look(group, [0])
+        calls.poll(group, [0])
         for act in (OrderAct.ARM, OrderAct.HOLD):
             order = MapOrder(0, act, epoch=3, version=4, step=12)
             assert calls.send(group, [order]) == {order: Verdict.DONE}
@@ -123,7 +123,7 @@
         assert engine.connections == 2
 
 
-class TestGroupLook:
+class TestGroupPoll:
     def test_a_group_has_work_though_some_rank_has_none(self) -> None:
         """Streams are late for two seconds after each calm spell.
 
@@ -132,7 +132,7 @@
         """
         idle = RankReport(0, 3, True, False, 9, 0, 1, None, None, None)
         busy = idle._replace(rank=1, running=2)
-        assert GroupLook({0: idle, 1: busy}, {}).running == 2
+        assert GroupPoll({0: idle, 1: busy}, {}).running == 2
 
 
 class TestWithoutAgents:
@@ -141,25 +141,25 @@
     ) -> None:
         """Maps are late on a whole group since one agent is dead.
 
-        Each look waits for its reply before it asks over the network.
+        Each poll waits for its reply before it asks over the network.
         """
         calls, counted = make_calls(monkeypatch, clock, port=9, seconds=0.02)
         group = make_group(engine)
         for _ in range(4):
-            look = calls.look(group, [0])
-            assert look.reports[0].step == 9
-            assert not look.is_fresh
+            poll = calls.poll(group, [0])
+            assert poll.reports[0].step == 9
+            assert not poll.is_fresh
         assert counted["agent_silent"] == _rank_calls.MOST_MISSES
-        assert calls.near_ranks(group) == frozenset()
+        assert calls.reachable_ranks(group) == frozenset()
         clock.now += _rank_calls.AGENT_REST_SECONDS
-        assert calls.near_ranks(group) == frozenset({0})
+        assert calls.reachable_ranks(group) == frozenset({0})
 
     def test_no_agents_are_asked_where_there_are_none(
         self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
     ) -> None:
         calls, counted = make_calls(monkeypatch, clock, port=0)
         group = make_group(engine)
-        assert not calls.look(group, [0]).is_fresh
+        assert not calls.poll(group, [0]).is_fresh
         assert not calls.has_agents(group)
         assert not counted
 
@@ -169,9 +169,9 @@
         calls, _ = make_calls(monkeypatch, clock, port=0)
         engine.is_breaking = True
         group = make_group(engine)
-        look = calls.look(group, [0], [0])
-        assert (look.reports, look.counts) == ({}, {})
-        assert look.first_of([0]) is None
+        poll = calls.poll(group, [0], [0])
+        assert (poll.reports, poll.counts) == ({}, {})
+        assert poll.first_of([0]) is None
         assert calls.read_reports(group) is None
         order = MapOrder(0, OrderAct.ARM, epoch=3, version=4, step=12)
         assert calls.send(group, [order]) == {order: Verdict.UNKNOWN}
--- a/mintsaddle/endpoint/_coordinator.py
+++ b/mintsaddle/endpoint/_coordinator.py
@@ -16,8 +16,8 @@
     SwitchState,
     measure_skew,
     next_orders,
-    note_reply,
     plan_moves,
+    record_reply,
     start_switch,
 )
 from mintsaddle.endpoint._group_messages import read_reading, write_order
@@ -40,7 +40,7 @@
 _LOOK_PAUSE = 0.5
 _MOST_TRIES = 400
 _KEEP = 0.3
-_HELD_PATIENCE = 3.0
+_HELD_TIMEOUT = 3.0
 _RANK_BITS = 16
 _log = make_logger("group")
 
@@ -80,7 +80,7 @@
         interval = host.group.interval
         if host.rank == 0:
             return now >= self._planned_at + interval
-        silence = _HELD_PATIENCE if host.is_held else 3.0 * interval
+        silence = _HELD_TIMEOUT if host.is_held else 3.0 * interval
         return now >= max(host.ordered_at, self._planned_at) + silence + host.rank
 
     async def _plan_and_switch(self) -> None:
@@ -167,7 +167,7 @@
         answer = RankReply(order, reply.stamp.boot, reply.ballot, reply.obeyed, reading)
         if reading is not None and order.act is GroupAct.READ:
             self._replies[order.rank] = reply
-        note_reply(state, answer)
+        record_reply(state, answer)
 
     async def _carry(self, vm: str, message: pb.GroupOrder) -> pb.GroupReply | None:
         if vm == self._node.settings.vm:
--- a/mintsaddle/endpoint/_homes.py
+++ b/mintsaddle/endpoint/_homes.py
@@ -10,7 +10,7 @@
     answer_question,
     ask_homes,
     bequeath,
-    note_answer,
+    record_answer,
     settle_alone,
 )
 from mintsaddle.observe import make_logger
@@ -48,7 +48,7 @@
     asker = read_stamp(message.stamp)
     fleet = node.configuration.fleet
     address = fleet.address_of(asker.vm) if fleet else None
-    node.note_stamp(asker, address or "")
+    node.record_stamp(asker, address or "")
     question = read_home_question(message)
     answer = answer_question(orders, question, node.configuration.text_revision)
     return write_home_answer(answer, node.stamp())
@@ -100,7 +100,7 @@
         node.channels.drop(address)
         return
     node.count_control(request, reply)
-    node.note_stamp(read_stamp(reply.stamp), address)
+    node.record_stamp(read_stamp(reply.stamp), address)
     answer = read_home_answer(reply)
     revision = node.configuration.text_revision
-    note_answer(orders, answer, revision, fleet.clock_bound, node.now())
+    record_answer(orders, answer, revision, fleet.clock_bound, node.now())
--- a/mintsaddle/entry/_calls.py
+++ b/mintsaddle/entry/_calls.py
@@ -30,7 +30,7 @@
     next_deadline,
     start_call,
 )
-from mintsaddle.decisions.routing import RoutingState, choose_subset, note_load
+from mintsaddle.decisions.routing import RoutingState, choose_subset, record_load
 from mintsaddle.fleet import Fleet
 from mintsaddle.observe import make_logger
 from mintsaddle.transport import read_load, read_refusal, read_stamp, write_stamp
@@ -151,7 +151,7 @@
     def _set_timer(self) -> None:
         """Wake the call when it next wants to look at the time.
 
-        The patience moves on with each chunk; the timer is set again only
+        The timeout moves on with each chunk; the timer is set again only
         when it fires, since setting it for each chunk would cost more.
         """
         if self._state.over:
@@ -225,10 +225,10 @@
                 sequence += 1
             return
         stamp = read_stamp(reply.stamp)
-        self._node.note_stamp(stamp, address)
+        self._node.record_stamp(stamp, address)
         load = read_load(reply.load)
         now = self._node.now()
-        note_load(self._routing, action.endpoint, stamp.boot, load, now)
+        record_load(self._routing, action.endpoint, stamp.boot, load, now)
         if word == "accepted":
             self._handle(AttemptAccepted(number))
         elif word == "refused":
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -9,7 +9,7 @@
 
 from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
 from mintsaddle.decisions.configuration import is_out
-from mintsaddle.decisions.routing import RoutingState, note_load, welcome_back
+from mintsaddle.decisions.routing import RoutingState, record_load, welcome_back
 from mintsaddle.entry._calls import unknown_homes
 from mintsaddle.entry._http import EntryApp
 from mintsaddle.observe import make_logger
@@ -107,13 +107,13 @@
         fleet = node.configuration.fleet
         if fleet is not None:
             names = unknown_homes(fleet, routing)
-            looks = (_look_at(node, routing, name) for name in names)
+            looks = (_poll_endpoint(node, routing, name) for name in names)
             await asyncio.gather(*looks)
             app.mark_looked()
         await node.wait_for_change(node.stamp(), _LOOK_PAUSE)
 
 
-async def _look_at(node: DaemonNode, routing: RoutingState, name: str) -> None:
+async def _poll_endpoint(node: DaemonNode, routing: RoutingState, name: str) -> None:
     fleet = node.configuration.fleet
     address = fleet.address_of(name) if fleet else None
     if address is None:
@@ -128,9 +128,9 @@
         return
     node.count_control(request, status)
     stamp = read_stamp(status.stamp)
-    node.note_stamp(stamp, address)
+    node.record_stamp(stamp, address)
     load: Load = read_load(status.load)
-    note_load(routing, name, stamp.boot, load, node.now())
+    record_load(routing, name, stamp.boot, load, node.now())
 
 
 def _describe(app: EntryApp, status: pb.Status) -> None:
--- a/mintsaddle/ini/_document.py
+++ b/mintsaddle/ini/_document.py
@@ -88,23 +88,25 @@
         header = configparser.ConfigParser.SECTCRE.match(line)
         if header:
             section = header.group("header")
-            _note_header(places, source, section, number)
+            _record_header(places, source, section, number)
             continue
         option = configparser.ConfigParser.OPTCRE.match(line)
         if option:
             key = option.group("option").strip().lower()
-            _note_key(places, source, section, key, number)
+            _record_key(places, source, section, key, number)
     return places
 
 
-def _note_header(places: _Places, source: str, section: str, line: int) -> None:
+def _record_header(places: _Places, source: str, section: str, line: int) -> None:
     first = places.headers.setdefault(section, line)
     if first != line:
         problem = f"the section stands already at line {first}; join the two"
         places.findings.append(Finding(source, line, section, "", problem))
 
 
-def _note_key(places: _Places, source: str, section: str, key: str, line: int) -> None:
+def _record_key(
+    places: _Places, source: str, section: str, key: str, line: int
+) -> None:
     first = places.keys.setdefault((section, key), line)
     if first != line:
         problem = f"the key stands already at line {first}; keep one"
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -74,8 +74,8 @@
     def test_a_lapse_while_the_platform_was_away_gets_its_grace(
         self, gateway: Gateway
     ) -> None:
-        gateway.note_lost()
-        gateway.note_regained()
+        gateway.record_lost()
+        gateway.record_regained()
 
         take(gateway, PublishedItem("servers/i-1", 6, None))
 
@@ -102,10 +102,10 @@
         The group was heard of by an announcement, before it was asked.
         """
         caplog.set_level("INFO")
-        gateway.note_group_refusal("g", 1, "i-7")
-        gateway.note_group_refusal("g", 1, "i-7")
-        gateway.note_group("g", 2, True)
-        gateway.note_group("g", 2, True)
+        gateway.record_group_refusal("g", 1, "i-7")
+        gateway.record_group_refusal("g", 1, "i-7")
+        gateway.record_group("g", 2, True)
+        gateway.record_group("g", 2, True)
         told = [line for line in caplog.messages if "Group" in line]
         assert len(told) == 2
         assert "at_fault=i-7" in told[0]
--- a/mintsaddle/rank_agent/__init__.py
+++ b/mintsaddle/rank_agent/__init__.py
@@ -1,7 +1,7 @@
 """The rank agent: a small program beside each engine of a rank group.
 
 An engine's reports and counts are fresh, and its orders cost nothing, from its
-own VM only. The agent carries such calls out for whichever entry sees to the
+own VM only. The agent carries such calls out for whichever entry manages the
 group's expert map.
 """
 
--- a/mintsaddle/rank_agent/_agent.py
+++ b/mintsaddle/rank_agent/_agent.py
@@ -84,10 +84,10 @@
         answer = self._engine.call(call)
         if call.method != _READ:
             _log.info("Order %s.", fields(body=call.body[:80], status=answer.status))
-        self._note_reach()
+        self._record_reach()
         return answer
 
-    def _note_reach(self) -> None:
+    def _record_reach(self) -> None:
         is_reached = self._engine.is_reached
         if is_reached != self._was_reached:
             self._was_reached = is_reached
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -25,7 +25,7 @@
 REPORT = RankCall("GET", "/rank/report")
 ORDER = RankCall("POST", "/rank/order", '{"op":"go"}')
 
-PATIENCE = 3.0
+TIMEOUT = 3.0
 """Seconds for answers that do come, however busy the machine is."""
 
 
@@ -38,14 +38,14 @@
 
 @pytest.fixture
 def agent(engine: Engine) -> RankAgent:
-    agent = RankAgent("127.0.0.1:0", engine.address, "/rank/", PATIENCE)
+    agent = RankAgent("127.0.0.1:0", engine.address, "/rank/", TIMEOUT)
     threading.Thread(target=agent.serve, daemon=True).start()
     return agent
 
 
 @pytest.fixture
 def link() -> AgentLink:
-    return AgentLink("127.0.0.1", PATIENCE)
+    return AgentLink("127.0.0.1", TIMEOUT)
 
 
 class TestCalls:
@@ -83,7 +83,7 @@
     def test_a_read_is_repeated_on_a_fresh_connection(self, engine: Engine) -> None:
         """A group looks lost each time that its engine closes a connection."""
         engine.is_closing = True
-        link = EngineLink(engine.address, PATIENCE)
+        link = EngineLink(engine.address, TIMEOUT)
         assert [link.call(REPORT).status for _ in range(3)] == [200] * 3
         assert link.is_reached
 
@@ -94,7 +94,7 @@
         the agent, unknown to its sender, it would arrive after newer orders.
         """
         engine.is_breaking = True
-        link = EngineLink(engine.address, PATIENCE)
+        link = EngineLink(engine.address, TIMEOUT)
         assert link.call(ORDER) is NO_ANSWER
         assert engine.calls == [ORDER]
         assert not link.is_reached
