Tell callers of a lost group when to come back; forgive its ranks when it is back

Cause: a request that a rank refused for its group's sake, with no retry allowed, was answered as if the endpoint were full, with half a second to come back, though a lost group is away for seconds. And each rank that broke a stream or refused in the stall rested for up to 30 s, also after its group had formed anew, so that the others got all of the backlog.

Ruled out: counting such refusals as failures of the rank; a rank can't help that another one is lost.

Change: a refusal that names an endpoint at fault ends an attempt as "group-down"; it rests no endpoint. A group that is back ends the rests of its ranks. Tests for both, which failed before.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -23,6 +23,9 @@
     NOT_RUN = "not-run"
     """The endpoint says that it has not run the request and never will."""
 
+    GROUP_DOWN = "group-down"
+    """The same, because another rank of its group is lost."""
+
     MISDIRECTED = "misdirected"
     """Another endpoint has the address by now; it has not run the request."""
 
@@ -39,7 +42,9 @@
 SHARE_OF_FIRST = 0.5
 """Share of the time left that an idempotent call's first attempt gets."""
 
-NEVER_RAN = frozenset({Ending.NOT_SENT, Ending.NOT_RUN, Ending.MISDIRECTED})
+NEVER_RAN = frozenset(
+    {Ending.NOT_SENT, Ending.NOT_RUN, Ending.GROUP_DOWN, Ending.MISDIRECTED}
+)
 """Endings after which the endpoint surely has not run the request."""
 
 
@@ -138,6 +143,7 @@
 _REASONS = {
     Ending.NOT_SENT: Reason.UNREACHABLE,
     Ending.NOT_RUN: Reason.FULL,
+    Ending.GROUP_DOWN: Reason.GROUP_DOWN,
     Ending.MISDIRECTED: Reason.ENGINE_DOWN,
     Ending.BROKEN: Reason.CUT_OFF,
     Ending.FAILED: Reason.ENGINE_FAILED,
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -44,7 +44,7 @@
 )
 from mintsaddle.decisions.direct.tests.samples import ROUTE
 from mintsaddle.decisions.routing import RoutingState, record_failed, record_sent
-from mintsaddle.values import Outcome
+from mintsaddle.values import Outcome, Reason
 
 
 def make_call(repeat: Repeat = Repeat.IDEMPOTENT, attempts: int = 2) -> DirectCall:
@@ -99,6 +99,12 @@
             assert isinstance(decision, GiveUp)
             assert decision.outcome is Outcome.NOT_RUN
 
+    def test_a_lost_group_is_not_called_full(self) -> None:
+        """Guards against callers that come back to a group that is away."""
+        call = record_attempt(make_call(), "e-1", Ending.GROUP_DOWN)
+        decision = decide_next(call, Ending.GROUP_DOWN, has_budget=False, now=1.0)
+        assert decision == GiveUp(Outcome.NOT_RUN, Reason.GROUP_DOWN)
+
 
 class TestSilence:
     def test_an_idempotent_call_leaves_time_for_a_second_attempt(self) -> None:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -20,7 +20,7 @@
     drop_lapsed,
     must_poll,
 )
-from mintsaddle.decisions.routing import RoutingState, record_sent
+from mintsaddle.decisions.routing import RoutingState, record_sent, welcome_back
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
@@ -265,9 +265,18 @@
             was_down = self._groups.is_down(group)
             self._groups.record_report(group, epoch, is_open, self.now())
             if was_down and not self._groups.is_down(group):
+                # Its ranks failed for the group's sake.
+                welcome_back(self._routing, self._ranks_of(group))
                 _log.info("Group regained %s.", fields(group=group, epoch=epoch))
             self._groups_changed.notify_all()
 
+    def _ranks_of(self, group: str) -> list[str]:
+        return [
+            one.name
+            for one in self._directory.endpoints.values()
+            if one.place is not None and one.place.group == group
+        ]
+
     def record_group_refusal(self, group: str, epoch: int, at_fault: str) -> None:
         """Note that a rank refused a request for its group's sake.
 
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -179,6 +179,7 @@
                 self._gateway.record_group_refusal(
                     place.group, place.epoch, head.at_fault
                 )
+                return Ending.GROUP_DOWN, None
             return Ending.NOT_RUN, None
         if not head.is_ours:
             return Ending.BROKEN, None
@@ -263,7 +264,7 @@
         self._call = record_attempt(self._call, endpoint.name, ending)
         now: Instant = gateway.now()
         with gateway.lock:
-            if ending is not Ending.FAILED:
+            if ending not in (Ending.FAILED, Ending.GROUP_DOWN):
                 record_failed(gateway.routing, endpoint.name, now)
             has_budget = may_retry(gateway.routing)
             decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -1,8 +1,11 @@
 """Taking published items over."""
 
+import json
+
 import pytest
 
 from mintsaddle.decisions.direct import PublishedItem
+from mintsaddle.decisions.routing import record_failed
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.settings import DirectSettings
 
@@ -53,6 +56,22 @@
     )
 
 
+class TestRests:
+    def test_ranks_of_a_group_that_is_back_get_work_at_once(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against ranks avoided for what their group's loss broke."""
+        place = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
+        value = {**json.loads(ANNOUNCED), "group": place, "size": 2}
+        take(gateway, PublishedItem("servers/i-2", 6, json.dumps(value).encode()))
+        assert gateway.directory.endpoints["i-2"].place is not None
+        for _ in range(4):
+            record_failed(gateway.routing, "i-2", gateway.now())
+        gateway.record_group_refusal("g", 1, "i-9")
+        gateway.record_group("g", 2, is_open=True)
+        assert gateway.routing.view("i-2").blocked_until <= gateway.now()
+
+
 class TestRemovals:
     def test_a_removal_after_a_long_quiet_watch_counts_at_once(
         self, gateway: Gateway
