Probe a few engines for each stream before placing it

Cause: on the large deployment an entry sees a hundredth of the requests, so its own calls and the loads on its answers tell nothing of which of 192 engines is full: it places by chance.

Ruled out: summaries of loads by the coordinators to all entries (a message for each entry and interval, old by the time of the choice); loads on answers only (one answer each 0.4 s and entry).

Change: for a stream the four best engines by what is known are asked for their load through their rank agents, and four more while all were full, at most twelve; the least loaded that told is taken. An engine that left or got its cold share meanwhile isn't taken.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -39,7 +39,14 @@
     KnownEntry,
     Membership,
 )
-from mintsaddle.decisions.direct._placement import choose_incarnation
+from mintsaddle.decisions.direct._placement import (
+    MOST_PROBES,
+    PROBES,
+    choose_by_load,
+    choose_incarnation,
+    has_free_place,
+    rank_incarnations,
+)
 from mintsaddle.decisions.direct._replica import PublishedItem, Replica
 from mintsaddle.decisions.direct._reuse import MOST_IDLE, keep_seconds
 from mintsaddle.decisions.direct._table import (
@@ -76,6 +83,7 @@
     "LAPSE_GRACE",
     "LATE_URGENCY",
     "MOST_IDLE",
+    "MOST_PROBES",
     "MOST_TOLD",
     "NEVER_RAN",
     "RETRY_SHARE",
@@ -103,6 +111,7 @@
     "KeyHolder",
     "KnownEntry",
     "Membership",
+    "PROBES",
     "PublishedItem",
     "RankPlace",
     "Repeat",
@@ -117,17 +126,20 @@
     "apply_facts",
     "attempt_until",
     "bearable_pause",
+    "choose_by_load",
     "choose_incarnation",
     "choose_service",
     "choose_urgency",
     "decide_next",
     "drop_lapsed",
     "give_up",
+    "has_free_place",
     "hold_until",
     "is_late",
     "keep_seconds",
     "match_route",
     "must_poll",
+    "rank_incarnations",
     "record_attempt",
     "usable_endpoints",
 ]
--- a/mintsaddle/decisions/direct/_placement.py
+++ b/mintsaddle/decisions/direct/_placement.py
@@ -1,17 +1,26 @@
 """Which endpoint gets a request, from what one entry knows.
 
-Load pattern: some entries and a dozen endpoints of one service, each entry
+Load patterns: some entries and a dozen endpoints of one service, each entry
 seeing its own requests at once and those of others only by the loads that
-endpoints put on their answers.
+endpoints put on their answers; and hundreds of endpoints of few places, of
+which an entry sees a hundredth of the requests. There what it knows tells
+nothing of who is full, so a few endpoints are probed for each request.
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from mintsaddle.decisions.direct._directory import Incarnation
 from mintsaddle.decisions.routing import RoutingState
 from mintsaddle.values import Instant
 
+PROBES = 4
+"""Endpoints probed at one time: the least loaded of a few is seldom full, and
+the work of probing doesn't grow with their number."""
+
+MOST_PROBES = 12
+"""Endpoints probed for a request while all before were full."""
+
 BLIND_SLOTS = 1
 """Places assumed at an endpoint that tells of none."""
 
@@ -38,12 +47,28 @@
         rng: The source of chance.
         has_idle: Returns whether a connection to an endpoint is kept.
     """
+    return next(
+        iter(rank_incarnations(state, candidates, tried, now, rng, has_idle)), None
+    )
+
+
+def rank_incarnations(
+    state: RoutingState,
+    candidates: Sequence[Incarnation],
+    tried: frozenset[str],
+    now: Instant,
+    rng: random.Random,
+    has_idle: Callable[[str], bool] = lambda _: False,
+) -> list[Incarnation]:
+    """Return the endpoints that may be tried next, the best one first.
+
+    While all are resting it is the one whose rest is over first. Arguments as
+    for ``choose_incarnation``.
+    """
     left = [one for one in candidates if one.name not in tried]
     rested = [one for one in left if state.view(one.name).blocked_until <= now]
     if not rested:
-        return min(
-            left, key=lambda one: state.view(one.name).blocked_until, default=None
-        )
+        return sorted(left, key=lambda one: state.view(one.name).blocked_until)[:1]
 
     def rank(one: Incarnation) -> tuple[float, bool, bool, float]:
         load = state.view(one.name).estimate_load(now)
@@ -51,4 +76,26 @@
         utilisation = load / max(BLIND_SLOTS, one.slots)
         return (utilisation, not has_idle(one.name), is_far, rng.random())
 
-    return min(rested, key=rank)
+    return sorted(rested, key=rank)
+
+
+def choose_by_load(
+    candidates: Sequence[Incarnation], loads: Mapping[str, int]
+) -> Incarnation:
+    """Return the endpoint to try by loads that were told a moment ago.
+
+    Args:
+        candidates: Endpoints that may be tried, the best one first by what was
+            known before; at least one.
+        loads: Requests at those that told, waiting ones included, by name.
+    """
+    told = [one for one in candidates if one.name in loads]
+    return min(
+        told or candidates[:1],
+        key=lambda one: loads.get(one.name, 0) / max(BLIND_SLOTS, one.slots),
+    )
+
+
+def has_free_place(candidates: Sequence[Incarnation], loads: Mapping[str, int]) -> bool:
+    """Return whether one of the endpoints told of a free place."""
+    return any(loads.get(one.name, one.slots) < one.slots for one in candidates)
--- /dev/null
+++ b/mintsaddle/decisions/direct/tests/test_placement.py
@@ -0,0 +1,103 @@
+"""Placement on hundreds of engines of few places by a hundred entries."""
+
+import heapq
+import random
+
+import pytest
+
+from mintsaddle.decisions.direct import (
+    MOST_PROBES,
+    PROBES,
+    Incarnation,
+    choose_by_load,
+    has_free_place,
+    rank_incarnations,
+)
+from mintsaddle.decisions.routing import RoutingState, record_finished, record_sent
+
+ENTRIES, ENGINES, SLOTS = 98, 192, 3
+HOLD_SECONDS = 1.65
+DAY_SECONDS = 12.0
+
+
+def make_engine(number: int) -> Incarnation:
+    name = f"i-{number}"
+    return Incarnation(
+        name, "letters", f"{name}:1", "abcde"[number % 5], SLOTS, False, 0.0, 1
+    )
+
+
+class Replay:
+    """Streams that arrive by chance and hold a place for a while."""
+
+    def __init__(self, utilisation: float, probes: int) -> None:
+        self._rng = random.Random(7)
+        self._rate = utilisation * ENGINES * SLOTS / HOLD_SECONDS
+        self._probes = probes
+        self._engines = [make_engine(number) for number in range(ENGINES)]
+        self._states = [
+            RoutingState(f"e-{number}", "abcde"[number % 5])
+            for number in range(ENTRIES)
+        ]
+        self._loads = dict.fromkeys((one.name for one in self._engines), 0)
+        self._ends: list[tuple[float, str, int]] = []
+
+    def run(self) -> float:
+        """Return the share of streams that found no free place."""
+        now, arrived, waited = 0.0, 0, 0
+        while now < DAY_SECONDS:
+            now += self._rng.expovariate(self._rate)
+            self._finish_until(now)
+            entry = self._rng.randrange(ENTRIES)
+            engine = self._choose(self._states[entry], now)
+            waited += self._loads[engine.name] >= SLOTS
+            arrived += 1
+            self._loads[engine.name] += 1
+            record_sent(self._states[entry], engine.name)
+            hold = HOLD_SECONDS * self._rng.uniform(0.5, 1.5)
+            heapq.heappush(self._ends, (now + hold, engine.name, entry))
+        return waited / arrived
+
+    def _finish_until(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            _, name, entry = heapq.heappop(self._ends)
+            self._loads[name] -= 1
+            record_finished(self._states[entry], name)
+
+    def _choose(self, state: RoutingState, now: float) -> Incarnation:
+        ranked = rank_incarnations(state, self._engines, frozenset(), now, self._rng)
+        loads: dict[str, int] = {}
+        for first in range(0, self._probes, PROBES):
+            asked = ranked[first : first + PROBES]
+            loads.update((one.name, self._loads[one.name]) for one in asked)
+            if has_free_place(asked, loads):
+                break
+        return choose_by_load(ranked[:MOST_PROBES], loads)
+
+
+class TestProbes:
+    @pytest.mark.parametrize("utilisation", [0.66, 0.85])
+    def test_95_in_100_streams_find_a_free_place(self, utilisation: float) -> None:
+        assert Replay(utilisation, MOST_PROBES).run() < 0.05
+
+    def test_without_probes_more_wait(self) -> None:
+        assert Replay(0.66, 0).run() > 0.05
+
+
+class TestChoice:
+    ENGINES = (make_engine(1), make_engine(2), make_engine(3))
+
+    @pytest.mark.parametrize(
+        ("loads", "chosen"),
+        [
+            ({}, "i-1"),
+            ({"i-1": 2, "i-2": 1, "i-3": 1}, "i-2"),
+            ({"i-1": 0, "i-2": 0}, "i-1"),
+            ({"i-3": 5}, "i-3"),
+        ],
+        ids=["none told", "least loaded", "first of equals", "the only one that told"],
+    )
+    def test_the_least_loaded_is_chosen(
+        self, loads: dict[str, int], chosen: str
+    ) -> None:
+        assert choose_by_load(self.ENGINES, loads).name == chosen
--- a/mintsaddle/decisions/expert_maps/_armed_state.py
+++ b/mintsaddle/decisions/expert_maps/_armed_state.py
@@ -73,6 +73,9 @@
     slowness: float = 1.0
     """Times that its work takes; above 1 it holds up the whole group."""
 
+    queued: int = 0
+    """Requests that wait for a place."""
+
     is_fresh: bool = False
     """Whether it tells what holds now; else it may be 0.2 s old."""
 
--- a/mintsaddle/direct/_agents.py
+++ b/mintsaddle/direct/_agents.py
@@ -4,7 +4,8 @@
 import select
 import socket
 import time
-from collections.abc import Mapping, Sequence
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
 
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.rank_agent import (
@@ -16,6 +17,7 @@
     decode_reply,
     encode_request,
 )
+from mintsaddle.values import Instant
 
 REPLY_SECONDS = 0.1
 """Seconds for an agent's reply: 3 ms is usual, and an agent waits for its
@@ -26,6 +28,43 @@
 _log = make_logger("agents")
 
 
+REST_SECONDS = 1.0
+"""Seconds for which a silent agent isn't asked: each time costs its reply's
+time."""
+
+MOST_MISSES = 2
+"""Replies missing in a row after which an agent counts as silent: a datagram
+may be lost."""
+
+
+class SilentAgents:
+    """Which agents, by their engines' addresses, aren't asked for a while."""
+
+    def __init__(self, now: Callable[[], Instant]) -> None:
+        self._now = now
+        self._misses: Counter[str] = Counter()
+        self._rests_until: dict[str, Instant] = {}
+
+    def is_asked(self, engine: str) -> bool:
+        """Return whether the agent beside an engine may be asked."""
+        return self._now() >= self._rests_until.get(engine, 0.0)
+
+    def record_reply(self, engine: str, *, came: bool) -> None:
+        """Record whether the agent beside an engine has replied in time."""
+        if came:
+            self._misses.pop(engine, None)
+            return
+        self._misses[engine] += 1
+        if self._misses[engine] >= MOST_MISSES:
+            self._rests_until[engine] = self._now() + REST_SECONDS
+
+
+def agent_address(engine: str, port: int) -> str:
+    """Return the address of the agent on an engine's VM."""
+    host, _, _ = engine.rpartition(":")
+    return f"{host}:{port}"
+
+
 class AgentLink:
     """One socket towards all agents; used by one thread."""
 
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -1,13 +1,17 @@
 """Choosing the endpoint for a call, and waiting while there is none."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from mintsaddle.decisions.direct import (
+    MOST_PROBES,
+    PROBES,
     DirectCall,
     Incarnation,
-    choose_incarnation,
+    choose_by_load,
+    has_free_place,
     hold_until,
     is_late,
+    rank_incarnations,
     usable_endpoints,
 )
 from mintsaddle.direct._gateway import Gateway
@@ -40,25 +44,48 @@
     Raises:
         CallerLeftError: The caller has hung up meanwhile.
     """
-    with gateway.groups_changed:
-        working = _await_working(gateway, call, is_gone)
-        if isinstance(working, Reason):
-            return working
-        now = gateway.now()
-        endpoint = choose_incarnation(
-            gateway.routing,
-            working,
-            call.tried,
-            now,
-            gateway.rng,
-            gateway.pool.has_idle,
-        )
-        if endpoint is None:
+    while True:
+        with gateway.groups_changed:
+            working = _await_working(gateway, call, is_gone)
+            if isinstance(working, Reason):
+                return working
+            ranked = rank_incarnations(
+                gateway.routing,
+                working,
+                call.tried,
+                gateway.now(),
+                gateway.rng,
+                gateway.pool.has_idle,
+            )
+        if not ranked:
             return Reason.NO_ENDPOINT
-        load = gateway.routing.view(endpoint.name).estimate_load(now)
-        gateway.record_chosen(endpoint)
-    _log_chosen(gateway, call, endpoint, load, len(working))
-    return endpoint
+        loads = _probe_loads(gateway, ranked)
+        endpoint = choose_by_load(ranked[:MOST_PROBES], loads)
+        with gateway.lock:
+            # It may have left, or have got its share, while it was probed.
+            if not _is_still_usable(gateway, endpoint):
+                continue
+            load = gateway.routing.view(endpoint.name).estimate_load(gateway.now())
+            gateway.record_chosen(endpoint)
+        told = loads.get(endpoint.name)
+        _log_chosen(gateway, call, endpoint, load, told, len(working))
+        return endpoint
+
+
+def _probe_loads(gateway: Gateway, ranked: Sequence[Incarnation]) -> dict[str, int]:
+    """Ask a few endpoints how loaded they are, and more while all are full."""
+    loads: dict[str, int] = {}
+    for first in range(0, min(len(ranked), MOST_PROBES), PROBES):
+        asked = ranked[first : first + PROBES]
+        loads.update(gateway.probe.ask(asked))
+        if not loads or has_free_place(asked, loads):
+            break
+    return loads
+
+
+def _is_still_usable(gateway: Gateway, endpoint: Incarnation) -> bool:
+    usable = usable_endpoints(gateway.directory, endpoint.service)
+    return endpoint in usable and gateway.takes_work(endpoint)
 
 
 def _await_working(
@@ -80,7 +107,12 @@
 
 
 def _log_chosen(
-    gateway: Gateway, call: DirectCall, endpoint: Incarnation, load: int, choices: int
+    gateway: Gateway,
+    call: DirectCall,
+    endpoint: Incarnation,
+    load: int,
+    told: int | None,
+    choices: int,
 ) -> None:
     table = gateway.directory.table
     now = gateway.now()
@@ -90,6 +122,7 @@
             request=call.request_id,
             endpoint=endpoint.name,
             load=load,
+            told=told,
             slots=endpoint.slots,
             choices=choices,
             version=table.version if table else 0,
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -22,6 +22,7 @@
 )
 from mintsaddle.decisions.routing import RoutingState, record_sent, welcome_back
 from mintsaddle.direct._pool import ConnectionPool
+from mintsaddle.direct._probe import LoadProbe
 from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
 from mintsaddle.settings import DirectSettings
@@ -59,6 +60,7 @@
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
         self._pool = ConnectionPool(self.now)
+        self._probe = LoadProbe(settings, self.now)
         self._book = HistogramBook()
         self._counts: Counter[str] = Counter()
         self._leaving = False
@@ -113,6 +115,11 @@
         """Idle connections to endpoints."""
         return self._pool
 
+    @property
+    def probe(self) -> LoadProbe:
+        """Asks agents for loads of engines; use it without the lock."""
+        return self._probe
+
     @property
     def knows_all(self) -> bool:
         """Whether everything published has been read once."""
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -4,7 +4,6 @@
 some hundred milliseconds old, and every call has its price.
 """
 
-from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
@@ -18,7 +17,7 @@
     RankReport,
     Verdict,
 )
-from mintsaddle.direct._agents import AgentLink
+from mintsaddle.direct._agents import AgentLink, SilentAgents, agent_address
 from mintsaddle.direct._rank_groups import RankGroup
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
@@ -36,14 +35,6 @@
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
 
-AGENT_REST_SECONDS = 1.0
-"""Seconds for which a silent agent isn't asked: each time costs its reply's
-time."""
-
-MOST_MISSES = 2
-"""Replies missing in a row after which an agent counts as silent: a datagram
-may be lost."""
-
 _NETWORK_CALLS = 12
 """Calls over the network at one time."""
 
@@ -109,8 +100,7 @@
         self._now = now
         self._count = count
         self._pool = ThreadPoolExecutor(_NETWORK_CALLS, "ranks")
-        self._misses: Counter[str] = Counter()
-        self._rests_until: dict[str, Instant] = {}
+        self._silent = SilentAgents(now)
 
     def reachable_ranks(self, group: RankGroup) -> frozenset[int]:
         """Return the ranks whose agents replied when they were last asked."""
@@ -223,7 +213,9 @@
     ) -> dict[str, _Answers]:
         if self._link is None:
             return {}
-        asked = {one: self._agent(one) for one in calls if self._is_asked(one)}
+        asked = {
+            one: agent_address(one, self._port) for one in calls if self._is_asked(one)
+        }
         replies = self._link.ask({agent: calls[one] for one, agent in asked.items()})
         for engine, agent in asked.items():
             self._record_reply(engine, came=agent in replies)
@@ -234,22 +226,12 @@
         }
 
     def _record_reply(self, engine: str, *, came: bool) -> None:
-        if came:
-            del self._misses[engine]
-            return
-        self._count("agent_silent")
-        self._misses[engine] += 1
-        if self._misses[engine] >= MOST_MISSES:
-            self._rests_until[engine] = self._now() + AGENT_REST_SECONDS
+        self._silent.record_reply(engine, came=came)
+        if not came:
+            self._count("agent_silent")
 
     def _is_asked(self, engine: str) -> bool:
-        is_resting = self._now() < self._rests_until.get(engine, 0.0)
-        return self._link is not None and not is_resting
-
-    def _agent(self, engine: str) -> str:
-        """Return the address of the agent on an engine's VM."""
-        host, _, _ = engine.rpartition(":")
-        return f"{host}:{self._port}"
+        return self._link is not None and self._silent.is_asked(engine)
 
     def _record_counts(
         self,
--- a/mintsaddle/direct/tests/test_rank_calls.py
+++ b/mintsaddle/direct/tests/test_rank_calls.py
@@ -14,7 +14,7 @@
     RankReport,
     Verdict,
 )
-from mintsaddle.direct import _rank_calls
+from mintsaddle.direct import _agents, _rank_calls
 from mintsaddle.direct._agents import AgentLink
 from mintsaddle.direct._rank_calls import GroupPoll, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
@@ -149,9 +149,9 @@
             poll = calls.poll(group, [0])
             assert poll.reports[0].step == 9
             assert not poll.is_fresh
-        assert counted["agent_silent"] == _rank_calls.MOST_MISSES
+        assert counted["agent_silent"] == _agents.MOST_MISSES
         assert calls.reachable_ranks(group) == frozenset()
-        clock.now += _rank_calls.AGENT_REST_SECONDS
+        clock.now += _agents.REST_SECONDS
         assert calls.reachable_ranks(group) == frozenset({0})
 
     def test_no_agents_are_asked_where_there_are_none(
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -144,6 +144,7 @@
                 held=_optional(values.get("held")),
                 # The platform's pace grows as the engine gets slower.
                 slowness=float(values.get("pace") or 1.0),
+                queued=int(values.get("queue_depth") or 0),
             )
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -64,11 +64,12 @@
         place = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
         value = {**json.loads(ANNOUNCED), "group": place, "size": 2}
         take(gateway, PublishedItem("servers/i-2", 6, json.dumps(value).encode()))
-        assert gateway.directory.endpoints["i-2"].place is not None
+        rank = gateway.directory.endpoints["i-2"].place
+        assert rank is not None
         for _ in range(4):
             record_failed(gateway.routing, "i-2", gateway.now())
-        gateway.record_group_refusal("g", 1, "i-9")
-        gateway.record_group("g", 2, is_open=True)
+        gateway.record_group_refusal(rank.group, 1, "i-9")
+        gateway.record_group(rank.group, 2, is_open=True)
         assert gateway.routing.view("i-2").blocked_until <= gateway.now()
 
 
