Admit streams by the pace of their group

Cause: when some groups are lost, the others get their callers too, and after an outage a backlog returns.

Change: the probes of a stream also tell the last step of their groups, so each entry knows how long steps take. Where two thirds of the probed places are taken, the share of fresh streams that is let in falls from all to none as steps grow from 0.7 to 0.95 of the route's longest pause, and that of late ones from 0.6 to 0.85. What isn't let in is refused at once as not run. A stream that has begun always goes on; an engine with as many waiting as places gets none.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -39,6 +39,7 @@
     KnownEntry,
     Membership,
 )
+from mintsaddle.decisions.direct._pace import EngineLoad, GroupPaces, admitting
 from mintsaddle.decisions.direct._placement import (
     MOST_PROBES,
     PROBES,
@@ -101,12 +102,14 @@
     "Directory",
     "Ending",
     "EndpointPublished",
+    "EngineLoad",
     "EndpointRemoved",
     "ExpertModel",
     "FIRST_URGENCY",
     "Fact",
     "GiveUp",
     "GroupBeliefs",
+    "GroupPaces",
     "Incarnation",
     "KeyHolder",
     "KnownEntry",
@@ -122,6 +125,7 @@
     "TablePublished",
     "TryAgain",
     "Upstreams",
+    "admitting",
     "advise_retry",
     "apply_facts",
     "attempt_until",
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -1,12 +1,14 @@
 """Choosing the endpoint for a call, and waiting while there is none."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from mintsaddle.decisions.direct import (
     MOST_PROBES,
     PROBES,
     DirectCall,
+    EngineLoad,
     Incarnation,
+    admitting,
     choose_by_load,
     has_free_place,
     hold_until,
@@ -60,29 +62,60 @@
         if not ranked:
             return Reason.NO_ENDPOINT
         loads = _probe_loads(gateway, ranked)
-        endpoint = choose_by_load(ranked[:MOST_PROBES], loads)
         with gateway.lock:
+            now = gateway.now()
+            admitted = admitting(
+                call, ranked[:MOST_PROBES], loads, gateway.paces, now, gateway.rng
+            )
+            if not admitted:
+                gateway.count("not_admitted")
+                return _reason_full(gateway)
+            requests = {name: load.requests for name, load in loads.items()}
+            endpoint = choose_by_load(admitted, requests)
             # It may have left, or have got its share, while it was probed.
             if not _is_still_usable(gateway, endpoint):
                 continue
-            load = gateway.routing.view(endpoint.name).estimate_load(gateway.now())
+            load = gateway.routing.view(endpoint.name).estimate_load(now)
             gateway.record_chosen(endpoint)
-        told = loads.get(endpoint.name)
+        told = requests.get(endpoint.name)
         _log_chosen(gateway, call, endpoint, load, told, len(working))
         return endpoint
 
 
-def _probe_loads(gateway: Gateway, ranked: Sequence[Incarnation]) -> dict[str, int]:
+def _reason_full(gateway: Gateway) -> Reason:
+    """Return why no endpoint may get a request at present."""
+    return Reason.GROUP_DOWN if gateway.groups.down_groups() else Reason.FULL
+
+
+def _probe_loads(
+    gateway: Gateway, ranked: Sequence[Incarnation]
+) -> dict[str, EngineLoad]:
     """Ask a few endpoints how loaded they are, and more while all are full."""
-    loads: dict[str, int] = {}
+    loads: dict[str, EngineLoad] = {}
     for first in range(0, min(len(ranked), MOST_PROBES), PROBES):
         asked = ranked[first : first + PROBES]
-        loads.update(gateway.probe.ask(asked))
-        if not loads or has_free_place(asked, loads):
+        told = gateway.probe.ask(asked)
+        loads.update(told)
+        requests = {name: load.requests for name, load in told.items()}
+        if not loads or has_free_place(asked, requests):
             break
+    _record_paces(gateway, ranked, loads)
     return loads
 
 
+def _record_paces(
+    gateway: Gateway,
+    endpoints: Sequence[Incarnation],
+    loads: Mapping[str, EngineLoad],
+) -> None:
+    with gateway.lock:
+        for one in endpoints[:MOST_PROBES]:
+            load = loads.get(one.name)
+            if load is not None and one.place is not None:
+                group, now = one.place.group, gateway.now()
+                gateway.paces.record(group, load.epoch, load.step, now)
+
+
 def _is_still_usable(gateway: Gateway, endpoint: Incarnation) -> bool:
     usable = usable_endpoints(gateway.directory, endpoint.service)
     return endpoint in usable and gateway.takes_work(endpoint)
@@ -99,8 +132,7 @@
             return working
         left = wait_until - gateway.now()
         if left <= 0:
-            is_down = bool(gateway.groups.down_groups())
-            return Reason.GROUP_DOWN if is_down else Reason.FULL
+            return _reason_full(gateway)
         gateway.groups_changed.wait(min(left, _POLL_SECONDS))
         if is_gone():
             raise CallerLeftError
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -12,6 +12,7 @@
     ColdGate,
     Directory,
     GroupBeliefs,
+    GroupPaces,
     Incarnation,
     PublishedItem,
     Replica,
@@ -55,6 +56,7 @@
         self._replica = Replica(PUBLISHED_PREFIX)
         self._directory = Directory()
         self._groups = GroupBeliefs()
+        self._paces = GroupPaces()
         self._groups_changed = threading.Condition(self._lock)
         self._deadlines = RouteDeadlines()
         self._entries = _LIKELY_ENTRIES
@@ -105,6 +107,11 @@
         """Which groups take no work; use it under the lock."""
         return self._groups
 
+    @property
+    def paces(self) -> GroupPaces:
+        """How long the steps of groups take; use it under the lock."""
+        return self._paces
+
     @property
     def groups_changed(self) -> threading.Condition:
         """Told when a group goes down or comes back; holds the lock."""
--- a/mintsaddle/direct/_probe.py
+++ b/mintsaddle/direct/_probe.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from mintsaddle.decisions.direct import Incarnation
+from mintsaddle.decisions.direct import EngineLoad, Incarnation
 from mintsaddle.direct._agents import AgentLink, SilentAgents, agent_address
 from mintsaddle.platform import decode_rank_report, report_call
 from mintsaddle.settings import DirectSettings
@@ -26,8 +26,8 @@
         self._idle: list[AgentLink] = []
         self._lock = threading.Lock()
 
-    def ask(self, endpoints: Sequence[Incarnation]) -> dict[str, int]:
-        """Return the requests at those engines whose agents reply in time.
+    def ask(self, endpoints: Sequence[Incarnation]) -> dict[str, EngineLoad]:
+        """Return the loads of those engines whose agents reply in time.
 
         Args:
             endpoints: Engines; those that belong to no rank group have no
@@ -51,7 +51,8 @@
                 continue
             match decode_rank_report(replies[agent][0], one.place.rank):
                 case Success(report):
-                    loads[one.name] = report.running + report.queued
+                    requests = report.running + report.queued
+                    loads[one.name] = EngineLoad(requests, report.epoch, report.step)
         return loads
 
     def _take_link(self) -> AgentLink:
--- a/mintsaddle/direct/_threads.py
+++ b/mintsaddle/direct/_threads.py
@@ -25,8 +25,9 @@
     def add_task(self, task: Any) -> None:
         """Queue a request for the next idle thread."""
         with self.lock:
-            needed = self.active_count + len(self.queue) + 1
+            self.queue.append(task)
+            self.queue_cv.notify()
+            needed = self.active_count + len(self.queue)
             is_short = needed > len(self.threads)
         if is_short:
             self.set_thread_count(needed)
-        super().add_task(task)
