Test the probe of engines' loads against a real agent and a silent one

Cause: only the decisions around probes were tested. Change: tests of LoadProbe with a rank agent and an engine, without an agent, and with a silent one that rests; no code changed, no figures.

--- /dev/null
+++ b/mintsaddle/direct/tests/test_probe.py
@@ -0,0 +1,82 @@
+"""Probing engines for their loads through rank agents."""
+
+import socket
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from mintsaddle.decisions.direct import EngineLoad, Incarnation, RankPlace
+from mintsaddle.direct import _agents, _probe
+from mintsaddle.direct._probe import LoadProbe
+from mintsaddle.direct.tests.clocks import Clock
+from mintsaddle.platform.tests.test_taking_items import SETTINGS
+from mintsaddle.rank_agent._agent import RankAgent
+from mintsaddle.rank_agent.tests.standins import Engine
+
+TIMEOUT = 3.0
+"""Seconds for answers that do come, however busy the machine is."""
+
+
+def show(_: str) -> Any:
+    return {
+        "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"},
+        "step": 9,
+        "num_running": 3,
+        "queue_depth": 2,
+    }
+
+
+@pytest.fixture
+def engine() -> Iterator[Engine]:
+    engine = Engine(show)
+    yield engine
+    engine.stop()
+
+
+def make_endpoint(address: str, *, is_rank: bool = True) -> Incarnation:
+    place = RankPlace("g", 3, 0, 1, is_open=True) if is_rank else None
+    return Incarnation("i-0", "letters", address, "a", 3, False, 0.0, 1, place)
+
+
+class TestLoadProbe:
+    def test_running_and_waiting_requests_are_told(
+        self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
+    ) -> None:
+        monkeypatch.setattr(_probe, "REPLY_SECONDS", TIMEOUT)
+        agent = RankAgent("127.0.0.1:0", engine.address, "/mintsaddle/", TIMEOUT)
+        threading.Thread(target=agent.serve, daemon=True).start()
+        port = int(agent.address.rpartition(":")[2])
+        probe = LoadProbe(SETTINGS._replace(agent_port=port), clock)
+        found = probe.ask([make_endpoint(engine.address)])
+        assert found == {"i-0": EngineLoad(requests=5, epoch=3, step=9)}
+
+    def test_a_plain_service_is_not_probed(self, clock: Clock) -> None:
+        probe = LoadProbe(SETTINGS._replace(agent_port=9), clock)
+        assert probe.ask([make_endpoint("127.0.0.1:1", is_rank=False)]) == {}
+
+    def test_a_silent_agent_rests(self, clock: Clock) -> None:
+        """Guards against requests that all wait for an agent that is gone."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as silent:
+            silent.bind(("127.0.0.1", 0))
+            port = silent.getsockname()[1]
+            probe = LoadProbe(SETTINGS._replace(agent_port=port), clock)
+            endpoint = make_endpoint("127.0.0.1:1")
+            for _ in range(_agents.MOST_MISSES + 3):
+                assert probe.ask([endpoint]) == {}
+            silent.setblocking(False)
+            assert self._count(silent) == _agents.MOST_MISSES
+            clock.now += _agents.REST_SECONDS
+            probe.ask([endpoint])
+            assert self._count(silent) == 1
+
+    def _count(self, receiver: socket.socket) -> int:
+        """Return how many datagrams have come since the last time."""
+        count = 0
+        while True:
+            try:
+                receiver.recv(65_535)
+            except BlockingIOError:
+                return count
+            count += 1
