Log why a stream isn't admitted; give metrics a class of their own

Cause: on-call engineers saw `not-run:full` without the pace and the taken places that decided it; and Gateway held counters and histograms under the lock of the decisions. Change: one line `Not admitted` with what the probes told and the steps of the groups; `direct/_metrics.py` with a lock of its own. No decision changed.

--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -161,7 +161,7 @@
                 yield data
             ending = "streamed"
             if timing.is_late(runner.call.route):
-                self._gateway.count("streams_late")
+                self._gateway.metrics.count("streams_late")
         except StreamCutError:
             # Raised on: the server then closes the connection without the
             # last chunk, so a cut stream can't look complete.
@@ -184,7 +184,7 @@
         self, start: StartResponse, head: CallerHead, reason: Reason
     ) -> Iterable[bytes]:
         """Refuse a request that went nowhere."""
-        self._gateway.count(f"refused_{reason.value}")
+        self._gateway.metrics.count(f"refused_{reason.value}")
         _log.info(
             "Refused %s.", fields(request=head.request_id or "-", reason=reason.value)
         )
@@ -208,7 +208,7 @@
             return self._refuse(start, head, Reason.BEHIND)
         table = self._gateway.directory.table
         version = table.version if table else 0
-        self._gateway.count(f"denied_{why}")
+        self._gateway.metrics.count(f"denied_{why}")
         _log.info(
             "Denied %s.",
             fields(request=head.request_id or "-", why=why, version=version),
@@ -223,7 +223,7 @@
 
     def _record(self, call: DirectCall, measure: Measure) -> None:
         name = HistogramName(call.workspace or "none", call.route.name, measure)
-        self._gateway.record(name, self._gateway.now() - call.arrived_at)
+        self._gateway.metrics.record(name, self._gateway.now() - call.arrived_at)
 
     def _log_end(
         self,
@@ -232,7 +232,7 @@
         status: int,
         timing: StreamTiming | None = None,
     ) -> None:
-        self._gateway.count(f"ended_{ending.partition(':')[0]}")
+        self._gateway.metrics.count(f"ended_{ending.partition(':')[0]}")
         _log.info(
             "Ended %s.",
             fields(
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -18,7 +18,7 @@
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.values import Reason
+from mintsaddle.values import MILLISECONDS, Reason
 
 _POLL_SECONDS = 0.2
 """Seconds between two polls whether a waiting caller has left."""
@@ -68,7 +68,7 @@
                 call, ranked[:MOST_PROBES], loads, gateway.paces, now, gateway.rng
             )
             if not admitted:
-                gateway.count("not_admitted")
+                _record_not_admitted(gateway, call, ranked[:MOST_PROBES], loads)
                 return _reason_full(gateway)
             requests = {name: load.requests for name, load in loads.items()}
             endpoint = choose_by_load(admitted, requests)
@@ -138,6 +138,31 @@
             raise CallerLeftError
 
 
+def _record_not_admitted(
+    gateway: Gateway,
+    call: DirectCall,
+    endpoints: Sequence[Incarnation],
+    loads: Mapping[str, EngineLoad],
+) -> None:
+    now = gateway.now()
+    told = [one for one in endpoints if one.name in loads]
+    groups = sorted({one.place.group for one in told if one.place is not None})
+    steps = (gateway.paces.step_seconds(group, now) for group in groups)
+    gateway.metrics.count("not_admitted")
+    _log.info(
+        "Not admitted %s.",
+        fields(
+            request=call.request_id,
+            probed=len(told),
+            requests=sum(loads[one.name].requests for one in told),
+            slots=sum(one.slots for one in told),
+            groups=",".join(groups) or "-",
+            step_ms=",".join(f"{seconds * MILLISECONDS:.0f}" for seconds in steps),
+            late=is_late(call, now),
+        ),
+    )
+
+
 def _log_chosen(
     gateway: Gateway,
     call: DirectCall,
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -3,7 +3,6 @@
 import random
 import threading
 import time
-from collections import Counter
 from collections.abc import Callable, Sequence
 
 from mintsaddle.decisions.direct import (
@@ -22,9 +21,10 @@
     must_poll,
 )
 from mintsaddle.decisions.routing import RoutingState, record_sent, welcome_back
+from mintsaddle.direct._metrics import Metrics
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.direct._probe import LoadProbe
-from mintsaddle.observe import HistogramBook, HistogramName, fields, make_logger
+from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
@@ -41,7 +41,7 @@
 
 
 class Gateway:
-    """Beliefs, counters and the lock under which decisions change them."""
+    """Beliefs and the lock under which decisions change them."""
 
     def __init__(self, settings: DirectSettings) -> None:
         self._settings = settings
@@ -63,8 +63,7 @@
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
-        self._book = HistogramBook()
-        self._counts: Counter[str] = Counter()
+        self._metrics = Metrics()
         self._leaving = False
         self._is_platform_lost = False
         self._is_reader = False
@@ -117,6 +116,11 @@
         """Told when a group goes down or comes back; holds the lock."""
         return self._groups_changed
 
+    @property
+    def metrics(self) -> Metrics:
+        """Counters and histograms of this entry."""
+        return self._metrics
+
     @property
     def pool(self) -> ConnectionPool:
         """Idle connections to endpoints."""
@@ -301,7 +305,7 @@
         """
         with self._groups_changed:
             if not self._groups.is_down(group):
-                self._counts["group_lost"] += 1
+                self._metrics.count("group_lost")
                 _log.warning(
                     "Group lost %s.",
                     fields(group=group, epoch=epoch, at_fault=at_fault),
@@ -309,33 +313,6 @@
             self._groups.record_refusal(group, epoch, self.now())
             self._groups_changed.notify_all()
 
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
-        with self._lock:
-            self._counts[name] += 1
-
-    def counts(self) -> dict[str, int]:
-        """Return all counters."""
-        with self._lock:
-            return dict(self._counts)
-
-    def record(self, name: HistogramName, seconds: float) -> None:
-        """Count one value of a histogram."""
-        with self._lock:
-            self._book.record(name, seconds)
-
-    def book_lines(self) -> list[str]:
-        """Return the histograms as lines of text."""
-        with self._lock:
-            summaries = self._book.summarise()
-        return [
-            f"mintsaddle_{one.name.measure.value}_ms"
-            f'{{workspace="{one.name.workspace}",class="{one.name.work_class}",'
-            f'quantile="{quantile}"}} {value:.0f}'
-            for one in summaries
-            for quantile, value in (("0.5", one.p50), ("0.95", one.p95))
-        ]
-
     def _apply(self, changed: list[PublishedItem], source: str, now: Instant) -> None:
         before, replica = self._directory, self._replica
         facts = decode_items(sorted(changed, key=lambda item: item.revision), now)
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -17,7 +17,7 @@
 
 def _run(gateway: Gateway) -> None:
     pause = threading.Event()
-    calls = RankCalls(gateway.settings, gateway.now, gateway.count)
+    calls = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
     while True:
         with gateway.groups_changed:
             while not gateway.groups.down_groups():
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -67,7 +67,7 @@
     def __init__(self, gateway: Gateway, membership: Membership) -> None:
         self._gateway = gateway
         self._membership = membership
-        self._ranks = RankCalls(gateway.settings, gateway.now, gateway.count)
+        self._ranks = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
         self._runner = SwitchRunner(self._ranks, gateway.now)
         self._watches: dict[str, MapWatch] = {}
         self._last_versions: dict[str, int] = {}
@@ -243,7 +243,7 @@
                 slowness=slowest.slowness,
             ),
         )
-        self._gateway.count(f"switch_{switch.stage.value}")
+        self._gateway.metrics.count(f"switch_{switch.stage.value}")
 
     def _free_own_hold(self, group: RankGroup) -> None:
         """Withdraw what one's own switch has left held, without being asked.
@@ -279,7 +279,7 @@
             "Group held %s.",
             fields(group=group.name, step=switch.step, version=switch.version),
         )
-        self._gateway.count("group_held")
+        self._gateway.metrics.count("group_held")
         switch = self._runner.carry_out(group, switch, 0.1)
         _log.info("Group freed %s.", fields(group=group.name, stage=switch.stage.value))
         return True
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -140,9 +140,8 @@
 
 
 def _show_metrics(gateway: Gateway, app: DirectApp) -> tuple[str, str]:
-    lines = [f"mintsaddle_{name} {value}" for name, value in gateway.counts().items()]
+    lines = gateway.metrics.lines()
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
-    lines += gateway.book_lines()
     return "200 OK", "\n".join(sorted(lines)) + "\n"
 
 
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -137,7 +137,7 @@
         kept = None
         if self._call.route.repeat is not Repeat.ONCE:
             kept = self._gateway.pool.take(endpoint)
-        self._gateway.count("connection_kept" if kept else "connection_fresh")
+        self._gateway.metrics.count("connection_kept" if kept else "connection_fresh")
         return kept or Exchange(endpoint.address)
 
     def _open(
@@ -270,7 +270,7 @@
             decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
             if not isinstance(decision, GiveUp) and ending is not Ending.NOT_SENT:
                 spend_retry(gateway.routing)
-        gateway.count(f"attempt_{ending.value}")
+        gateway.metrics.count(f"attempt_{ending.value}")
         _log.info(
             "Attempt failed %s.",
             fields(
