Let late streams wait at the entry for their group's pace

Cause: a stream whose caller had come back, or that had waited for its group, was refused for the pace as soon as a group was back and crowded.

Ruled out: letting all late ones in, since in a lasting overload they would take the pace from those that can be on time.

Change: a late stream that isn't let in tries again each 0.4 s until its caller would leave; a fresh one is told when to come back, as before.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -39,7 +39,12 @@
     KnownEntry,
     Membership,
 )
-from mintsaddle.decisions.direct._pace import EngineLoad, GroupPaces, admitting
+from mintsaddle.decisions.direct._pace import (
+    EngineLoad,
+    GroupPaces,
+    admitting,
+    may_wait_for_room,
+)
 from mintsaddle.decisions.direct._placement import (
     MOST_PROBES,
     PROBES,
@@ -142,6 +147,7 @@
     "is_late",
     "keep_seconds",
     "match_route",
+    "may_wait_for_room",
     "must_poll",
     "rank_incarnations",
     "record_attempt",
--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -18,6 +18,7 @@
 
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
+from mintsaddle.decisions.direct._groups import hold_until
 from mintsaddle.decisions.direct._placement import BLIND_SLOTS
 from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
@@ -45,6 +46,16 @@
 leave before more than that have ended."""
 
 
+def may_wait_for_room(call: DirectCall, now: Instant) -> bool:
+    """Return whether a stream that isn't let in may wait at the entry.
+
+    A late one may: it takes what fresh ones leave, and its caller may have
+    come back already. A fresh one would become late by waiting; its caller is
+    told when to come back instead.
+    """
+    return is_late(call, now) and now < hold_until(call)
+
+
 class EngineLoad(NamedTuple):
     """What an engine told of itself a moment ago."""
 
--- a/mintsaddle/decisions/direct/tests/test_pace.py
+++ b/mintsaddle/decisions/direct/tests/test_pace.py
@@ -13,6 +13,7 @@
     RankPlace,
     Repeat,
     admitting,
+    may_wait_for_room,
 )
 from mintsaddle.decisions.direct._pace import admit_share
 from mintsaddle.decisions.direct.tests.samples import ROUTE
@@ -164,6 +165,16 @@
 """One engine whose places are taken, one with as many requests waiting."""
 
 
+class TestWaiting:
+    def test_a_late_stream_waits_and_a_fresh_one_comes_back(self) -> None:
+        """Guards against callers that are refused a second time."""
+        fresh = make_call(0.0)
+        returning = fresh._replace(due_at=0.0)
+        assert not may_wait_for_room(fresh, 0.1)
+        assert may_wait_for_room(returning, 0.1)
+        assert not may_wait_for_room(returning, 1.9)
+
+
 class TestExceptions:
     def test_a_stream_that_has_begun_always_goes_on(self) -> None:
         engines = [make_engine(1)]
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -13,6 +13,7 @@
     has_free_place,
     hold_until,
     is_late,
+    may_wait_for_room,
     rank_incarnations,
     usable_endpoints,
 )
@@ -23,6 +24,10 @@
 _POLL_SECONDS = 0.2
 """Seconds between two polls whether a waiting caller has left."""
 
+_ROOM_SECONDS = 0.4
+"""Seconds between two tries of a stream that waits for its group's pace; each
+costs a few probes."""
+
 _log = make_logger("calls")
 
 
@@ -47,39 +52,83 @@
         CallerLeftError: The caller has hung up meanwhile.
     """
     while True:
-        with gateway.groups_changed:
-            working = _await_working(gateway, call, is_gone)
-            if isinstance(working, Reason):
-                return working
-            ranked = rank_incarnations(
-                gateway.routing,
-                working,
-                call.tried,
-                gateway.now(),
-                gateway.rng,
-                gateway.pool.has_idle,
-            )
-        if not ranked:
-            return Reason.NO_ENDPOINT
+        ranked = _await_ranked(gateway, call, is_gone)
+        if isinstance(ranked, Reason):
+            return ranked
         loads = _probe_loads(gateway, ranked)
-        with gateway.lock:
-            now = gateway.now()
-            admitted = admitting(
-                call, ranked[:MOST_PROBES], loads, gateway.paces, now, gateway.rng
-            )
-            if not admitted:
-                _record_not_admitted(gateway, call, ranked[:MOST_PROBES], loads)
-                return _reason_full(gateway)
-            requests = {name: load.requests for name, load in loads.items()}
-            endpoint = choose_by_load(admitted, requests)
-            # It may have left, or have got its share, while it was probed.
-            if not _is_still_usable(gateway, endpoint):
-                continue
-            load = gateway.routing.view(endpoint.name).estimate_load(now)
-            gateway.record_chosen(endpoint)
-        told = requests.get(endpoint.name)
-        _log_chosen(gateway, call, endpoint, load, told, len(working))
-        return endpoint
+        admitted = _admit(gateway, call, ranked, loads)
+        if admitted:
+            endpoint = _take(gateway, call, admitted, loads)
+            if endpoint is not None:
+                return endpoint
+        elif may_wait_for_room(call, gateway.now()):
+            _wait_for_room(gateway, is_gone)
+        else:
+            _record_not_admitted(gateway, call, ranked[:MOST_PROBES], loads)
+            return _reason_full(gateway)
+
+
+def _await_ranked(
+    gateway: Gateway, call: DirectCall, is_gone: Callable[[], bool]
+) -> list[Incarnation] | Reason:
+    """Return the endpoints that may be tried, the best one first."""
+    with gateway.groups_changed:
+        working = _await_working(gateway, call, is_gone)
+        if isinstance(working, Reason):
+            return working
+        ranked = rank_incarnations(
+            gateway.routing,
+            working,
+            call.tried,
+            gateway.now(),
+            gateway.rng,
+            gateway.pool.has_idle,
+        )
+    return ranked or Reason.NO_ENDPOINT
+
+
+def _admit(
+    gateway: Gateway,
+    call: DirectCall,
+    ranked: list[Incarnation],
+    loads: Mapping[str, EngineLoad],
+) -> list[Incarnation]:
+    with gateway.lock:
+        return admitting(
+            call,
+            ranked[:MOST_PROBES],
+            loads,
+            gateway.paces,
+            gateway.now(),
+            gateway.rng,
+        )
+
+
+def _take(
+    gateway: Gateway,
+    call: DirectCall,
+    admitted: Sequence[Incarnation],
+    loads: Mapping[str, EngineLoad],
+) -> Incarnation | None:
+    """Choose an endpoint and count the request; None if it left meanwhile."""
+    requests = {name: load.requests for name, load in loads.items()}
+    endpoint = choose_by_load(admitted, requests)
+    with gateway.lock:
+        # It may have left, or have got its share, while it was probed.
+        if not _is_still_usable(gateway, endpoint):
+            return None
+        load = gateway.routing.view(endpoint.name).estimate_load(gateway.now())
+        gateway.record_chosen(endpoint)
+    told = requests.get(endpoint.name)
+    _log_chosen(gateway, call, endpoint, load, told)
+    return endpoint
+
+
+def _wait_for_room(gateway: Gateway, is_gone: Callable[[], bool]) -> None:
+    with gateway.groups_changed:
+        gateway.groups_changed.wait(_ROOM_SECONDS)
+    if is_gone():
+        raise CallerLeftError
 
 
 def _reason_full(gateway: Gateway) -> Reason:
@@ -169,7 +218,6 @@
     endpoint: Incarnation,
     load: int,
     told: int | None,
-    choices: int,
 ) -> None:
     table = gateway.directory.table
     now = gateway.now()
@@ -181,7 +229,6 @@
             load=load,
             told=told,
             slots=endpoint.slots,
-            choices=choices,
             version=table.version if table else 0,
             age=now - gateway.replica.confirmed_at,
             waited=now - call.arrived_at,
