--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -311,6 +311,13 @@
         assert 'mintsaddle_first_ms{workspace="north",class="lookup"' in text
 
 
+class TestSize:
+    def test_an_idle_entry_has_few_threads(self, site: Site) -> None:
+        """Guards against a pool of threads in each of hundreds of entries."""
+        threads = Path(f"/proc/{site.entry.process.pid}/task")
+        assert len(list(threads.iterdir())) < 20
+
+
 class TestStop:
     def test_a_stop_cuts_nobody(self, site: Site) -> None:
         """A counter's letter breaks off while an entry is replaced."""
