Read the paces of groups under the lock when a refusal is logged

Cause: found by reading the diff: _record_not_admitted read GroupPaces without the gateway's lock, which its callers' threads change; a deque that changes while it is read raises, and the caller would get an error in place of a refusal. Change: the steps are read under the lock. No decision changed.

--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -196,7 +196,8 @@
     now = gateway.now()
     told = [one for one in endpoints if one.name in loads]
     groups = sorted({one.place.group for one in told if one.place is not None})
-    steps = (gateway.paces.step_seconds(group, now) for group in groups)
+    with gateway.lock:
+        steps = [gateway.paces.step_seconds(group, now) for group in groups]
     gateway.metrics.count("not_admitted")
     _log.info(
         "Not admitted %s.",
