Share what an endpoint in need still takes by permits

Weighed: equal shares (an entry that sends nothing holds one: with 40 entries and 4 a second each has a request in 10 s, and most refuse while others don't use theirs); demand told by gossip (seconds old at 40 entries); permits from one entry, chosen by rendezvous hash for each endpoint (chosen): by need, no state that lasts, one round trip for a request to a limited endpoint only. Change: the header is decoded in the adapter; entries tell the granter, and it tells all others, within two rounds of 0.2 s; a granter that is new to an endpoint grants half of the rate until views agree; nothing is saved up when a limit is first named; what doesn't fit goes to other endpoints or is refused with the time of the next permit. Checked: state machine over entries, views of the granter and limits (the variant without permits breaks the bound), three real entries before a desk that names and drops a limit. Cold limits and the retry budget keep their shares.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -53,6 +53,12 @@
     has_free_place,
     rank_incarnations,
 )
+from mintsaddle.decisions.direct._rate_limits import (
+    Permit,
+    RateGrants,
+    RateLimit,
+    RateLimits,
+)
 from mintsaddle.decisions.direct._replica import PublishedItem, Replica
 from mintsaddle.decisions.direct._reuse import MOST_IDLE, keep_seconds
 from mintsaddle.decisions.direct._table import (
@@ -121,7 +127,11 @@
     "Membership",
     "PROBES",
     "PublishedItem",
+    "Permit",
     "RankPlace",
+    "RateGrants",
+    "RateLimit",
+    "RateLimits",
     "Repeat",
     "Replica",
     "Route",
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -175,7 +175,8 @@
         self, start: StartResponse, call: DirectCall, outcome: Outcome, reason: Reason
     ) -> Iterable[bytes]:
         self._log_end(call, f"{outcome.value}:{reason.value}", 0)
-        retry_after = self._advise(call.deadline - self._gateway.now(), reason)
+        left = call.deadline - self._gateway.now()
+        retry_after = self._advise(left, reason, call.service)
         status, headers = make_refusal(outcome, reason, call.request_id, retry_after)
         start(status, [*headers, ("Content-Length", "0")])
         return ()
@@ -216,10 +217,15 @@
         start(status, [("Content-Length", "0")])
         return ()
 
-    def _advise(self, seconds_left: float, reason: Reason) -> float:
+    def _advise(self, seconds_left: float, reason: Reason, service: str = "") -> float:
+        gateway = self._gateway
         wished = _ROOM_SECONDS.get(reason, _ROOM_USUALLY)
-        with self._gateway.lock:
-            return advise_retry(seconds_left, wished, self._gateway.rng)
+        if reason is Reason.RATE_LIMITED:
+            permit_at = gateway.next_permit_at(service)
+            if permit_at is not None:
+                wished = permit_at - gateway.now()
+        with gateway.lock:
+            return advise_retry(seconds_left, wished, gateway.rng)
 
     def _record(self, call: DirectCall, measure: Measure) -> None:
         name = HistogramName(call.workspace or "none", call.route.name, measure)
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -113,6 +113,8 @@
     """Choose an endpoint and count the request; None if it left meanwhile."""
     requests = {name: load.requests for name, load in loads.items()}
     endpoint = choose_by_load(admitted, requests)
+    if not gateway.take_permit(endpoint):
+        return None
     with gateway.lock:
         # It may have left, or have got its share, while it was probed.
         if not _is_still_usable(gateway, endpoint):
@@ -179,7 +181,10 @@
         working = [one for one in usable if gateway.takes_work(one)]
         if working or not usable:
             return working
-        left = wait_until - gateway.now()
+        permit_at = gateway.next_permit_at(call.service)
+        if permit_at is not None and permit_at > call.due_at:
+            return Reason.RATE_LIMITED
+        left = (permit_at or wait_until) - gateway.now()
         if left <= 0:
             return _reason_full(gateway)
         gateway.groups_changed.wait(min(left, _POLL_SECONDS))
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -14,11 +14,13 @@
     GroupPaces,
     Incarnation,
     PublishedItem,
+    RateLimits,
     Replica,
     RouteDeadlines,
     apply_facts,
     drop_lapsed,
     must_poll,
+    usable_endpoints,
 )
 from mintsaddle.decisions.routing import RoutingState, record_sent, welcome_back
 from mintsaddle.direct._metrics import Metrics
@@ -61,6 +63,9 @@
         self._deadlines = RouteDeadlines()
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
+        self._rate_limits = RateLimits()
+        self._take_permit: Callable[[str], bool] = lambda endpoint: True
+        self._tell_of_limit: Callable[[str], None] = lambda endpoint: None
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
@@ -111,6 +116,11 @@
         """How long the steps of groups take; use it under the lock."""
         return self._paces
 
+    @property
+    def rate_limits(self) -> RateLimits:
+        """Which endpoints limit their requests; use it under the lock."""
+        return self._rate_limits
+
     @property
     def groups_changed(self) -> threading.Condition:
         """Told when a group goes down or comes back; holds the lock."""
@@ -264,6 +274,8 @@
         service = table.services.get(endpoint.service) if table else None
         if service is None or not self._groups.takes_work(endpoint):
             return False
+        if not self._rate_limits.takes_work(endpoint.name, self.now()):
+            return False
         return self._cold_gate.allows(endpoint, service, self._entries, self.now())
 
     def record_chosen(self, endpoint: Incarnation) -> None:
@@ -271,6 +283,54 @@
         record_sent(self._routing, endpoint.name)
         self._cold_gate.record_sent(endpoint, self.now())
 
+    def use_permits(
+        self, take: Callable[[str], bool], tell_of: Callable[[str], None]
+    ) -> None:
+        """Set how permits are taken, and how others hear of a limit.
+
+        Args:
+            take: Returns whether a request may be sent to an endpoint; waits.
+            tell_of: Tells other entries what is known of an endpoint's limit.
+        """
+        self._take_permit = take
+        self._tell_of_limit = tell_of
+
+    def take_permit(self, endpoint: Incarnation) -> bool:
+        """Return whether a request may be sent; call it without the lock.
+
+        Only endpoints that limit their requests need a permit.
+        """
+        with self._lock:
+            is_limited = self._rate_limits.is_limited(endpoint.name)
+        return not is_limited or self._take_permit(endpoint.name)
+
+    def record_denied(self, endpoint: str, until: Instant) -> None:
+        """Note that there is no permit for an endpoint for a while."""
+        self._metrics.count("permit_denied")
+        with self._lock:
+            self._rate_limits.record_denied(endpoint, until)
+
+    def next_permit_at(self, service: str) -> Instant | None:
+        """Return when a permit is expected; None if none was denied.
+
+        Args:
+            service: The service, of which any endpoint will do.
+        """
+        with self._lock:
+            names = [one.name for one in usable_endpoints(self._directory, service)]
+            return self._rate_limits.next_permit_at(names, self.now())
+
+    def record_rate_limit(
+        self, endpoint: str, rate: float | None, observed_at: Instant
+    ) -> None:
+        """Take over what an endpoint says of the requests that it takes."""
+        with self._lock:
+            if endpoint not in self._directory.endpoints:
+                return
+            has_changed = self._rate_limits.record(endpoint, rate, observed_at)
+        if has_changed:
+            self._tell_of_limit(endpoint)
+
     def replace_settings(self, settings: DirectSettings) -> None:
         """Take over limits from a settings file that has changed."""
         with self._lock:
@@ -326,6 +386,7 @@
             self._deadlines.keep_only(routes)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
+            self._rate_limits.forget(name)
         _log.info(
             "Beliefs changed %s.",
             fields(
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -8,6 +8,7 @@
 
 from mintsaddle.decisions.direct import KnownEntry, Membership, Upstreams
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._permits import PermitExchange
 from mintsaddle.direct._relay import CopyRelay, StaleUpstreamError, position_in
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.transport import ChannelPool, LoopThread
@@ -48,6 +49,12 @@
         self._silent: set[str] = set()
         self._relay = CopyRelay(gateway)
         self._upstreams = Upstreams(membership.vm, gateway.settings.data_centre)
+        self._permits = PermitExchange(gateway, membership, self._channels)
+
+    @property
+    def permits(self) -> PermitExchange:
+        """Permits of endpoints that limit their requests."""
+        return self._permits
 
     async def Exchange(  # noqa: N802 - the name that gRPC gives it
         self, stream: "Stream[pb.EntryHello, pb.EntryNews]"
@@ -70,6 +77,23 @@
         self._record_hello(hello)
         await self._relay.serve(stream, self._make_brief_hello, position_in(hello))
 
+    async def AskPermit(  # noqa: N802 - the name that gRPC gives it
+        self, stream: "Stream[pb.PermitWish, pb.PermitAnswer]"
+    ) -> None:
+        """Answer a peer that has a request for a limited endpoint."""
+        wish = await stream.recv_message()
+        if wish is not None:
+            await stream.send_message(self._permits.answer_wish(wish))
+
+    async def NoteRates(  # noqa: N802 - the name that gRPC gives it
+        self, stream: "Stream[pb.RateNews, pb.RateNoted]"
+    ) -> None:
+        """Take over which endpoints limit their requests."""
+        news = await stream.recv_message()
+        if news is not None:
+            self._permits.note(news.rates)
+            await stream.send_message(pb.RateNoted())
+
     def watch_copy(self, loop: asyncio.AbstractEventLoop) -> None:
         """Tell followers in the given loop of each change of the copy."""
 
@@ -209,10 +233,19 @@
     """Answer peers and ask them, in a loop of its own, from now on."""
     loop_thread = LoopThread("peers")
     loop_thread.start()
-    loop_thread.submit(_start(gateway, membership)).result()
+    exchange = loop_thread.submit(_start(gateway, membership)).result()
+    permits = exchange.permits
+
+    def take_permit(endpoint: str) -> bool:
+        return loop_thread.submit(permits.take(endpoint)).result()
+
+    def tell_of(endpoint: str) -> None:
+        loop_thread.post(permits.mark_changed, endpoint)
+
+    gateway.use_permits(take_permit, tell_of)
 
 
-async def _start(gateway: Gateway, membership: Membership) -> None:
+async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
     exchange = PeerExchange(gateway, membership)
     exchange.watch_copy(asyncio.get_running_loop())
     server: Any = Server([exchange])
@@ -221,4 +254,6 @@
     rounds = asyncio.ensure_future(exchange.run())
     watch = asyncio.ensure_future(exchange.watch_holders())
     following = asyncio.ensure_future(exchange.follow_upstreams())
-    gateway.keep(server, rounds, watch, following)
+    telling = asyncio.ensure_future(exchange.permits.tell_changes())
+    gateway.keep(server, rounds, watch, following, telling)
+    return exchange
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -285,9 +285,11 @@
         return decision if isinstance(decision, GiveUp) else None
 
     def _record_head(self, endpoint: Incarnation, head: AnswerHead) -> None:
+        gateway = self._gateway
+        if not head.is_misdirected:
+            gateway.record_rate_limit(endpoint.name, head.rate_limit, gateway.now())
         if head.load is None:
             return
-        gateway = self._gateway
         with gateway.lock:
             record_load(
                 gateway.routing,
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_messages.py
@@ -26,6 +26,9 @@
 _URGENCY = "X-Mintsaddle-Request-Urgency"
 _NEVER_RAN = "X-Mintsaddle-Not-Executed"
 _LOAD = "X-Mintsaddle-Server-Load"
+_RATE_LIMITS = ("X-Mintsaddle-Server-Limit", "Server-Limit")
+"""The page names it without the prefix that its other headers bear."""
+
 _AT_FAULT = "At-Server"
 _KEY = "Api-Key"
 _LAST_EVENT = "Last-Event-Id"
@@ -92,6 +95,10 @@
 
     is_stream: bool
     load: Load | None
+    rate_limit: float | None
+    """Requests a second that it takes from all entries together; None when it
+    names no limit."""
+
     at_fault: str
     """Endpoint that it names as the cause of a refusal."""
 
@@ -168,6 +175,7 @@
         is_misdirected=is_misdirected,
         is_stream=headers.get("Content-Type", "").startswith(EVENT_STREAM),
         load=_read_load(headers.get(_LOAD, ""), slots),
+        rate_limit=_read_rate(headers),
         at_fault=headers.get(_AT_FAULT, ""),
         idle_seconds=_read_idle(response),
     )
@@ -231,6 +239,15 @@
         return None
 
 
+def _read_rate(headers: http.client.HTTPMessage) -> float | None:
+    named = [headers[name] for name in _RATE_LIMITS if name in headers]
+    try:
+        rate = float(named[0]) if named else math.inf
+    except ValueError:
+        return None
+    return max(0.0, rate) if math.isfinite(rate) else None
+
+
 def _read_event_id(text: str) -> int | None:
     return int(text) if text.isdecimal() else None
 
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -171,6 +171,8 @@
         self.name = name
         self.acts: list[Act] = []
         self.requests: list[dict[str, str]] = []
+        self.arrivals: list[float] = []
+        self.rate_limit: str | None = None
         self.freed = threading.Event()
         endpoint = self
 
@@ -195,6 +197,7 @@
         self.requests.append(
             {"target": handler.path, "port": str(port), **dict(handler.headers.items())}
         )
+        self.arrivals.append(time.monotonic())
         act = self.acts.pop(0) if self.acts else answer_well
         act(self, handler)
 
@@ -207,6 +210,8 @@
         "X-Mintsaddle-Attempt-Id", handler.headers["X-Mintsaddle-Attempt-Id"]
     )
     handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    if endpoint.rate_limit is not None:
+        handler.send_header("X-Mintsaddle-Server-Limit", endpoint.rate_limit)
     for name, value in headers.items():
         handler.send_header(name.replace("_", "-"), value)
     handler.end_headers()
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -301,6 +302,60 @@
         assert (status, len(site.requests())) == (200, 2)
 
 
+def knows_one_endpoint(entry: standins.Entry) -> bool:
+    return "endpoints=1 " in entry.log()
+
+
+class TestRateLimits:
+    @pytest.fixture
+    def entries(self, site: Site) -> list[standins.Entry]:
+        entries = [
+            site.entry,
+            *(site.add_entry(site.store.address, [site.entry.control]) for _ in "12"),
+        ]
+        for entry in entries:
+            wait_for(entry.is_ready, "ready entry")
+        return entries
+
+    def test_what_does_not_fit_goes_to_other_endpoints(
+        self, site: Site, entries: list[standins.Entry]
+    ) -> None:
+        limited = site.endpoints[0]
+        limited.rate_limit = "0.5"
+        statuses = [entry.call("GET", "/lookup/1")[0] for entry in entries * 12]
+        assert set(statuses) == {200}
+        assert len(limited.requests) <= 12
+
+    def test_all_entries_together_keep_the_limit_while_it_is_named(
+        self, site: Site, entries: list[standins.Entry]
+    ) -> None:
+        """Guards against entries that each send what one of them may."""
+        for gone in site.endpoints[1:]:
+            site.store.delete(f"servers/{gone.name}")
+        for entry in entries:
+            wait_for(partial(knows_one_endpoint, entry), "removals")
+        (desk, *_) = site.endpoints
+        desk.rate_limit = "4.0"
+        named_at = time.monotonic()
+        answers = []
+        while time.monotonic() < named_at + 6.0:
+            answers += [entry.call("GET", "/lookup/1") for entry in entries]
+            time.sleep(0.02)
+        arrivals = [at for at in desk.arrivals if at > named_at + 1.0]
+        for first in arrivals:
+            assert sum(first <= at < first + 4.0 for at in arrivals) <= 29
+        assert len(arrivals) >= 4
+        refused = [headers for status, headers, _ in answers if status == 503]
+        assert refused
+        assert all(float(headers["Retry-After"]) > 0 for headers in refused)
+        desk.rate_limit = None
+
+        def all_serve() -> bool:
+            return all(one.call("GET", "/lookup/1")[0] == 200 for one in entries * 4)
+
+        wait_for(all_serve, "end of the limit")
+
+
 class TestMetrics:
     def test_counters_and_latencies_are_served(self, site: Site) -> None:
         site.entry.call("GET", "/lookup/1")
--- a/mintsaddle/transport/proto/peer_grpc.py
+++ b/mintsaddle/transport/proto/peer_grpc.py
@@ -150,6 +150,14 @@
 
 class EntryPeersBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def AskPermit(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.PermitWish, mintsaddle.transport.proto.peer_pb2.PermitAnswer]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def NoteRates(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.RateNews, mintsaddle.transport.proto.peer_pb2.RateNoted]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Exchange(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.EntryHello, mintsaddle.transport.proto.peer_pb2.EntryNews]') -> None:
         pass
@@ -160,6 +168,18 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/mintsaddle.v1.EntryPeers/AskPermit': grpclib.const.Handler(
+                self.AskPermit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.PermitWish,
+                mintsaddle.transport.proto.peer_pb2.PermitAnswer,
+            ),
+            '/mintsaddle.v1.EntryPeers/NoteRates': grpclib.const.Handler(
+                self.NoteRates,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.RateNews,
+                mintsaddle.transport.proto.peer_pb2.RateNoted,
+            ),
             '/mintsaddle.v1.EntryPeers/Exchange': grpclib.const.Handler(
                 self.Exchange,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -178,6 +198,18 @@
 class EntryPeersStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.AskPermit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/AskPermit',
+            mintsaddle.transport.proto.peer_pb2.PermitWish,
+            mintsaddle.transport.proto.peer_pb2.PermitAnswer,
+        )
+        self.NoteRates = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/NoteRates',
+            mintsaddle.transport.proto.peer_pb2.RateNews,
+            mintsaddle.transport.proto.peer_pb2.RateNoted,
+        )
         self.Exchange = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mintsaddle.v1.EntryPeers/Exchange',
--- a/mintsaddle/values/_outcomes.py
+++ b/mintsaddle/values/_outcomes.py
@@ -41,6 +41,7 @@
     LEAVING = "leaving"
     MARKED_OUT = "marked-out"
     FULL = "full"
+    RATE_LIMITED = "rate-limited"
     TOO_LATE = "too-late"
     ENGINE_DOWN = "engine-down"
     ENGINE_FAILED = "engine-failed"
