Send nothing to runs whose address another run has by now

Cause: after a power cut of all VMs the announcements of the runs that ended stand beside those of their successors until they lapse, 3.6 s later. Ruled out: an old first reading of the store (a fresh one lists the same runs; position 158 had all 32, 188 only the 17 that live). Change: of two runs at one address only the later one is used; a run that was found gone gets nothing until it announces itself again; such an answer isn't counted as an attempt, since nothing has run.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -48,6 +48,11 @@
 """Endings after which the endpoint surely has not run the request."""
 
 
+_NOT_REACHED = frozenset({Ending.NOT_SENT, Ending.MISDIRECTED})
+"""Endings after which the endpoint that was meant has got nothing; another one
+may be tried as if it were the first."""
+
+
 class DirectCall(NamedTuple):
     """One caller's request and what has become of it so far."""
 
@@ -107,7 +112,7 @@
     """Return the call after an attempt that gave no usable answer."""
     return call._replace(
         tried=call.tried | {endpoint},
-        sends=call.sends + (ending is not Ending.NOT_SENT),
+        sends=call.sends + (ending not in _NOT_REACHED),
         may_have_run=call.may_have_run or ending not in NEVER_RAN,
     )
 
--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -74,6 +74,12 @@
     name: str
 
 
+class EndpointMoved(NamedTuple):
+    """Another run answers at an endpoint's address."""
+
+    name: str
+
+
 class DataCentreOut(NamedTuple):
     """The operator has taken a data centre out."""
 
@@ -90,6 +96,7 @@
     TablePublished
     | EndpointPublished
     | EndpointRemoved
+    | EndpointMoved
     | DataCentreOut
     | DataCentreBack
 )
@@ -132,8 +139,11 @@
                 if table is None or newer.version > table.version:
                     table = newer
             case EndpointPublished(incarnation):
-                endpoints[incarnation.name] = incarnation
-                lapsed.pop(incarnation.name, None)
+                if _replace_run(endpoints, incarnation):
+                    lapsed.pop(incarnation.name, None)
+            case EndpointMoved(name):
+                endpoints.pop(name, None)
+                lapsed.pop(name, None)
             case EndpointRemoved(name):
                 known = endpoints.get(name)
                 if known is not None and not known.leaving and lapse_until > now:
@@ -149,6 +159,30 @@
     return Directory(table, endpoints, frozenset(out), lapsed)
 
 
+def _replace_run(endpoints: dict[str, Incarnation], newer: Incarnation) -> bool:
+    """Take over a run and drop an earlier one at its address.
+
+    The announcement of a run that crashed stays for seconds beside the one of
+    its successor, and each request that is sent to it is refused.
+
+    Returns:
+        Whether the run is the last one known at its address.
+    """
+    others = [
+        one
+        for one in endpoints.values()
+        if one.address == newer.address and one.name != newer.name
+    ]
+    if any(one.born > newer.born for one in others):
+        endpoints.pop(newer.name, None)
+        return False
+    for one in others:
+        if one.born < newer.born:
+            del endpoints[one.name]
+    endpoints[newer.name] = newer
+    return True
+
+
 def _cool_down(
     endpoints: dict[str, Incarnation],
     table: RoutingTable | None,
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -17,6 +17,7 @@
     Directory,
     DirectService,
     Ending,
+    EndpointMoved,
     EndpointPublished,
     EndpointRemoved,
     GiveUp,
@@ -92,6 +93,14 @@
         assert isinstance(decision, GiveUp)
         assert decision.outcome is Outcome.IN_DOUBT
 
+    def test_what_reached_another_run_is_tried_as_if_for_the_first_time(self) -> None:
+        """Guards against refusals while runs that ended are still listed."""
+        call = make_call(Repeat.ONCE, attempts=1)
+        for name in ("e-1", "e-2", "e-3"):
+            call = record_attempt(call, name, Ending.MISDIRECTED)
+            decision = decide_next(call, Ending.MISDIRECTED, has_budget=True, now=1.0)
+            assert decision == TryAgain()
+
     def test_without_budget_or_time_nothing_is_repeated(self) -> None:
         call = record_attempt(make_call(), "e-1", Ending.NOT_RUN)
         for has_budget, now in ((False, 1.0), (True, 8.0)):
@@ -146,6 +155,23 @@
         gone = apply_facts(known, [EndpointRemoved("e-1")], 3.0, 1.0)
         assert dict(gone.endpoints) == {}
 
+    def test_a_run_that_crashed_gets_nothing_beside_its_successor(self) -> None:
+        """Guards against requests to what had an address before a restart."""
+        old = make_endpoint("e-1", address="ip:1", born=1_000)
+        new = make_endpoint("e-2", address="ip:1", born=2_000)
+        for facts in ([old, new], [new, old]):
+            published = [EndpointPublished(one) for one in facts]
+            directory = apply_facts(Directory(), published, 0.0, 1.0)
+            assert usable_endpoints(directory, "desk") == (new,)
+
+    def test_what_has_moved_gets_nothing_until_it_announces_itself(self) -> None:
+        published = EndpointPublished(make_endpoint("e-1"))
+        known = apply_facts(Directory(), [published], 0.0, 1.0)
+        moved = apply_facts(known, [EndpointMoved("e-1")], 9.0, 1.0)
+        assert usable_endpoints(moved, "desk") == ()
+        back = apply_facts(moved, [published], 0.0, 2.0)
+        assert len(usable_endpoints(back, "desk")) == 1
+
 
 class TestReplica:
     def test_older_news_change_nothing_whoever_brings_them(self) -> None:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -10,6 +10,7 @@
     SETTLE_SECONDS,
     ColdGate,
     Directory,
+    EndpointMoved,
     GroupBeliefs,
     GroupPaces,
     Incarnation,
@@ -263,6 +264,16 @@
         for listener in self._copy_listeners:
             listener()
 
+    def record_moved(self, endpoint: str) -> None:
+        """Note that another run has an endpoint's address by now.
+
+        It gets nothing more unless it announces itself again.
+        """
+        with self._lock:
+            facts = [EndpointMoved(endpoint)]
+            self._directory = apply_facts(self._directory, facts, 0.0, self.now())
+            self._routing.forget(endpoint)
+
     def drop_lapsed(self) -> None:
         """Forget endpoints whose announcements haven't come back in time."""
         with self._lock:
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -172,6 +172,8 @@
         head = read_answer_head(response, call.request_id, endpoint.slots)
         self._record_head(endpoint, head)
         if head.is_misdirected:
+            if not head.at_fault:
+                self._gateway.record_moved(endpoint.name)
             return Ending.MISDIRECTED, None
         if head.never_ran:
             place = endpoint.place
