Avoid paths that are cut and groups that stall or are slow; bound a return

Change: (a) paths by data centre, doubted after missing answers, confirmed by two connections; an entry that reaches no other data centre nor the platform refuses at once, isn't ready, closes idle connections and tells its neighbours; (b) no new step for 0.5 s counts as a stall; (c) engines of slow groups only while all are slow; (d) with the first map an engine gets what the published duration of steps allows, each entry its share, late streams spread and after the others.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -28,10 +28,12 @@
     drop_lapsed,
     usable_endpoints,
 )
+from mintsaddle.decisions.direct._first_map import EntryShare
 from mintsaddle.decisions.direct._groups import (
     GroupBeliefs,
     advise_retry,
     hold_until,
+    place_at,
 )
 from mintsaddle.decisions.direct._membership import (
     ALIVE_SECONDS,
@@ -45,7 +47,10 @@
     GroupPaces,
     admitting,
     may_wait_for_room,
+    prefer_quick_groups,
 )
+from mintsaddle.decisions.direct._paths import CHECKS as PATH_CHECKS
+from mintsaddle.decisions.direct._paths import PathBeliefs
 from mintsaddle.decisions.direct._placement import (
     MOST_PROBES,
     PROBES,
@@ -71,6 +76,7 @@
     Repeat,
     Route,
     RoutingTable,
+    StepModel,
     bearable_pause,
     choose_service,
     match_route,
@@ -102,6 +108,7 @@
     "RETRY_SHARE",
     "SETTLE_SECONDS",
     "STALE_SHARE",
+    "StepModel",
     "WATCH_SHARE",
     "COALESCE_SHARE",
     "CallerLimits",
@@ -118,6 +125,7 @@
     "EngineLoad",
     "EndpointRemoved",
     "ExpertModel",
+    "EntryShare",
     "FIRST_URGENCY",
     "Fact",
     "GiveUp",
@@ -127,7 +135,9 @@
     "KeyHolder",
     "KnownEntry",
     "Membership",
+    "PATH_CHECKS",
     "PROBES",
+    "PathBeliefs",
     "PublishedItem",
     "Permit",
     "RankPlace",
@@ -161,6 +171,8 @@
     "match_route",
     "may_wait_for_room",
     "must_poll",
+    "place_at",
+    "prefer_quick_groups",
     "rank_incarnations",
     "record_attempt",
     "usable_endpoints",
--- a/mintsaddle/decisions/direct/_groups.py
+++ b/mintsaddle/decisions/direct/_groups.py
@@ -11,6 +11,7 @@
 
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
+from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
 
 FALSE_ALARM_SECONDS = 0.5
@@ -25,6 +26,10 @@
 """Seconds before that in which a held request has to be on its way: the first
 event takes 0.2 s on a calm group."""
 
+RETURN_SPREAD = 0.4
+"""Seconds over which late streams that waited for their group are placed once
+it is back. Placed at one moment, each of them finds all engines idle."""
+
 RETRY_SHARE_OF_TIME = 1 / 3
 """Share of their remaining time for which callers heed a time to come back."""
 
@@ -36,6 +41,7 @@
 
     def __init__(self) -> None:
         self._down: dict[str, tuple[int, Instant]] = {}
+        self._stalled_at: dict[str, int] = {}
 
     def is_down(self, group: str) -> bool:
         """Return whether a group takes no work."""
@@ -50,10 +56,28 @@
         known_epoch, _ = self._down.get(group, (0, 0.0))
         self._down[group] = (max(epoch, known_epoch), now)
 
+    def record_stall(self, group: str, epoch: int, step: int, now: Instant) -> None:
+        """Note that a group with requests stands still at a step."""
+        self.record_refusal(group, epoch, now)
+        self._stalled_at[group] = step
+
     def record_report(
-        self, group: str, epoch: int, is_open: bool, now: Instant
+        self,
+        group: str,
+        epoch: int,
+        is_open: bool,
+        now: Instant,
+        step: int | None = None,
     ) -> None:
-        """Note what a rank says of its group now."""
+        """Note what a rank says of its group now.
+
+        Args:
+            group: The group.
+            epoch: Its epoch.
+            is_open: Whether it says that it takes work.
+            now: The present instant.
+            step: The last step that it began; None when that isn't told.
+        """
         if not is_open:
             self._down.setdefault(group, (epoch, now))
             return
@@ -61,8 +85,15 @@
         if down is None:
             return
         down_epoch, since = down
-        if epoch > down_epoch or now - since > FALSE_ALARM_SECONDS:
+        stalled_at = self._stalled_at.get(group)
+        if stalled_at is None:
+            goes_on = now - since > FALSE_ALARM_SECONDS
+        else:
+            # Until its ranks give up, a stalled group calls itself open.
+            goes_on = step is not None and step > stalled_at
+        if epoch > down_epoch or goes_on:
             del self._down[group]
+            self._stalled_at.pop(group, None)
 
     def takes_work(self, incarnation: Incarnation) -> bool:
         """Return whether an endpoint's group, if it has one, takes work."""
@@ -81,6 +112,19 @@
     return min(waited, call.deadline - HOLD_MARGIN)
 
 
+def place_at(call: DirectCall, now: Instant, rng: random.Random) -> Instant:
+    """Return when a stream that has waited for its group may be placed.
+
+    Args:
+        call: The stream; one that can still be on time goes at once.
+        now: When its group is back.
+        rng: The source of the spread.
+    """
+    if not is_late(call, now):
+        return now
+    return now + rng.random() * min(RETURN_SPREAD, max(0.0, hold_until(call) - now))
+
+
 def advise_retry(seconds_left: float, wished: float, rng: random.Random) -> float:
     """Return after how many seconds a refused caller should come back.
 
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -112,6 +112,11 @@
         """Note that an entry didn't answer: its duties pass to another one."""
         self._suspects.add(address)
 
+    def data_centre_of(self, address: str) -> str:
+        """Return where an entry is; an empty string if it isn't known."""
+        known = (one for one in self._entries.values() if one.address == address)
+        return next((one.data_centre for one in known), "")
+
     def remove(self, vm: str, now: Instant) -> None:
         """Forget an entry that says that it is leaving."""
         self._entries.pop(vm, None)
--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -13,16 +13,37 @@
 
 import random
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
+from mintsaddle.decisions.direct._first_map import (
+    FIRST_MAP_SKEW,
+    EntryShare,
+    bearable_requests,
+    estimate_skew,
+)
 from mintsaddle.decisions.direct._groups import hold_until
 from mintsaddle.decisions.direct._placement import BLIND_SLOTS
+from mintsaddle.decisions.direct._table import StepModel
 from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
 
+SKEW_SECONDS = 8.0
+"""Seconds for which a skew is expected to return: two changes of popularity.
+A group that is full when its map falls behind is late with all its streams."""
+
+STALL_SECONDS = 0.5
+"""Seconds without a new step after which a group with requests counts as
+stalled: several times a step of a full group. Its ranks wait for a lost one
+much longer before they refuse, and what is sent there waits with them."""
+
+SLOW_SHARE = 1.5
+"""Times the longest pause on time from which a group's steps count as slow:
+longer than those of a full group whose map is behind. A rank that is slow
+holds up all others."""
+
 PACE_SECONDS = 1.2
 """Seconds over which steps are counted: some steps of a slow group."""
 
@@ -37,6 +58,10 @@
 """The same for streams that can't be on time any more: they take what those
 that can leave."""
 
+LATE_PLACES_SHARE = 0.6
+"""Share of an engine's places up to which it gets late streams. The rest is
+for those that can still be on time, which would queue behind them."""
+
 BUSY_SHARE = 2 / 3
 """Share of the places that are taken at least where streams are refused: steps
 of a group with free places are long for as long as its map is wrong."""
@@ -46,14 +71,27 @@
 leave before more than that have ended."""
 
 
-def may_wait_for_room(call: DirectCall, now: Instant) -> bool:
+def may_wait_for_room(
+    call: DirectCall, loads: Mapping[str, "EngineLoad"], now: Instant
+) -> bool:
     """Return whether a stream that isn't let in may wait at the entry.
 
     A late one may: it takes what fresh ones leave, and its caller may have
     come back already. A fresh one would become late by waiting; its caller is
-    told when to come back instead.
+    told when to come back instead, unless a group gets its first fitting map
+    within moments.
+
+    Args:
+        call: The stream.
+        loads: What the engines told that were probed for it.
+        now: The present instant.
     """
-    return is_late(call, now) and now < hold_until(call)
+    has_first_map = any(load.has_first_map for load in loads.values())
+    return (has_first_map or is_late(call, now)) and now < hold_until(call)
+
+
+ALL_TO_ITSELF = EntryShare(in_flight=0, engines=1, entries=1)
+"""The share of an entry that knows nothing of others."""
 
 
 class EngineLoad(NamedTuple):
@@ -68,15 +106,41 @@
     step: int
     """The last step that its group began."""
 
+    has_first_map: bool = False
+    """Whether its group still has the map that it formed with, which follows
+    no popularity."""
+
+
+class _Standing(NamedTuple):
+    epoch: int
+    step: int
+    since: Instant
+    """Since when all ranks told this step and some had requests."""
+
 
 class GroupPaces:
     """How long the steps of groups take, by what their ranks tell."""
 
     def __init__(self) -> None:
         self._steps: dict[str, deque[tuple[Instant, int, int]]] = {}
+        self._standing: dict[str, _Standing] = {}
+        self._skews: dict[str, deque[tuple[Instant, float]]] = {}
 
-    def record(self, group: str, epoch: int, step: int, now: Instant) -> None:
-        """Record the last step that a rank of a group told."""
+    def record(
+        self, group: str, epoch: int, step: int, now: Instant, *, is_busy: bool = False
+    ) -> None:
+        """Record the last step that a rank of a group told.
+
+        Args:
+            group: The group.
+            epoch: Its epoch.
+            step: The last step that it began.
+            now: The present instant.
+            is_busy: Whether one of its ranks has requests.
+        """
+        stood = self._standing.get(group)
+        if stood is None or not is_busy or (epoch, step) > (stood.epoch, stood.step):
+            self._standing[group] = _Standing(epoch, step, now)
         steps = self._steps.setdefault(group, deque())
         while steps and now - steps[0][0] > PACE_SECONDS:
             steps.popleft()
@@ -87,6 +151,54 @@
             steps.clear()
         steps.append((now, epoch, step))
 
+    def is_stalled(self, group: str, now: Instant) -> bool:
+        """Return whether a group with requests has begun no step for long."""
+        stood = self._standing.get(group)
+        return stood is not None and now - stood.since >= STALL_SECONDS
+
+    def record_skew(self, group: str, skew: float, now: Instant) -> None:
+        """Record how many times longer steps take than with equal work."""
+        skews = self._skews.setdefault(group, deque())
+        while skews and (now - skews[0][0] > SKEW_SECONDS or skews[0][1] <= skew):
+            skews.popleft()
+        while skews and skews[-1][1] <= skew:
+            skews.pop()
+        skews.append((now, skew))
+
+    def largest_skew(self, group: str, now: Instant, default: float) -> float:
+        """Return the largest skew of late; a default while none is known."""
+        skews = self._skews.get(group, ())
+        recent = (skew for at, skew in skews if now - at <= SKEW_SECONDS)
+        return max(recent, default=default)
+
+    def is_slow(self, group: str, longest_pause: float, now: Instant) -> bool:
+        """Return whether all streams of a group are late.
+
+        Args:
+            group: The group.
+            longest_pause: Seconds between two events that are still on time; 0
+                if the route names none.
+            now: The present instant.
+        """
+        slow_seconds = longest_pause * SLOW_SHARE
+        return 0 < slow_seconds <= self.step_seconds(group, now)
+
+    def last_step_seconds(self, group: str) -> float:
+        """Return how long the last few steps took; 0 while it isn't known.
+
+        A map that is behind shows for half a second only, which a mean over a
+        longer time would hide.
+        """
+        steps = self._steps.get(group, ())
+        if not steps:
+            return 0.0
+        last_at, _, last = steps[-1]
+        before = [one for one in steps if last_at - one[0] >= LEAST_SECONDS]
+        if not before or before[-1][2] == last:
+            return 0.0
+        first_at, _, first = before[-1]
+        return (last_at - first_at) / (last - first)
+
     def step_seconds(self, group: str, now: Instant) -> float:
         """Return how long a step takes at present; 0 while it isn't known."""
         steps = [
@@ -100,6 +212,36 @@
         return (last_at - first_at) / (last - first)
 
 
+def prefer_quick_groups(
+    call: DirectCall,
+    ranked: Sequence[Incarnation],
+    paces: GroupPaces,
+    now: Instant,
+) -> tuple[list[Incarnation], list[Incarnation]]:
+    """Return the engines to try, and one of each slow group to keep an eye on.
+
+    A slow group has few requests, so it looks least loaded. While all groups
+    are slow, all engines are tried.
+
+    Args:
+        call: The stream.
+        ranked: Engines that take work, the best one first.
+        paces: How long the steps of groups take.
+        now: The present instant.
+    """
+    slow: dict[str, Incarnation] = {}
+    quick = []
+    for one in ranked:
+        group = one.place.group if one.place else ""
+        if group and paces.is_slow(group, call.route.longest_pause, now):
+            slow.setdefault(group, one)
+        else:
+            quick.append(one)
+    if not quick:
+        return list(ranked), []
+    return quick, list(slow.values())
+
+
 def admit_share(step_seconds: float, longest_pause: float, *, late: bool) -> float:
     """Return the share of a route's streams that a group may get.
 
@@ -123,6 +265,8 @@
     paces: GroupPaces,
     now: Instant,
     rng: random.Random,
+    steps: StepModel | None = None,
+    share: EntryShare = ALL_TO_ITSELF,
 ) -> list[Incarnation]:
     """Return the engines that may get a stream, of those that were probed.
 
@@ -133,22 +277,60 @@
         paces: How long the steps of their groups take.
         now: The present instant.
         rng: The source of chance.
+        steps: How long their steps should take, where that is published.
+        share: What this entry has in flight, and how many others there are.
     """
     told = [one for one in candidates if one.name in loads]
     if not told or call.began:
         return candidates
+    late = is_late(call, now)
+    late_share = LATE_PLACES_SHARE if late else 1.0
+    _record_skews(told, loads, paces, now, steps)
+
+    def has_place(one: Incarnation) -> bool:
+        places: float = max(BLIND_SLOTS, one.slots)
+        load = loads[one.name]
+        if steps is not None and one.place is not None:
+            default = FIRST_MAP_SKEW if load.has_first_map else 1.0
+            skew = paces.largest_skew(one.place.group, now, default)
+            pause = call.route.longest_pause
+            places = bearable_requests(steps, skew, pause, int(places))
+        if load.has_first_map and share.is_used(places * late_share, late=late):
+            return False
+        if not late and places >= one.slots:
+            places *= 1.0 + MOST_WAITING
+        return load.requests < max(1.0, places * late_share)
+
+    told = [one for one in told if has_place(one)]
     places = sum(max(BLIND_SLOTS, one.slots) for one in told)
     taken = sum(loads[one.name].requests for one in told)
     if taken < places * BUSY_SHARE:
-        return candidates
+        return told
     drawn = rng.random()
-    late = is_late(call, now)
 
     def admits(one: Incarnation) -> bool:
-        waiting = loads[one.name].requests - one.slots
-        if one.place is None or waiting >= one.slots * MOST_WAITING:
+        if one.place is None:
             return False
         step_seconds = paces.step_seconds(one.place.group, now)
         return drawn < admit_share(step_seconds, call.route.longest_pause, late=late)
 
     return [one for one in told if admits(one)]
+
+
+def _record_skews(
+    told: Sequence[Incarnation],
+    loads: Mapping[str, EngineLoad],
+    paces: GroupPaces,
+    now: Instant,
+    steps: StepModel | None,
+) -> None:
+    if steps is None:
+        return
+    requests: dict[str, list[int]] = {}
+    for one in told:
+        if one.place is not None:
+            requests.setdefault(one.place.group, []).append(loads[one.name].requests)
+    for group, counts in requests.items():
+        seconds = paces.last_step_seconds(group)
+        if seconds > 0:
+            paces.record_skew(group, estimate_skew(steps, seconds, counts), now)
--- a/mintsaddle/decisions/direct/_table.py
+++ b/mintsaddle/decisions/direct/_table.py
@@ -73,6 +73,23 @@
     """Seconds that a rank takes to load one expert; 0 when it isn't told."""
 
 
+class StepModel(NamedTuple):
+    """How long an engine's steps take, as its operator publishes it."""
+
+    token_seconds: float
+    """Seconds of a token step without any request."""
+
+    request_seconds: float
+    """Seconds that each request adds, with a context of usual size."""
+
+    tokens: int
+    """Token steps in one step of the group."""
+
+    def step_seconds(self, requests: int) -> float:
+        """Return how long a step takes while all experts get equal work."""
+        return self.tokens * (self.token_seconds + self.request_seconds * requests)
+
+
 class DirectService(NamedTuple):
     """A service whose endpoints an entry calls itself."""
 
@@ -93,6 +110,9 @@
     experts: ExpertModel | None = None
     """Layout of its experts; None when it has none."""
 
+    steps: StepModel | None = None
+    """How long its engines' steps take; None when it isn't told."""
+
 
 class CallerLimits(NamedTuple):
     """What a caller may send, and how long it may take."""
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -308,6 +308,19 @@
         beliefs.record_report("llm/g", 1, True, 10.6)
         assert not beliefs.is_down("llm/g")
 
+    def test_a_stalled_group_is_back_with_its_next_step_only(self) -> None:
+        """Guards against work for a group that still calls itself open."""
+        beliefs = GroupBeliefs()
+        beliefs.record_stall("g", 1, 7, 10.0)
+        beliefs.record_report("g", 1, True, 11.0)
+        beliefs.record_report("g", 1, True, 11.0, step=7)
+        assert beliefs.is_down("g")
+        beliefs.record_report("g", 1, True, 11.1, step=8)
+        assert not beliefs.is_down("g")
+        beliefs.record_stall("g", 1, 9, 12.0)
+        beliefs.record_report("g", 2, True, 14.0, step=9)
+        assert not beliefs.is_down("g")
+
     def test_nobody_is_held_longer_than_callers_wait(self) -> None:
         assert hold_until(make_call()) == pytest.approx(1.75)
         late = make_call()._replace(arrived_at=0.0, deadline=1.0)
--- a/mintsaddle/decisions/direct/tests/test_pace.py
+++ b/mintsaddle/decisions/direct/tests/test_pace.py
@@ -8,14 +8,22 @@
 from mintsaddle.decisions.direct import (
     DirectCall,
     EngineLoad,
+    EntryShare,
     GroupPaces,
     Incarnation,
     RankPlace,
     Repeat,
+    StepModel,
     admitting,
     may_wait_for_room,
+    prefer_quick_groups,
+)
+from mintsaddle.decisions.direct._pace import (
+    ALL_TO_ITSELF,
+    SKEW_SECONDS,
+    STALL_SECONDS,
+    admit_share,
 )
-from mintsaddle.decisions.direct._pace import admit_share
 from mintsaddle.decisions.direct.tests.samples import ROUTE
 from mintsaddle.values import Instant
 
@@ -165,14 +173,159 @@
 """One engine whose places are taken, one with as many requests waiting."""
 
 
+class TestSkews:
+    """Popularity changes every few seconds, and maps follow a moment later."""
+
+    def test_a_skew_is_remembered_for_a_while(self) -> None:
+        """Guards against a group that is full when its map falls behind."""
+        paces = GroupPaces()
+        for at, skew in ((0.0, 1.4), (1.0, 2.1), (2.0, 1.3), (3.0, 1.5)):
+            paces.record_skew("g", skew, at)
+        assert paces.largest_skew("g", 3.0, 1.0) == 2.1
+        assert paces.largest_skew("g", 1.0 + SKEW_SECONDS + 0.1, 1.0) == 1.5
+        assert paces.largest_skew("g", 100.0, 1.0) == 1.0
+
+    def test_some_long_steps_show_at_once(self) -> None:
+        paces = GroupPaces()
+        for at, step in ((0.0, 0), (0.5, 10), (1.0, 20), (1.2, 22)):
+            paces.record("g", 1, step, at)
+        assert paces.last_step_seconds("g") == pytest.approx(0.1)
+        assert paces.step_seconds("g", 1.2) < 0.06
+
+
+class TestSlowGroups:
+    """A slow rank holds up its whole group, which then has few requests."""
+
+    def make_ranked(self) -> list[Incarnation]:
+        engines = [make_engine(rank) for rank in range(4)]
+        quick = RankPlace("q", 1, 0, RANKS, is_open=True)
+        return [*engines[:2], *(one._replace(place=quick) for one in engines[2:])]
+
+    def make_paces(self, *groups: str) -> GroupPaces:
+        paces = GroupPaces()
+        for group in groups:
+            paces.record(group, 1, 0, 0.0)
+            paces.record(group, 1, 2, 2 * 1.6 * PAUSE)
+        return paces
+
+    def test_streams_go_to_groups_that_bear_them_on_time(self) -> None:
+        """Guards against streams for the slow group because it looks idle."""
+        ranked = self.make_ranked()
+        now = 2 * 1.6 * PAUSE
+        tried, watched = prefer_quick_groups(
+            make_call(now), ranked, self.make_paces("g"), now
+        )
+        assert tried == ranked[2:]
+        assert watched == ranked[:1]
+
+    def test_while_all_are_slow_all_are_tried(self) -> None:
+        ranked = self.make_ranked()
+        now = 2 * 1.6 * PAUSE
+        paces = self.make_paces("g", "q")
+        assert prefer_quick_groups(make_call(now), ranked, paces, now) == (ranked, [])
+
+
+class TestStalls:
+    """Ranks of a group that has lost one wait for it before they refuse."""
+
+    def test_a_busy_group_that_begins_no_step_is_stalled(self) -> None:
+        """Guards against streams that wait in a group that stands still."""
+        paces = GroupPaces()
+        for at in (0.0, 0.3, STALL_SECONDS):
+            paces.record("g", 1, 7, at, is_busy=True)
+        assert paces.is_stalled("g", STALL_SECONDS)
+        paces.record("g", 1, 8, 0.8, is_busy=True)
+        assert not paces.is_stalled("g", 0.8)
+
+    def test_an_idle_group_is_not(self) -> None:
+        paces = GroupPaces()
+        for at, is_busy in ((0.0, False), (5.0, False), (5.1, True)):
+            paces.record("g", 1, 7, at, is_busy=is_busy)
+        assert not paces.is_stalled("g", 5.1)
+
+    def test_older_reports_change_nothing(self) -> None:
+        paces = GroupPaces()
+        paces.record("g", 1, 7, 0.0, is_busy=True)
+        paces.record("g", 1, 6, 0.4, is_busy=True)
+        assert paces.is_stalled("g", STALL_SECONDS)
+
+
 class TestWaiting:
     def test_a_late_stream_waits_and_a_fresh_one_comes_back(self) -> None:
         """Guards against callers that are refused a second time."""
         fresh = make_call(0.0)
         returning = fresh._replace(due_at=0.0)
-        assert not may_wait_for_room(fresh, 0.1)
-        assert may_wait_for_room(returning, 0.1)
-        assert not may_wait_for_room(returning, 1.9)
+        assert not may_wait_for_room(fresh, {}, 0.1)
+        assert may_wait_for_room(returning, {}, 0.1)
+        assert not may_wait_for_room(returning, {}, 1.9)
+
+    def test_a_fresh_stream_waits_for_a_group_that_has_just_formed(self) -> None:
+        fresh = make_call(0.0)
+        loads = {"i-0": EngineLoad(2, 2, 5, has_first_map=True)}
+        assert may_wait_for_room(fresh, loads, 0.1)
+
+
+class TestFirstMap:
+    """A group that is back begins with a map that follows no popularity."""
+
+    STEPS = StepModel(token_seconds=0.00585, request_seconds=0.00093, tokens=6)
+    CALL_PAUSE = 0.12
+
+    def found(
+        self,
+        requests: int,
+        *,
+        late: bool,
+        step_seconds: float = 0.0,
+        share: EntryShare = ALL_TO_ITSELF,
+    ) -> list[Incarnation]:
+        call = make_call(0.0)
+        route = call.route._replace(longest_pause=self.CALL_PAUSE)
+        call = call._replace(route=route, due_at=-1.0 if late else 9.0)
+        paces = GroupPaces()
+        if step_seconds:
+            paces.record("g", 2, 0, 0.0)
+            paces.record("g", 2, 10, 10 * step_seconds)
+        engine = make_engine(0)._replace(slots=5)
+        loads = {engine.name: EngineLoad(requests, 2, 10, has_first_map=True)}
+        now, rng = 10 * step_seconds, random.Random(1)
+        return admitting(call, [engine], loads, paces, now, rng, self.STEPS, share)
+
+    @pytest.mark.parametrize(("requests", "let_in"), [(0, True), (2, True), (3, False)])
+    def test_only_what_it_bears_on_time_is_let_in(
+        self, requests: int, *, let_in: bool
+    ) -> None:
+        """Guards against a return at which everybody is late by pauses."""
+        assert bool(self.found(requests, late=False)) is let_in
+
+    @pytest.mark.parametrize(("requests", "let_in"), [(0, True), (1, True), (2, False)])
+    def test_late_streams_leave_places_to_fresh_ones(
+        self, requests: int, *, let_in: bool
+    ) -> None:
+        assert bool(self.found(requests, late=True)) is let_in
+
+    def test_observed_steps_tell_more_than_the_model(self) -> None:
+        """Guards against refusals by a group whose first map does well."""
+        assert self.found(3, late=False, step_seconds=0.06)
+
+    @pytest.mark.parametrize(
+        ("in_flight", "late", "let_in"),
+        [(2, True, True), (3, True, False), (7, False, True), (8, False, False)],
+    )
+    def test_an_entry_keeps_to_its_share_while_engines_look_idle(
+        self, in_flight: int, *, late: bool, let_in: bool
+    ) -> None:
+        """Guards against a crowd that arrives before engines tell of it."""
+        share = EntryShare(in_flight, engines=RANKS, entries=40)
+        assert bool(self.found(0, late=late, share=share)) is let_in
+
+    def test_without_a_published_model_all_places_count(self) -> None:
+        engine = make_engine(0)._replace(slots=5)
+        loads = {engine.name: EngineLoad(4, 2, 10, has_first_map=True)}
+        rng = random.Random(1)
+        paces = GroupPaces()
+        found = admitting(make_call(0.0), [engine], loads, paces, 0.0, rng)
+        assert found == [engine]
 
 
 class TestExceptions:
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -24,6 +24,7 @@
     record_reports,
 )
 from mintsaddle.decisions.expert_maps._maps import (
+    FIRST_VERSION,
     ExpertMap,
     Popularity,
     count_moved,
@@ -67,6 +68,7 @@
 __all__ = [
     "ArmedSwitch",
     "ExpertMap",
+    "FIRST_VERSION",
     "GroupAct",
     "GroupOrder",
     "HORIZON_INTERVALS",
--- a/mintsaddle/decisions/expert_maps/_maps.py
+++ b/mintsaddle/decisions/expert_maps/_maps.py
@@ -16,6 +16,10 @@
 """Experts of one layer, by rank; shape (ranks, slots)."""
 
 
+FIRST_VERSION = 0
+"""Version of the map that a group forms with: experts in turn."""
+
+
 class ExpertMap(NamedTuple):
     """One version of a group's map."""
 
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -224,6 +224,8 @@
             permit_at = gateway.next_permit_at(service)
             if permit_at is not None:
                 wished = permit_at - gateway.now()
+        if reason is Reason.ISOLATED:
+            wished = max(_ROOM_USUALLY, gateway.seconds_to_move())
         with gateway.lock:
             return advise_retry(seconds_left, wished, gateway.rng)
 
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -14,17 +14,19 @@
     hold_until,
     is_late,
     may_wait_for_room,
+    place_at,
+    prefer_quick_groups,
     rank_incarnations,
     usable_endpoints,
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.values import MILLISECONDS, Reason
+from mintsaddle.values import MILLISECONDS, Instant, Reason
 
 _POLL_SECONDS = 0.2
 """Seconds between two polls whether a waiting caller has left."""
 
-_ROOM_SECONDS = 0.4
+_ROOM_SECONDS = 0.2
 """Seconds between two tries of a stream that waits for its group's pace; each
 costs a few probes."""
 
@@ -55,13 +57,16 @@
         ranked = _await_ranked(gateway, call, is_gone)
         if isinstance(ranked, Reason):
             return ranked
-        loads = _probe_loads(gateway, ranked)
+        with gateway.lock:
+            now = gateway.now()
+            ranked, slow = prefer_quick_groups(call, ranked, gateway.paces, now)
+        loads = _probe_loads(gateway, ranked, slow)
         admitted = _admit(gateway, call, ranked, loads)
         if admitted:
             endpoint = _take(gateway, call, admitted, loads)
             if endpoint is not None:
                 return endpoint
-        elif may_wait_for_room(call, gateway.now()):
+        elif may_wait_for_room(call, loads, gateway.now()):
             _wait_for_room(gateway, is_gone)
         else:
             _record_not_admitted(gateway, call, ranked[:MOST_PROBES], loads)
@@ -93,6 +98,8 @@
     ranked: list[Incarnation],
     loads: Mapping[str, EngineLoad],
 ) -> list[Incarnation]:
+    table = gateway.directory.table
+    service = table.services.get(call.service) if table else None
     with gateway.lock:
         return admitting(
             call,
@@ -101,6 +108,8 @@
             gateway.paces,
             gateway.now(),
             gateway.rng,
+            service.steps if service else None,
+            gateway.share_of(ranked),
         )
 
 
@@ -139,32 +148,59 @@
 
 
 def _probe_loads(
-    gateway: Gateway, ranked: Sequence[Incarnation]
+    gateway: Gateway, ranked: Sequence[Incarnation], slow: Sequence[Incarnation]
 ) -> dict[str, EngineLoad]:
-    """Ask a few endpoints how loaded they are, and more while all are full."""
+    """Ask a few endpoints how loaded they are, and more while all are full.
+
+    Args:
+        gateway: What the entry believes.
+        ranked: Endpoints that may get the request, the best one first.
+        slow: Engines that are only asked for the pace of their groups.
+    """
     loads: dict[str, EngineLoad] = {}
     for first in range(0, min(len(ranked), MOST_PROBES), PROBES):
-        asked = ranked[first : first + PROBES]
-        told = gateway.probe.ask(asked)
+        asked = list(ranked[first : first + PROBES])
+        told = gateway.probe.ask([*asked, *slow] if first == 0 else asked)
         loads.update(told)
+        _record_paths(gateway, asked, told)
         requests = {name: load.requests for name, load in told.items()}
         if not loads or has_free_place(asked, requests):
             break
-    _record_paces(gateway, ranked, loads)
+    _record_paces(gateway, [*ranked[:MOST_PROBES], *slow], loads)
     return loads
 
 
+def _record_paths(
+    gateway: Gateway, asked: Sequence[Incarnation], told: Mapping[str, EngineLoad]
+) -> None:
+    heard = {one.data_centre for one in asked if one.name in told}
+    for data_centre in heard:
+        gateway.record_path(data_centre, reached=True)
+    for one in asked:
+        if one.place is not None and one.data_centre not in heard:
+            gateway.record_path(one.data_centre, reached=False)
+
+
 def _record_paces(
     gateway: Gateway,
     endpoints: Sequence[Incarnation],
     loads: Mapping[str, EngineLoad],
 ) -> None:
+    busy = {
+        one.place.group
+        for one in endpoints
+        if one.place is not None and one.name in loads and loads[one.name].requests
+    }
     with gateway.lock:
-        for one in endpoints[:MOST_PROBES]:
+        for one in endpoints:
             load = loads.get(one.name)
-            if load is not None and one.place is not None:
-                group, now = one.place.group, gateway.now()
-                gateway.paces.record(group, load.epoch, load.step, now)
+            if load is None or one.place is None:
+                continue
+            group, now = one.place.group, gateway.now()
+            is_busy = group in busy
+            gateway.paces.record(group, load.epoch, load.step, now, is_busy=is_busy)
+            if gateway.paces.is_stalled(group, now):
+                gateway.record_stall(group, load.epoch, load.step)
 
 
 def _is_still_usable(gateway: Gateway, endpoint: Incarnation) -> bool:
@@ -176,11 +212,21 @@
     gateway: Gateway, call: DirectCall, is_gone: Callable[[], bool]
 ) -> list[Incarnation] | Reason:
     wait_until = hold_until(call)
+    has_waited = False
     while True:
         usable = usable_endpoints(gateway.directory, call.service)
         working = [one for one in usable if gateway.takes_work(one)]
-        if working or not usable:
+        if not usable:
+            return []
+        if working and not has_waited:
             return working
+        if working:
+            has_waited = False
+            _sleep_until(gateway, place_at(call, gateway.now(), gateway.rng))
+            continue
+        has_waited = True
+        if gateway.is_isolated():
+            return Reason.ISOLATED
         permit_at = gateway.next_permit_at(call.service)
         if permit_at is not None and permit_at > call.due_at:
             return Reason.RATE_LIMITED
@@ -192,6 +238,12 @@
             raise CallerLeftError
 
 
+def _sleep_until(gateway: Gateway, instant: Instant) -> None:
+    """Sleep with the lock released."""
+    while (left := instant - gateway.now()) > 0:
+        gateway.groups_changed.wait(left)
+
+
 def _record_not_admitted(
     gateway: Gateway,
     call: DirectCall,
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -11,9 +11,11 @@
     ColdGate,
     Directory,
     EndpointMoved,
+    EntryShare,
     GroupBeliefs,
     GroupPaces,
     Incarnation,
+    PathBeliefs,
     PublishedItem,
     RateLimits,
     Replica,
@@ -35,6 +37,9 @@
 _LIKELY_ENTRIES = 8
 """Entries assumed to share the retry budget until peers have told."""
 
+MOVE_SECONDS = 3.0
+"""Seconds from an entry's isolation until callers reach other data centres."""
+
 _log = make_logger("directory")
 
 
@@ -61,6 +66,8 @@
         self._groups = GroupBeliefs()
         self._paces = GroupPaces()
         self._groups_changed = threading.Condition(self._lock)
+        self._paths = PathBeliefs(settings.data_centre)
+        self._paths_doubted = threading.Condition(self._lock)
         self._deadlines = RouteDeadlines()
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
@@ -75,6 +82,8 @@
         self._is_reader = False
         self._settles_at = self.now() + SETTLE_SECONDS
         self._copy_listeners: list[Callable[[], None]] = []
+        self._cut_listeners: list[Callable[[], None]] = []
+        self._isolated_since: Instant | None = None
         self._kept: list[object] = []
 
     @property
@@ -196,6 +205,10 @@
         """Call a function whenever the copy has changed or was confirmed."""
         self._copy_listeners.append(listener)
 
+    def on_cut(self, listener: Callable[[], None]) -> None:
+        """Call a function whenever a path is found cut."""
+        self._cut_listeners.append(listener)
+
     def expect_lapses(self, until: Instant) -> None:
         """Record until when removals may stem from an outage."""
         with self._lock:
@@ -285,10 +298,108 @@
         service = table.services.get(endpoint.service) if table else None
         if service is None or not self._groups.takes_work(endpoint):
             return False
+        if self._paths.is_cut(endpoint.data_centre):
+            return False
         if not self._rate_limits.takes_work(endpoint.name, self.now()):
             return False
         return self._cold_gate.allows(endpoint, service, self._entries, self.now())
 
+    def is_isolated(self) -> bool:
+        """Return whether its data centre is cut off from all others."""
+        with self._lock:
+            places = {one.data_centre for one in self._directory.endpoints.values()}
+            return self._paths.is_isolated(places)
+
+    def is_cut_off(self) -> bool:
+        """Return whether entries elsewhere serve this one's callers better."""
+        table = self._directory.table
+        if table is None or not self.is_isolated():
+            return False
+        with self._lock:
+            return any(map(self._is_unserved, table.services))
+
+    def _is_unserved(self, service: str) -> bool:
+        usable = usable_endpoints(self._directory, service)
+        return bool(usable) and not any(map(self.takes_work, usable))
+
+    def cut_data_centres(self) -> list[str]:
+        """Return the data centres to which there is no path."""
+        with self._lock:
+            return self._paths.cut_data_centres()
+
+    def record_path(self, data_centre: str, *, reached: bool, weight: int = 1) -> None:
+        """Note whether something came from a data centre.
+
+        Args:
+            data_centre: The data centre.
+            reached: Whether it came.
+            weight: How many lost datagrams its absence speaks for.
+        """
+        with self._lock:
+            if reached:
+                self._paths.record_answer(data_centre)
+            elif self._paths.record_miss(data_centre, weight):
+                self._paths_doubted.notify()
+
+    def await_path_doubts(self) -> tuple[str, ...]:
+        """Return the data centres to check, as soon as there are any."""
+        with self._paths_doubted:
+            while not (doubted := self._paths.to_check()):
+                self._paths_doubted.wait()
+            return doubted
+
+    def draw_addresses(self, data_centre: str, number: int) -> list[str]:
+        """Return the addresses of some endpoints of a data centre."""
+        with self._lock:
+            there = [
+                one.address
+                for one in self._directory.endpoints.values()
+                if one.data_centre == data_centre
+            ]
+            return self._rng.sample(there, min(number, len(there)))
+
+    def record_path_check(
+        self, data_centre: str, *, reached: bool, is_platform_reached: bool
+    ) -> None:
+        """Take over whether connections to a data centre came about."""
+        with self._groups_changed:
+            self._paths.record_platform(reached=is_platform_reached)
+            places = {one.data_centre for one in self._directory.endpoints.values()}
+            has_changed = self._paths.record_check(data_centre, places, reached=reached)
+            if not self._paths.is_isolated(places):
+                self._isolated_since = None
+            elif self._isolated_since is None:
+                self._isolated_since = self.now()
+            if not has_changed:
+                return
+            _log.warning(
+                "Path changed %s.",
+                fields(
+                    data_centre=data_centre,
+                    reached=reached,
+                    platform=is_platform_reached,
+                ),
+            )
+            self._groups_changed.notify_all()
+        if not reached:
+            for listener in self._cut_listeners:
+                listener()
+
+    def seconds_to_move(self) -> float:
+        """Return how long the balancer still sends callers to this entry.
+
+        It needs two or three of its checks, a second apart, to send them to
+        another data centre.
+        """
+        since = self._isolated_since
+        return MOVE_SECONDS if since is None else since + MOVE_SECONDS - self.now()
+
+    def share_of(self, endpoints: Sequence[Incarnation]) -> EntryShare:
+        """Return what this entry has at endpoints that take work."""
+        with self._lock:
+            in_flight = sum(self._routing.view(one.name).sent for one in endpoints)
+            return EntryShare(in_flight, len(endpoints), self._entries)
+
     def record_chosen(self, endpoint: Incarnation) -> None:
         """Count a request that is about to be sent; under the lock."""
         record_sent(self._routing, endpoint.name)
@@ -348,11 +459,20 @@
             self._settings = settings
             self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
 
-    def record_group(self, group: str, epoch: int, is_open: bool) -> None:
-        """Take over what a rank or its announcement says of its group."""
+    def record_group(
+        self, group: str, epoch: int, is_open: bool, step: int | None = None
+    ) -> None:
+        """Take over what a rank or its announcement says of its group.
+
+        Args:
+            group: The group.
+            epoch: Its epoch.
+            is_open: Whether it takes work.
+            step: The last step that it began; None when that isn't told.
+        """
         with self._groups_changed:
             was_down = self._groups.is_down(group)
-            self._groups.record_report(group, epoch, is_open, self.now())
+            self._groups.record_report(group, epoch, is_open, self.now(), step)
             if was_down and not self._groups.is_down(group):
                 # Its ranks failed for the group's sake.
                 welcome_back(self._routing, self._ranks_of(group))
@@ -384,6 +504,23 @@
             self._groups.record_refusal(group, epoch, self.now())
             self._groups_changed.notify_all()
 
+    def record_stall(self, group: str, epoch: int, step: int) -> None:
+        """Note that a group with requests has begun no step for long.
+
+        Args:
+            group: The group.
+            epoch: Its epoch.
+            step: The last step that it began.
+        """
+        with self._groups_changed:
+            if self._groups.is_down(group):
+                return
+            self._metrics.count("group_stalled")
+            fact = fields(group=group, epoch=epoch, step=step)
+            _log.warning("Group stalled %s.", fact)
+            self._groups.record_stall(group, epoch, step, self.now())
+            self._groups_changed.notify_all()
+
     def _apply(self, changed: list[PublishedItem], source: str, now: Instant) -> None:
         before, replica = self._directory, self._replica
         facts = decode_items(sorted(changed, key=lambda item: item.revision), now)
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -43,4 +43,4 @@
     # A rank that can't be asked may be the very one that is lost; another one
     # is asked next.
     if report is not None:
-        gateway.record_group(group, report.epoch, report.is_open)
+        gateway.record_group(group, report.epoch, report.is_open, report.step)
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -36,6 +36,9 @@
 CHOICE_SECONDS = 0.2
 """Seconds between two choices of a reader that might follow another entry."""
 
+PEER_WEIGHT = 3
+"""Lost datagrams that a silent peer speaks for."""
+
 _log = make_logger("peers")
 
 
@@ -50,6 +53,7 @@
         self._relay = CopyRelay(gateway)
         self._upstreams = Upstreams(membership.vm, gateway.settings.data_centre)
         self._permits = PermitExchange(gateway, membership, self._channels)
+        self._cut_found = asyncio.Event()
 
     @property
     def permits(self) -> PermitExchange:
@@ -102,10 +106,19 @@
 
         self._gateway.on_copy(notify)
 
+    def watch_cuts(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Tell neighbours of a cut, in the given loop, once it is found."""
+
+        def notify() -> None:
+            loop.call_soon_threadsafe(self._cut_found.set)
+
+        self._gateway.on_cut(notify)
+
     async def run(self) -> None:
         """Exchange beliefs, round after round, until cancelled."""
         while True:
-            is_searching = self._gateway.is_platform_lost
+            has_cuts = bool(self._gateway.cut_data_centres())
+            is_searching = self._gateway.is_platform_lost or has_cuts
             now = self._gateway.now()
             duties = self._gateway.duties()
             peers = self._membership.choose_peers(
@@ -115,7 +128,21 @@
             self._gateway.set_entries(self._membership.count(now))
             is_hurried = is_searching or not self._membership.is_settled(now)
             pause = SEARCH_SECONDS if is_hurried else ROUND_SECONDS
-            await asyncio.sleep(pause * (0.75 + self._gateway.rng.random() / 2))
+            pause *= 0.75 + self._gateway.rng.random() / 2
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._cut_found.wait(), pause)
+                self._cut_found.clear()
+                await self._tell_neighbours()
+
+    async def _tell_neighbours(self) -> None:
+        """Exchange at once with all entries of the own data centre.
+
+        Callers are sent to other data centres once none of these is ready.
+        """
+        now, here = self._gateway.now(), self._gateway.settings.data_centre
+        reachable = self._membership.reachable(now)
+        near = [one.address for one in reachable if one.data_centre == here]
+        await asyncio.gather(*(self._ask(address) for address in near))
 
     async def follow_upstreams(self) -> None:
         """Follow one upstream after the other, until cancelled."""
@@ -166,6 +193,7 @@
             self._record_silence(address, error)
             return
         self._membership.record_answer(address)
+        self._gateway.record_path(news.hello.data_centre, reached=True)
         if address in self._silent:
             self._silent.discard(address)
             _log.info("Peer regained %s.", fields(address=address))
@@ -181,6 +209,9 @@
         """
         self._channels.drop(address)
         self._membership.record_silence(address)
+        data_centre = self._membership.data_centre_of(address)
+        # A peer is waited for much longer than a datagram.
+        self._gateway.record_path(data_centre, reached=False, weight=PEER_WEIGHT)
         if address not in self._silent:
             self._silent.add(address)
             name = type(error).__name__
@@ -199,6 +230,7 @@
             address=self._membership.address,
             leaving=self._gateway.leaving,
             data_centre=self._gateway.settings.data_centre,
+            cut=self._gateway.cut_data_centres(),
         )
 
     def _make_hello(self) -> pb.EntryHello:
@@ -222,6 +254,10 @@
             self._membership.note(
                 KnownEntry(hello.vm, hello.address, now, hello.data_centre)
             )
+        if hello.data_centre == self._gateway.settings.data_centre:
+            # What a neighbour doesn't reach, this one may not reach either.
+            for name in hello.cut:
+                self._gateway.record_path(name, reached=False, weight=PEER_WEIGHT)
         for entry in hello.entries:
             heard_at = now - entry.age
             self._membership.note(
@@ -248,6 +284,7 @@
 async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
     exchange = PeerExchange(gateway, membership)
     exchange.watch_copy(asyncio.get_running_loop())
+    exchange.watch_cuts(asyncio.get_running_loop())
     server: Any = Server([exchange])
     host, _, port = gateway.settings.control.rpartition(":")
     await server.start(host, int(port))
--- a/mintsaddle/direct/_probe.py
+++ b/mintsaddle/direct/_probe.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from mintsaddle.decisions.direct import EngineLoad, Incarnation
+from mintsaddle.decisions.expert_maps import FIRST_VERSION
 from mintsaddle.direct._agents import AgentLink, SilentAgents, agent_address
 from mintsaddle.platform import decode_rank_report, report_call
 from mintsaddle.settings import DirectSettings
@@ -52,7 +53,12 @@
             match decode_rank_report(replies[agent][0], one.place.rank):
                 case Success(report):
                     requests = report.running + report.queued
-                    loads[one.name] = EngineLoad(requests, report.epoch, report.step)
+                    loads[one.name] = EngineLoad(
+                        requests,
+                        report.epoch,
+                        report.step,
+                        has_first_map=report.version == FIRST_VERSION,
+                    )
         return loads
 
     def _take_link(self) -> AgentLink:
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -12,6 +12,7 @@
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_asking
 from mintsaddle.direct._maps import MapCoordinator
+from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peers import start_peers
 from mintsaddle.direct._server import CallerServer, most_callers, serve_pages
 from mintsaddle.direct._watchdog import Watchdog
@@ -52,7 +53,11 @@
     watchdog = Watchdog(gateway.now)
     callers = most_callers(settings)
     app = DirectApp(gateway, watchdog, callers)
-    server = CallerServer(app, settings.callers, lambda: gateway.leaving, callers)
+
+    def sends_callers_away() -> bool:
+        return gateway.leaving or gateway.is_cut_off()
+
+    server = CallerServer(app, settings.callers, sends_callers_away, callers)
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
         {
@@ -68,6 +73,7 @@
     start_peers(gateway, membership)
     MapCoordinator(gateway, membership).start()
     start_asking(gateway)
+    start_checking_paths(gateway)
     threading.Thread(
         target=_keep_limits, args=(gateway, server), name="limits", daemon=True
     ).start()
@@ -127,6 +133,7 @@
     told_at = gateway.now()
     finish_at = told_at + gateway.settings.stop_seconds * FINISH_SHARE
     time.sleep(ACCEPT_SECONDS)
+    server.stop_accepting()
     server.close_idle()
     while app.open_calls and gateway.now() < finish_at:
         time.sleep(_IDLE_PAUSE)
@@ -134,7 +141,7 @@
 
 
 def _show_ready(gateway: Gateway) -> tuple[str, str]:
-    if gateway.leaving or not gateway.knows_all:
+    if gateway.leaving or not gateway.knows_all or gateway.is_cut_off():
         return "503 Service Unavailable", "not serving\n"
     return "200 OK", "serving\n"
 
@@ -152,5 +159,7 @@
         if table is not None and table.limits != known:
             known = table.limits
             server.set_limits(known)
+        if gateway.is_cut_off():
+            server.close_idle()
         gateway.pool.sweep(gateway.directory.endpoints.keys())
         time.sleep(_LIMITS_PAUSE)
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -143,8 +143,12 @@
     def _open(
         self, endpoint: Incarnation, exchange: Exchange, watched: Watched
     ) -> tuple[Ending, _Attempt | None]:
+        is_fresh = not exchange.is_kept
         if not exchange.connect():
+            self._gateway.record_path(endpoint.data_centre, reached=False)
             return Ending.NOT_SENT, None
+        if is_fresh:
+            self._gateway.record_path(endpoint.data_centre, reached=True)
         call, message = self._call, self._message
         left = call.deadline - self._gateway.now()
         if left <= 0:
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -65,6 +65,15 @@
         is_leaving: Callable[[], bool],
         most_callers: int,
     ) -> None:
+        """Make the server.
+
+        Args:
+            app: The WSGI application.
+            address: IP and port to listen on.
+            is_leaving: Whether callers should go to another entry with their
+                next request.
+            most_callers: How many requests are served at one time.
+        """
         dispatcher = GrowingDispatcher(most_callers + _SPARE_THREADS)
         dispatcher.set_thread_count(FIRST_THREADS)
         self._server: TcpWSGIServer = create_server(
@@ -96,9 +105,12 @@
         adjustments.max_request_body_size = limits.body_bytes
         adjustments.channel_timeout = limits.idle_seconds
 
-    def close_idle(self) -> None:
-        """Take no more connections and close those that wait for nothing."""
+    def stop_accepting(self) -> None:
+        """Take no more connections."""
         self._server.accepting = False
+
+    def close_idle(self) -> None:
+        """Close connections that wait for nothing; callers open others."""
         for channel in tuple(self._server.active_channels.values()):
             if not channel.requests and channel.request is None:
                 channel.will_close = True
--- a/mintsaddle/direct/tests/test_probe.py
+++ b/mintsaddle/direct/tests/test_probe.py
@@ -50,7 +50,7 @@
         port = int(agent.address.rpartition(":")[2])
         probe = LoadProbe(SETTINGS._replace(agent_port=port), clock)
         found = probe.ask([make_endpoint(engine.address)])
-        assert found == {"i-0": EngineLoad(requests=5, epoch=3, step=9)}
+        assert found == {"i-0": EngineLoad(5, epoch=3, step=9, has_first_map=True)}
 
     def test_a_plain_service_is_not_probed(self, clock: Clock) -> None:
         probe = LoadProbe(SETTINGS._replace(agent_port=9), clock)
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -16,12 +16,14 @@
     Repeat,
     Route,
     RoutingTable,
+    StepModel,
 )
 from mintsaddle.values import MILLISECONDS
 
 _STREAMING = "streaming"
 _IDEMPOTENT = "idempotent"
 _BITS = 8
+_KILO = 1000
 
 
 def decode_table(value: bytes) -> Result[RoutingTable, str]:
@@ -102,6 +104,22 @@
         is_engine=isinstance(values.get("engine"), dict),
         cold_seconds=float(values.get("cold_start_s") or 0),
         experts=_decode_experts(values.get("engine") or {}),
+        steps=_decode_steps(values.get("engine") or {}),
+    )
+
+
+def _decode_steps(engine: Mapping[str, Any]) -> StepModel | None:
+    if not engine.get("step_ms"):
+        return None
+    usual = engine.get("usual") or {}
+    # Half of an answer is written on average.
+    context = float(usual.get("prompt") or 0) + float(usual.get("answer") or 0) / 2
+    per_context = float(engine.get("context_per_k") or 0) * context / _KILO
+    per_request = float(engine.get("per_seq_ms") or 0) + per_context
+    return StepModel(
+        token_seconds=float(engine["step_ms"]) / MILLISECONDS,
+        request_seconds=per_request / MILLISECONDS,
+        tokens=max(1, int(engine.get("stride") or 1)),
     )
 
 
--- a/mintsaddle/values/_outcomes.py
+++ b/mintsaddle/values/_outcomes.py
@@ -59,6 +59,7 @@
     CALLER_GONE = "caller-gone"
     CUT_OFF = "cut-off"
     UNREACHABLE = "unreachable"
+    ISOLATED = "isolated"
 
 
 class Refusal(NamedTuple):
