Let few requests wait at an engine; give paths and limits classes of their own

Change: at most 0.2 requests wait at an engine for each of its places. Gateway hands paths and limits of endpoints to Reach and EndpointLimits; no behaviour changed by that. Tried and dropped: places bounded by the largest skew of the last 8 s.

--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -19,7 +19,6 @@
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
 from mintsaddle.decisions.direct._first_map import (
-    FIRST_MAP_SKEW,
     EntryShare,
     bearable_requests,
     estimate_skew,
@@ -30,10 +29,6 @@
 from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
 
-SKEW_SECONDS = 8.0
-"""Seconds for which a skew is expected to return: two changes of popularity.
-A group that is full when its map falls behind is late with all its streams."""
-
 STALL_SECONDS = 0.5
 """Seconds without a new step after which a group with requests counts as
 stalled: several times a step of a full group. Its ranks wait for a lost one
@@ -66,9 +61,9 @@
 """Share of the places that are taken at least where streams are refused: steps
 of a group with free places are long for as long as its map is wrong."""
 
-MOST_WAITING = 1.0
-"""Requests that wait at an engine for each of its places at most: callers
-leave before more than that have ended."""
+MOST_WAITING = 0.2
+"""Requests that wait at an engine for each of its places at most: who waits
+behind more than one or two gets its first event too late."""
 
 
 def may_wait_for_room(
@@ -124,7 +119,6 @@
     def __init__(self) -> None:
         self._steps: dict[str, deque[tuple[Instant, int, int]]] = {}
         self._standing: dict[str, _Standing] = {}
-        self._skews: dict[str, deque[tuple[Instant, float]]] = {}
 
     def record(
         self, group: str, epoch: int, step: int, now: Instant, *, is_busy: bool = False
@@ -156,21 +150,6 @@
         stood = self._standing.get(group)
         return stood is not None and now - stood.since >= STALL_SECONDS
 
-    def record_skew(self, group: str, skew: float, now: Instant) -> None:
-        """Record how many times longer steps take than with equal work."""
-        skews = self._skews.setdefault(group, deque())
-        while skews and (now - skews[0][0] > SKEW_SECONDS or skews[0][1] <= skew):
-            skews.popleft()
-        while skews and skews[-1][1] <= skew:
-            skews.pop()
-        skews.append((now, skew))
-
-    def largest_skew(self, group: str, now: Instant, default: float) -> float:
-        """Return the largest skew of late; a default while none is known."""
-        skews = self._skews.get(group, ())
-        recent = (skew for at, skew in skews if now - at <= SKEW_SECONDS)
-        return max(recent, default=default)
-
     def is_slow(self, group: str, longest_pause: float, now: Instant) -> bool:
         """Return whether all streams of a group are late.
 
@@ -183,22 +162,6 @@
         slow_seconds = longest_pause * SLOW_SHARE
         return 0 < slow_seconds <= self.step_seconds(group, now)
 
-    def last_step_seconds(self, group: str) -> float:
-        """Return how long the last few steps took; 0 while it isn't known.
-
-        A map that is behind shows for half a second only, which a mean over a
-        longer time would hide.
-        """
-        steps = self._steps.get(group, ())
-        if not steps:
-            return 0.0
-        last_at, _, last = steps[-1]
-        before = [one for one in steps if last_at - one[0] >= LEAST_SECONDS]
-        if not before or before[-1][2] == last:
-            return 0.0
-        first_at, _, first = before[-1]
-        return (last_at - first_at) / (last - first)
-
     def step_seconds(self, group: str, now: Instant) -> float:
         """Return how long a step takes at present; 0 while it isn't known."""
         steps = [
@@ -285,21 +248,23 @@
         return candidates
     late = is_late(call, now)
     late_share = LATE_PLACES_SHARE if late else 1.0
-    _record_skews(told, loads, paces, now, steps)
 
     def has_place(one: Incarnation) -> bool:
         places: float = max(BLIND_SLOTS, one.slots)
         load = loads[one.name]
-        if steps is not None and one.place is not None:
-            default = FIRST_MAP_SKEW if load.has_first_map else 1.0
-            skew = paces.largest_skew(one.place.group, now, default)
+        if load.has_first_map and steps is not None and one.place is not None:
+            requests = [load.requests for load in loads.values()]
+            seconds = paces.step_seconds(one.place.group, now)
+            skew = estimate_skew(steps, seconds, requests)
             pause = call.route.longest_pause
-            places = bearable_requests(steps, skew, pause, int(places))
-        if load.has_first_map and share.is_used(places * late_share, late=late):
-            return False
-        if not late and places >= one.slots:
+            places = late_share * bearable_requests(steps, skew, pause, int(places))
+            if share.is_used(places, late=late):
+                return False
+        elif late:
+            places *= late_share
+        else:
             places *= 1.0 + MOST_WAITING
-        return load.requests < max(1.0, places * late_share)
+        return load.requests < max(1.0, places)
 
     told = [one for one in told if has_place(one)]
     places = sum(max(BLIND_SLOTS, one.slots) for one in told)
@@ -315,22 +280,3 @@
         return drawn < admit_share(step_seconds, call.route.longest_pause, late=late)
 
     return [one for one in told if admits(one)]
-
-
-def _record_skews(
-    told: Sequence[Incarnation],
-    loads: Mapping[str, EngineLoad],
-    paces: GroupPaces,
-    now: Instant,
-    steps: StepModel | None,
-) -> None:
-    if steps is None:
-        return
-    requests: dict[str, list[int]] = {}
-    for one in told:
-        if one.place is not None:
-            requests.setdefault(one.place.group, []).append(loads[one.name].requests)
-    for group, counts in requests.items():
-        seconds = paces.last_step_seconds(group)
-        if seconds > 0:
-            paces.record_skew(group, estimate_skew(steps, seconds, counts), now)
--- a/mintsaddle/decisions/direct/tests/test_pace.py
+++ b/mintsaddle/decisions/direct/tests/test_pace.py
@@ -20,7 +20,6 @@
 )
 from mintsaddle.decisions.direct._pace import (
     ALL_TO_ITSELF,
-    SKEW_SECONDS,
     STALL_SECONDS,
     admit_share,
 )
@@ -173,26 +172,6 @@
 """One engine whose places are taken, one with as many requests waiting."""
 
 
-class TestSkews:
-    """Popularity changes every few seconds, and maps follow a moment later."""
-
-    def test_a_skew_is_remembered_for_a_while(self) -> None:
-        """Guards against a group that is full when its map falls behind."""
-        paces = GroupPaces()
-        for at, skew in ((0.0, 1.4), (1.0, 2.1), (2.0, 1.3), (3.0, 1.5)):
-            paces.record_skew("g", skew, at)
-        assert paces.largest_skew("g", 3.0, 1.0) == 2.1
-        assert paces.largest_skew("g", 1.0 + SKEW_SECONDS + 0.1, 1.0) == 1.5
-        assert paces.largest_skew("g", 100.0, 1.0) == 1.0
-
-    def test_some_long_steps_show_at_once(self) -> None:
-        paces = GroupPaces()
-        for at, step in ((0.0, 0), (0.5, 10), (1.0, 20), (1.2, 22)):
-            paces.record("g", 1, step, at)
-        assert paces.last_step_seconds("g") == pytest.approx(0.1)
-        assert paces.step_seconds("g", 1.2) < 0.06
-
-
 class TestSlowGroups:
     """A slow rank holds up its whole group, which then has few requests."""
 
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -122,7 +122,7 @@
     """Choose an endpoint and count the request; None if it left meanwhile."""
     requests = {name: load.requests for name, load in loads.items()}
     endpoint = choose_by_load(admitted, requests)
-    if not gateway.take_permit(endpoint):
+    if not gateway.limits.take_permit(endpoint.name):
         return None
     with gateway.lock:
         # It may have left, or have got its share, while it was probed.
@@ -175,10 +175,10 @@
 ) -> None:
     heard = {one.data_centre for one in asked if one.name in told}
     for data_centre in heard:
-        gateway.record_path(data_centre, reached=True)
+        gateway.reach.record(data_centre, came=True)
     for one in asked:
         if one.place is not None and one.data_centre not in heard:
-            gateway.record_path(one.data_centre, reached=False)
+            gateway.reach.record(one.data_centre, came=False)
 
 
 def _record_paces(
@@ -225,7 +225,7 @@
             _sleep_until(gateway, place_at(call, gateway.now(), gateway.rng))
             continue
         has_waited = True
-        if gateway.is_isolated():
+        if gateway.reach.is_isolated:
             return Reason.ISOLATED
         permit_at = gateway.next_permit_at(call.service)
         if permit_at is not None and permit_at > call.due_at:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -15,9 +15,7 @@
     GroupBeliefs,
     GroupPaces,
     Incarnation,
-    PathBeliefs,
     PublishedItem,
-    RateLimits,
     Replica,
     RouteDeadlines,
     apply_facts,
@@ -26,9 +24,11 @@
     usable_endpoints,
 )
 from mintsaddle.decisions.routing import RoutingState, record_sent, welcome_back
+from mintsaddle.direct._endpoint_limits import EndpointLimits
 from mintsaddle.direct._metrics import Metrics
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.direct._probe import LoadProbe
+from mintsaddle.direct._reach import Reach
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_ours
 from mintsaddle.settings import DirectSettings
@@ -37,9 +37,6 @@
 _LIKELY_ENTRIES = 8
 """Entries assumed to share the retry budget until peers have told."""
 
-MOVE_SECONDS = 3.0
-"""Seconds from an entry's isolation until callers reach other data centres."""
-
 _log = make_logger("directory")
 
 
@@ -66,14 +63,14 @@
         self._groups = GroupBeliefs()
         self._paces = GroupPaces()
         self._groups_changed = threading.Condition(self._lock)
-        self._paths = PathBeliefs(settings.data_centre)
-        self._paths_doubted = threading.Condition(self._lock)
+        self._reach = Reach(
+            settings.data_centre, self._lock, self.now, self._data_centres
+        )
+        self._reach.on_change(self._notify_waiting)
         self._deadlines = RouteDeadlines()
         self._entries = _LIKELY_ENTRIES
         self._cold_gate = ColdGate(settings.cold_factor, settings.cold_slack)
-        self._rate_limits = RateLimits()
-        self._take_permit: Callable[[str], bool] = lambda endpoint: True
-        self._tell_of_limit: Callable[[str], None] = lambda endpoint: None
+        self._limits = EndpointLimits(self._lock, self.now)
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
@@ -82,8 +79,6 @@
         self._is_reader = False
         self._settles_at = self.now() + SETTLE_SECONDS
         self._copy_listeners: list[Callable[[], None]] = []
-        self._cut_listeners: list[Callable[[], None]] = []
-        self._isolated_since: Instant | None = None
         self._kept: list[object] = []
 
     @property
@@ -127,9 +122,14 @@
         return self._paces
 
     @property
-    def rate_limits(self) -> RateLimits:
-        """Which endpoints limit their requests; use it under the lock."""
-        return self._rate_limits
+    def limits(self) -> EndpointLimits:
+        """Which endpoints limit their requests, and permits for them."""
+        return self._limits
+
+    @property
+    def reach(self) -> Reach:
+        """Which data centres this entry reaches."""
+        return self._reach
 
     @property
     def groups_changed(self) -> threading.Condition:
@@ -205,10 +205,6 @@
         """Call a function whenever the copy has changed or was confirmed."""
         self._copy_listeners.append(listener)
 
-    def on_cut(self, listener: Callable[[], None]) -> None:
-        """Call a function whenever a path is found cut."""
-        self._cut_listeners.append(listener)
-
     def expect_lapses(self, until: Instant) -> None:
         """Record until when removals may stem from an outage."""
         with self._lock:
@@ -298,56 +294,31 @@
         service = table.services.get(endpoint.service) if table else None
         if service is None or not self._groups.takes_work(endpoint):
             return False
-        if self._paths.is_cut(endpoint.data_centre):
+        if self._reach.is_cut(endpoint.data_centre):
             return False
-        if not self._rate_limits.takes_work(endpoint.name, self.now()):
+        if not self._limits.takes_work(endpoint.name):
             return False
         return self._cold_gate.allows(endpoint, service, self._entries, self.now())
 
-    def is_isolated(self) -> bool:
-        """Return whether its data centre is cut off from all others."""
-        with self._lock:
-            places = {one.data_centre for one in self._directory.endpoints.values()}
-            return self._paths.is_isolated(places)
-
     def is_cut_off(self) -> bool:
         """Return whether entries elsewhere serve this one's callers better."""
         table = self._directory.table
-        if table is None or not self.is_isolated():
+        if table is None or not self._reach.is_isolated:
             return False
         with self._lock:
             return any(map(self._is_unserved, table.services))
 
+    def _data_centres(self) -> set[str]:
+        return {one.data_centre for one in self._directory.endpoints.values()}
+
+    def _notify_waiting(self) -> None:
+        with self._groups_changed:
+            self._groups_changed.notify_all()
+
     def _is_unserved(self, service: str) -> bool:
         usable = usable_endpoints(self._directory, service)
         return bool(usable) and not any(map(self.takes_work, usable))
 
-    def cut_data_centres(self) -> list[str]:
-        """Return the data centres to which there is no path."""
-        with self._lock:
-            return self._paths.cut_data_centres()
-
-    def record_path(self, data_centre: str, *, reached: bool, weight: int = 1) -> None:
-        """Note whether something came from a data centre.
-
-        Args:
-            data_centre: The data centre.
-            reached: Whether it came.
-            weight: How many lost datagrams its absence speaks for.
-        """
-        with self._lock:
-            if reached:
-                self._paths.record_answer(data_centre)
-            elif self._paths.record_miss(data_centre, weight):
-                self._paths_doubted.notify()
-
-    def await_path_doubts(self) -> tuple[str, ...]:
-        """Return the data centres to check, as soon as there are any."""
-        with self._paths_doubted:
-            while not (doubted := self._paths.to_check()):
-                self._paths_doubted.wait()
-            return doubted
-
     def draw_addresses(self, data_centre: str, number: int) -> list[str]:
         """Return the addresses of some endpoints of a data centre."""
         with self._lock:
@@ -358,42 +329,6 @@
             ]
             return self._rng.sample(there, min(number, len(there)))
 
-    def record_path_check(
-        self, data_centre: str, *, reached: bool, is_platform_reached: bool
-    ) -> None:
-        """Take over whether connections to a data centre came about."""
-        with self._groups_changed:
-            self._paths.record_platform(reached=is_platform_reached)
-            places = {one.data_centre for one in self._directory.endpoints.values()}
-            has_changed = self._paths.record_check(data_centre, places, reached=reached)
-            if not self._paths.is_isolated(places):
-                self._isolated_since = None
-            elif self._isolated_since is None:
-                self._isolated_since = self.now()
-            if not has_changed:
-                return
-            _log.warning(
-                "Path changed %s.",
-                fields(
-                    data_centre=data_centre,
-                    reached=reached,
-                    platform=is_platform_reached,
-                ),
-            )
-            self._groups_changed.notify_all()
-        if not reached:
-            for listener in self._cut_listeners:
-                listener()
-
-    def seconds_to_move(self) -> float:
-        """Return how long the balancer still sends callers to this entry.
-
-        It needs two or three of its checks, a second apart, to send them to
-        another data centre.
-        """
-        since = self._isolated_since
-        return MOVE_SECONDS if since is None else since + MOVE_SECONDS - self.now()
-
     def share_of(self, endpoints: Sequence[Incarnation]) -> EntryShare:
         """Return what this entry has at endpoints that take work."""
         with self._lock:
@@ -405,33 +340,6 @@
         record_sent(self._routing, endpoint.name)
         self._cold_gate.record_sent(endpoint, self.now())
 
-    def use_permits(
-        self, take: Callable[[str], bool], tell_of: Callable[[str], None]
-    ) -> None:
-        """Set how permits are taken, and how others hear of a limit.
-
-        Args:
-            take: Returns whether a request may be sent to an endpoint; waits.
-            tell_of: Tells other entries what is known of an endpoint's limit.
-        """
-        self._take_permit = take
-        self._tell_of_limit = tell_of
-
-    def take_permit(self, endpoint: Incarnation) -> bool:
-        """Return whether a request may be sent; call it without the lock.
-
-        Only endpoints that limit their requests need a permit.
-        """
-        with self._lock:
-            is_limited = self._rate_limits.is_limited(endpoint.name)
-        return not is_limited or self._take_permit(endpoint.name)
-
-    def record_denied(self, endpoint: str, until: Instant) -> None:
-        """Note that there is no permit for an endpoint for a while."""
-        self._metrics.count("permit_denied")
-        with self._lock:
-            self._rate_limits.record_denied(endpoint, until)
-
     def next_permit_at(self, service: str) -> Instant | None:
         """Return when a permit is expected; None if none was denied.
 
@@ -440,7 +348,7 @@
         """
         with self._lock:
             names = [one.name for one in usable_endpoints(self._directory, service)]
-            return self._rate_limits.next_permit_at(names, self.now())
+        return self._limits.next_permit_at(names)
 
     def record_rate_limit(
         self, endpoint: str, rate: float | None, observed_at: Instant
@@ -449,9 +357,7 @@
         with self._lock:
             if endpoint not in self._directory.endpoints:
                 return
-            has_changed = self._rate_limits.record(endpoint, rate, observed_at)
-        if has_changed:
-            self._tell_of_limit(endpoint)
+        self._limits.record(endpoint, rate, observed_at)
 
     def replace_settings(self, settings: DirectSettings) -> None:
         """Take over limits from a settings file that has changed."""
@@ -534,7 +440,7 @@
             self._deadlines.keep_only(routes)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
-            self._rate_limits.forget(name)
+            self._limits.forget(name)
         _log.info(
             "Beliefs changed %s.",
             fields(
--- a/mintsaddle/direct/_paths.py
+++ b/mintsaddle/direct/_paths.py
@@ -22,7 +22,7 @@
     pause = threading.Event()
     with ThreadPoolExecutor(PATH_CHECKS + 1, "paths") as pool:
         while True:
-            for data_centre in gateway.await_path_doubts():
+            for data_centre in gateway.reach.await_doubts():
                 _check(gateway, pool, data_centre)
             pause.wait(CHECK_SECONDS)
 
@@ -32,7 +32,7 @@
     addresses = gateway.draw_addresses(data_centre, PATH_CHECKS)
     store = pool.submit(_connects, gateway.settings.store)
     reached = _any_connects(pool, addresses)
-    gateway.record_path_check(
+    gateway.reach.record_check(
         data_centre, reached=reached, is_platform_reached=store.result()
     )
 
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -107,17 +107,17 @@
         self._gateway.on_copy(notify)
 
     def watch_cuts(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Tell neighbours of a cut, in the given loop, once it is found."""
+        """Tell neighbours in the given loop when a path is cut or back."""
 
         def notify() -> None:
             loop.call_soon_threadsafe(self._cut_found.set)
 
-        self._gateway.on_cut(notify)
+        self._gateway.reach.on_change(notify)
 
     async def run(self) -> None:
         """Exchange beliefs, round after round, until cancelled."""
         while True:
-            has_cuts = bool(self._gateway.cut_data_centres())
+            has_cuts = bool(self._gateway.reach.cut)
             is_searching = self._gateway.is_platform_lost or has_cuts
             now = self._gateway.now()
             duties = self._gateway.duties()
@@ -193,7 +193,7 @@
             self._record_silence(address, error)
             return
         self._membership.record_answer(address)
-        self._gateway.record_path(news.hello.data_centre, reached=True)
+        self._gateway.reach.record(news.hello.data_centre, came=True)
         if address in self._silent:
             self._silent.discard(address)
             _log.info("Peer regained %s.", fields(address=address))
@@ -211,7 +211,7 @@
         self._membership.record_silence(address)
         data_centre = self._membership.data_centre_of(address)
         # A peer is waited for much longer than a datagram.
-        self._gateway.record_path(data_centre, reached=False, weight=PEER_WEIGHT)
+        self._gateway.reach.record(data_centre, came=False, weight=PEER_WEIGHT)
         if address not in self._silent:
             self._silent.add(address)
             name = type(error).__name__
@@ -230,7 +230,7 @@
             address=self._membership.address,
             leaving=self._gateway.leaving,
             data_centre=self._gateway.settings.data_centre,
-            cut=self._gateway.cut_data_centres(),
+            cut=self._gateway.reach.cut,
         )
 
     def _make_hello(self) -> pb.EntryHello:
@@ -257,7 +257,7 @@
         if hello.data_centre == self._gateway.settings.data_centre:
             # What a neighbour doesn't reach, this one may not reach either.
             for name in hello.cut:
-                self._gateway.record_path(name, reached=False, weight=PEER_WEIGHT)
+                self._gateway.reach.record(name, came=False, weight=PEER_WEIGHT)
         for entry in hello.entries:
             heard_at = now - entry.age
             self._membership.note(
@@ -278,7 +278,7 @@
     def tell_of(endpoint: str) -> None:
         loop_thread.post(permits.mark_changed, endpoint)
 
-    gateway.use_permits(take_permit, tell_of)
+    gateway.limits.use(take_permit, tell_of)
 
 
 async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
--- a/mintsaddle/direct/_permits.py
+++ b/mintsaddle/direct/_permits.py
@@ -8,7 +8,6 @@
     Membership,
     Permit,
     RateGrants,
-    RateLimit,
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
@@ -61,10 +60,10 @@
                     continue
                 permit = asked
             if not permit.is_granted:
-                self._gateway.record_denied(endpoint, permit.next_at)
+                self._gateway.limits.record_denied(endpoint, permit.next_at)
             return permit.is_granted
         now = self._gateway.now()
-        self._gateway.record_denied(endpoint, now + _UNREACHABLE_SECONDS)
+        self._gateway.limits.record_denied(endpoint, now + _UNREACHABLE_SECONDS)
         return False
 
     def answer_wish(self, wish: pb.PermitWish) -> pb.PermitAnswer:
@@ -136,7 +135,7 @@
 
     def _grant(self, endpoint: str) -> Permit:
         now: Instant = self._gateway.now()
-        limit = self._limit_of(endpoint)
+        limit = self._gateway.limits.limit_of(endpoint)
         if limit.rate is None:
             return Permit(True, now)
         return self._grants.ask(endpoint, limit.rate, now)
@@ -148,13 +147,8 @@
         names = {*by_name, self._membership.vm}
         return by_name.get(rank_by_score(f"permits {endpoint}", names)[0])
 
-    def _limit_of(self, endpoint: str) -> RateLimit:
-        with self._gateway.lock:
-            known = self._gateway.rate_limits.limit_of(endpoint)
-        return known or RateLimit(None, self._gateway.now())
-
     def _make_rate(self, endpoint: str) -> pb.EndpointRate:
-        limit = self._limit_of(endpoint)
+        limit = self._gateway.limits.limit_of(endpoint)
         return pb.EndpointRate(
             endpoint=endpoint,
             limited=limit.rate is not None,
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -145,10 +145,10 @@
     ) -> tuple[Ending, _Attempt | None]:
         is_fresh = not exchange.is_kept
         if not exchange.connect():
-            self._gateway.record_path(endpoint.data_centre, reached=False)
+            self._gateway.reach.record(endpoint.data_centre, came=False)
             return Ending.NOT_SENT, None
         if is_fresh:
-            self._gateway.record_path(endpoint.data_centre, reached=True)
+            self._gateway.reach.record(endpoint.data_centre, came=True)
         call, message = self._call, self._message
         left = call.deadline - self._gateway.now()
         if left <= 0:
--- a/mintsaddle/platform/tests/test_isolation.py
+++ b/mintsaddle/platform/tests/test_isolation.py
@@ -68,13 +68,13 @@
         """Guards against callers that wait behind a cut for nothing."""
         gateway = make_gateway(silent, silent)
         found: list[bool] = []
-        gateway.on_cut(lambda: found.append(True))
+        gateway.reach.on_change(lambda: found.append(True))
         assert not gateway.is_cut_off()
         check(gateway)
         assert gateway.is_cut_off()
         assert found
-        assert 0 < gateway.seconds_to_move() <= 3.0
-        gateway.record_path("b", reached=True)
+        assert 0 < gateway.reach.seconds_to_move <= 3.0
+        gateway.reach.record("b", came=True)
         assert not gateway.is_cut_off()
 
     def test_an_entry_that_reaches_the_platform_stays(
@@ -83,7 +83,7 @@
         """Guards against refusals by the last data centre that lives."""
         gateway = make_gateway(silent, listener)
         check(gateway)
-        assert gateway.cut_data_centres() == ["b"]
+        assert gateway.reach.cut == ["b"]
         assert not gateway.is_cut_off()
 
     def test_a_vm_that_refuses_a_connection_is_reached(
@@ -93,4 +93,4 @@
             address = f"127.0.0.1:{closed.getsockname()[1]}"
         gateway = make_gateway(address, silent)
         check(gateway)
-        assert gateway.cut_data_centres() == []
+        assert gateway.reach.cut == []
