Give groups whose steps take longer fewer requests; probe each group

Cause: engines were chosen by their requests alone, and those of the own data centre were probed first, which may all be of one group. Ruled out: leaving out groups from a pause of 1.0 times the longest: the whole load would swing between two groups. Change: an engine's requests are weighed by how long its group's steps take, and the best engine of each group is probed first. A stall counts only between two looks that lie within half a second: a group that was idle meanwhile isn't stalled.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -57,6 +57,7 @@
     choose_by_load,
     choose_incarnation,
     has_free_place,
+    lead_each_group,
     rank_incarnations,
 )
 from mintsaddle.decisions.direct._rate_limits import (
@@ -169,6 +170,7 @@
     "is_late",
     "keep_seconds",
     "match_route",
+    "lead_each_group",
     "may_wait_for_room",
     "must_poll",
     "place_at",
--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -112,6 +112,9 @@
     since: Instant
     """Since when all ranks told this step and some had requests."""
 
+    seen_at: Instant
+    """When that was told last."""
+
 
 class GroupPaces:
     """How long the steps of groups take, by what their ranks tell."""
@@ -132,9 +135,7 @@
             now: The present instant.
             is_busy: Whether one of its ranks has requests.
         """
-        stood = self._standing.get(group)
-        if stood is None or not is_busy or (epoch, step) > (stood.epoch, stood.step):
-            self._standing[group] = _Standing(epoch, step, now)
+        self._record_standing(group, epoch, step, now, is_busy=is_busy)
         steps = self._steps.setdefault(group, deque())
         while steps and now - steps[0][0] > PACE_SECONDS:
             steps.popleft()
@@ -145,6 +146,22 @@
             steps.clear()
         steps.append((now, epoch, step))
 
+    def _record_standing(
+        self, group: str, epoch: int, step: int, now: Instant, *, is_busy: bool
+    ) -> None:
+        stood = self._standing.get(group)
+        if stood is not None and (epoch, step) < (stood.epoch, stood.step):
+            return
+        # Between two looks that lie apart the group may have been idle.
+        is_same = (
+            stood is not None
+            and is_busy
+            and (epoch, step) == (stood.epoch, stood.step)
+            and now - stood.seen_at <= STALL_SECONDS
+        )
+        since = stood.since if stood is not None and is_same else now
+        self._standing[group] = _Standing(epoch, step, since, now)
+
     def is_stalled(self, group: str, now: Instant) -> bool:
         """Return whether a group with requests has begun no step for long."""
         stood = self._standing.get(group)
--- a/mintsaddle/decisions/direct/_placement.py
+++ b/mintsaddle/decisions/direct/_placement.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
+from types import MappingProxyType
 
 from mintsaddle.decisions.direct._directory import Incarnation
 from mintsaddle.decisions.routing import RoutingState
@@ -79,21 +80,48 @@
     return sorted(rested, key=rank)
 
 
+def lead_each_group(ranked: Sequence[Incarnation]) -> list[Incarnation]:
+    """Return endpoints so that the best one of each rank group comes first.
+
+    Otherwise those of the own data centre, which may all be of one group, are
+    the only ones that are probed, and no group's load moves to another.
+
+    Args:
+        ranked: Endpoints, the best one first.
+    """
+    leaders: dict[str, Incarnation] = {}
+    for one in ranked:
+        leaders.setdefault(one.place.group if one.place else "", one)
+    first = list(leaders.values())
+    return first + [one for one in ranked if one not in first]
+
+
 def choose_by_load(
-    candidates: Sequence[Incarnation], loads: Mapping[str, int]
+    candidates: Sequence[Incarnation],
+    loads: Mapping[str, int],
+    step_seconds: Mapping[str, float] = MappingProxyType({}),
 ) -> Incarnation:
     """Return the endpoint to try by loads that were told a moment ago.
 
+    A request lasts as many steps in each group, so a group whose steps take
+    longer gets fewer requests: those that it has keep their pauses.
+
     Args:
         candidates: Endpoints that may be tried, the best one first by what was
             known before; at least one.
         loads: Requests at those that told, waiting ones included, by name.
+        step_seconds: How long steps take, by group, where that is known.
     """
     told = [one for one in candidates if one.name in loads]
-    return min(
-        told or candidates[:1],
-        key=lambda one: loads.get(one.name, 0) / max(BLIND_SLOTS, one.slots),
-    )
+    usual = min((s for s in step_seconds.values() if s > 0), default=1.0)
+
+    def cost(one: Incarnation) -> float:
+        group = one.place.group if one.place else ""
+        seconds = step_seconds.get(group, 0.0) or usual
+        requests = loads.get(one.name, 0) + 1
+        return requests * seconds / max(BLIND_SLOTS, one.slots)
+
+    return min(told or candidates[:1], key=cost)
 
 
 def has_free_place(candidates: Sequence[Incarnation], loads: Mapping[str, int]) -> bool:
--- a/mintsaddle/decisions/direct/tests/test_pace.py
+++ b/mintsaddle/decisions/direct/tests/test_pace.py
@@ -222,6 +222,13 @@
             paces.record("g", 1, 7, at, is_busy=is_busy)
         assert not paces.is_stalled("g", 5.1)
 
+    def test_a_group_that_nobody_looked_at_is_not(self) -> None:
+        """Guards against a group that was idle between two requests."""
+        paces = GroupPaces()
+        for at in (0.0, 5.0):
+            paces.record("g", 1, 7, at, is_busy=True)
+        assert not paces.is_stalled("g", 5.0)
+
     def test_older_reports_change_nothing(self) -> None:
         paces = GroupPaces()
         paces.record("g", 1, 7, 0.0, is_busy=True)
--- a/mintsaddle/decisions/direct/tests/test_placement.py
+++ b/mintsaddle/decisions/direct/tests/test_placement.py
@@ -9,8 +9,10 @@
     MOST_PROBES,
     PROBES,
     Incarnation,
+    RankPlace,
     choose_by_load,
     has_free_place,
+    lead_each_group,
     rank_incarnations,
 )
 from mintsaddle.decisions.routing import RoutingState, record_finished, record_sent
@@ -101,3 +103,37 @@
         self, loads: dict[str, int], chosen: str
     ) -> None:
         assert choose_by_load(self.ENGINES, loads).name == chosen
+
+
+class TestPaces:
+    """One slow rank holds up its group; the other group has room."""
+
+    def choose(self, slow_requests: int, quick_requests: int) -> str:
+        def make(name: str, group: str) -> Incarnation:
+            place = RankPlace(group, 1, 0, 1, is_open=True)
+            return Incarnation(name, "s", name, "a", 5, False, 0.0, 1, place)
+
+        engines = [make("slow", "g"), make("quick", "h")]
+        loads = {"slow": slow_requests, "quick": quick_requests}
+        return choose_by_load(engines, loads, {"g": 0.13, "h": 0.07}).name
+
+    def test_a_group_with_longer_steps_gets_fewer_requests(self) -> None:
+        """Guards against pauses that grow while the other group has room."""
+        assert self.choose(slow_requests=2, quick_requests=3) == "quick"
+        assert self.choose(slow_requests=1, quick_requests=4) == "slow"
+
+    def test_each_group_is_probed(self) -> None:
+        """Guards against a data centre that knows of one group only."""
+        engines = [
+            make_engine(number)._replace(
+                place=RankPlace(group, 1, number, 4, is_open=True)
+            )
+            for number, group in enumerate("ggggh")
+        ]
+        assert lead_each_group(engines)[:2] == [engines[0], engines[4]]
+        assert sorted(lead_each_group(engines)) == sorted(engines)
+
+    def test_an_unknown_pace_counts_as_the_best_known(self) -> None:
+        place = RankPlace("new", 1, 0, 1, is_open=True)
+        engine = Incarnation("i", "s", "i", "a", 5, False, 0.0, 1, place)
+        assert choose_by_load([engine], {"i": 1}, {"g": 0.13}) == engine
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -13,6 +13,7 @@
     has_free_place,
     hold_until,
     is_late,
+    lead_each_group,
     may_wait_for_room,
     place_at,
     prefer_quick_groups,
@@ -60,6 +61,7 @@
         with gateway.lock:
             now = gateway.now()
             ranked, slow = prefer_quick_groups(call, ranked, gateway.paces, now)
+        ranked = lead_each_group(ranked)
         loads = _probe_loads(gateway, ranked, slow)
         admitted = _admit(gateway, call, ranked, loads)
         if admitted:
@@ -121,7 +123,11 @@
 ) -> Incarnation | None:
     """Choose an endpoint and count the request; None if it left meanwhile."""
     requests = {name: load.requests for name, load in loads.items()}
-    endpoint = choose_by_load(admitted, requests)
+    groups = {one.place.group for one in admitted if one.place is not None}
+    with gateway.lock:
+        now = gateway.now()
+        steps = {group: gateway.paces.step_seconds(group, now) for group in groups}
+    endpoint = choose_by_load(admitted, requests, steps)
     if not gateway.limits.take_permit(endpoint.name):
         return None
     with gateway.lock:
