Spread only late streams over a return, not orders and lookups

Cause: found by reading the diff: an order that had waited until one of its endpoints took work again would have slept for up to 0.4 s more, of 0.8 s that its caller has in all. Change: only streams are spread.

--- a/mintsaddle/decisions/direct/_groups.py
+++ b/mintsaddle/decisions/direct/_groups.py
@@ -113,14 +113,14 @@
 
 
 def place_at(call: DirectCall, now: Instant, rng: random.Random) -> Instant:
-    """Return when a stream that has waited for its group may be placed.
+    """Return when a request that has waited for endpoints may be placed.
 
     Args:
-        call: The stream; one that can still be on time goes at once.
-        now: When its group is back.
+        call: The request; only streams that can't be on time any more wait.
+        now: When an endpoint takes work again.
         rng: The source of the spread.
     """
-    if not is_late(call, now):
+    if not call.route.is_stream or not is_late(call, now):
         return now
     return now + rng.random() * min(RETURN_SPREAD, max(0.0, hold_until(call) - now))
 
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -40,6 +40,7 @@
     decide_next,
     drop_lapsed,
     hold_until,
+    place_at,
     record_attempt,
     usable_endpoints,
 )
@@ -326,6 +327,18 @@
         late = make_call()._replace(arrived_at=0.0, deadline=1.0)
         assert hold_until(late) == pytest.approx(0.75)
 
+    def test_late_streams_are_spread_over_a_return_and_nothing_else_is(self) -> None:
+        """Guards against a crowd that finds all engines idle at one moment."""
+        rng = random.Random(3)
+        order = make_call(Repeat.ONCE)
+        stream = order._replace(route=order.route._replace(is_stream=True))
+        fresh = stream._replace(due_at=5.0)
+        assert {place_at(one, 1.0, rng) for one in (order, fresh)} == {1.0}
+        times = [place_at(stream, 1.0, rng) for _ in range(100)]
+        assert 1.0 <= min(times) < 1.05
+        assert 1.35 < max(times) <= 1.4
+        assert place_at(stream, 8.0, rng) == 8.0
+
     def test_refused_callers_come_back_spread_out_and_in_time(self) -> None:
         rng = random.Random(1)
         times = [advise_retry(6.0, 4.0, rng) for _ in range(100)]
