--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -152,7 +152,7 @@
         stood = self._standing.get(group)
         if stood is not None and (epoch, step) < (stood.epoch, stood.step):
             return
-        # Between two looks that lie apart the group may have been idle.
+        # Between two polls that lie apart the group may have been idle.
         is_same = (
             stood is not None
             and is_busy
@@ -198,7 +198,7 @@
     paces: GroupPaces,
     now: Instant,
 ) -> tuple[list[Incarnation], list[Incarnation]]:
-    """Return the engines to try, and one of each slow group to keep an eye on.
+    """Return the engines to try, and one of each slow group to be polled.
 
     A slow group has few requests, so it looks least loaded. While all groups
     are slow, all engines are tried.
--- a/mintsaddle/decisions/direct/tests/test_pace.py
+++ b/mintsaddle/decisions/direct/tests/test_pace.py
@@ -222,7 +222,7 @@
             paces.record("g", 1, 7, at, is_busy=is_busy)
         assert not paces.is_stalled("g", 5.1)
 
-    def test_a_group_that_nobody_looked_at_is_not(self) -> None:
+    def test_a_group_that_nobody_polled_is_not(self) -> None:
         """Guards against a group that was idle between two requests."""
         paces = GroupPaces()
         for at in (0.0, 5.0):
