Do the work of admission and isolation once, and only when needed

Cause: found by reading the whole change: the requests that probed engines told were listed anew for each engine; a waiting call searched the directory twice for the same endpoints; and each answer's head asked whether the entry is isolated, which listed the data centres of all endpoints though nothing is cut. Change: listed once; the endpoints at hand are used; without a cut the answer is no at once. No decision changes: nothing can be isolated without a cut. Checked: format, lint, types, all tests of decisions/direct, direct and platform. Left: GroupPaces notices stalls beside expert_maps' StallWatch, which counts from the first busy poll; one class for both would change when a stall is seen.

--- a/mintsaddle/decisions/direct/_groups.py
+++ b/mintsaddle/decisions/direct/_groups.py
@@ -57,7 +57,7 @@
         self._down[group] = (max(epoch, known_epoch), now)
 
     def record_stall(self, group: str, epoch: int, step: int, now: Instant) -> None:
-        """Note that a group with requests stands still at a step."""
+        """Note that a group with requests has stalled at a step."""
         self.record_refusal(group, epoch, now)
         self._stalled_at[group] = step
 
--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -265,12 +265,12 @@
         return candidates
     late = is_late(call, now)
     late_share = LATE_PLACES_SHARE if late else 1.0
+    requests = [load.requests for load in loads.values()]
 
     def has_place(one: Incarnation) -> bool:
         places: float = max(BLIND_SLOTS, one.slots)
         load = loads[one.name]
         if load.has_first_map and steps is not None and one.place is not None:
-            requests = [load.requests for load in loads.values()]
             seconds = paces.step_seconds(one.place.group, now)
             skew = estimate_skew(steps, seconds, requests)
             pause = call.route.longest_pause
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -233,7 +233,7 @@
         has_waited = True
         if gateway.reach.is_isolated:
             return Reason.ISOLATED
-        permit_at = gateway.next_permit_at(call.service)
+        permit_at = gateway.limits.next_permit_at(one.name for one in usable)
         if permit_at is not None and permit_at > call.due_at:
             return Reason.RATE_LIMITED
         left = (permit_at or wait_until) - gateway.now()
--- a/mintsaddle/direct/_reach.py
+++ b/mintsaddle/direct/_reach.py
@@ -44,6 +44,9 @@
     def is_isolated(self) -> bool:
         """Whether the entry's data centre is cut off from all others."""
         with self._lock:
+            # Asked with every answer, and hardly ever is anything cut.
+            if not self._paths.cut_data_centres():
+                return False
             return self._paths.is_isolated(self._data_centres())
 
     @property
