Log why calls to the store fail, what a reading held, and its era

Cause: the hypotheses about the incident couldn't be told apart. After the store was regained every other call of the readers failed for seconds, and no line said why; nor did any say that a complete reading held items that weren't taken over.

Change: `History gone` and `Copy read` say where store and copy stand and how many items were older than the copy's; calls are counted by their result on /metrics. The adapter decodes `Store-Era`; `Store found` and `Store restored` tell it. No decision changed.

--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -91,6 +91,14 @@
         ]
         return self.merge((*listed, *gone), position)
 
+    def count_older(self, items: Iterable[PublishedItem]) -> int:
+        """Return how many items are older than what is known of their keys."""
+        known = self._items
+        return sum(
+            item.key in known and item.revision < known[item.key].revision
+            for item in items
+        )
+
     def changes_since(self, position: int) -> list[PublishedItem]:
         """Return what a peer that stands at a revision is missing."""
         return [item for item in self._items.values() if item.revision > position]
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -45,6 +45,7 @@
         self._may_start_old = any(peer != settings.control for peer in settings.peers)
         self._is_history_gone = False
         self._is_well = True
+        self._era: int | None = None
 
     def run(self) -> NoReturn:
         while True:
@@ -67,6 +68,8 @@
         is_reading = is_first or self._is_history_gone
         match self._ask(is_reading=is_reading, is_first=is_first):
             case Success(answer):
+                gateway.metrics.count("store_answered")
+                self._record_era(answer)
                 if not self._is_well:
                     self._record_regained()
                 gateway.take_items(
@@ -85,7 +88,11 @@
                     )
             case Failure(StoreProblem.HISTORY_GONE):
                 self._is_history_gone = True
+                gateway.metrics.count(f"store_{StoreProblem.HISTORY_GONE.value}")
+                position = gateway.replica.position
+                _log.info("History gone %s.", fields(position=position))
             case Failure(problem):
+                gateway.metrics.count(f"store_{problem.value}")
                 self._record_lost(problem)
                 pause = gateway.settings.news_within * RETRY_SHARE
                 threading.Event().wait(pause * (0.5 + gateway.rng.random()))
@@ -110,6 +117,23 @@
         # A watch's answer is current as it is sent.
         return asked_at if is_reading else self._gateway.now()
 
+    def _record_era(self, answer: StoreAnswer) -> None:
+        if answer.era == self._era:
+            return
+        if self._era is None:
+            _log.info("Store found %s.", fields(era=answer.era))
+        else:
+            _log.warning(
+                "Store restored %s.",
+                fields(
+                    era_before=self._era,
+                    era=answer.era,
+                    at=answer.position,
+                    position=self._gateway.replica.position,
+                ),
+            )
+        self._era = answer.era
+
     def _record_regained(self) -> None:
         self._is_well = True
         self._gateway.record_regained()
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -266,8 +266,21 @@
         with self._lock:
             replica = self._replica
             take = replica.replace if is_complete else replica.merge
-            changed = take([item for item in items if is_ours(item.key)], position)
+            ours = [item for item in items if is_ours(item.key)]
+            older = replica.count_older(ours)
+            changed = take(ours, position)
             replica.confirm(confirmed_at)
+            if is_complete:
+                _log.info(
+                    "Copy read %s.",
+                    fields(
+                        at=position,
+                        position=replica.position,
+                        items=len(ours),
+                        changed=len(changed),
+                        older=older,
+                    ),
+                )
             if changed:
                 self._apply(changed, source, self.now())
         for listener in self._copy_listeners:
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -18,6 +18,10 @@
 store is waited for and a silent connection costs one second only."""
 
 _LARGEST_ANSWER = 4 * 1_048_576
+_ERA_HEADERS = ("Store-Era", "X-Mintsaddle-Store-Era")
+"""Header that counts how often the store came back from an older copy; its
+name with and without the prefix that other headers have."""
+
 _MOST_PAGES = 200
 """Pages of one reading; 100,000 items at the store's 500 a page."""
 
@@ -38,6 +42,10 @@
     position: int
     """Revision up to which nothing is missing."""
 
+    era: int | None = None
+    """How often the store had come back from an older copy, each time with
+    revisions that it gives out again; None if it doesn't say."""
+
 
 class StoreClient:
     """A kept connection to the store, for one thread."""
@@ -45,6 +53,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._connection: http.client.HTTPConnection | None = None
+        self._era: int | None = None
 
     def read_all(
         self, prefix: str, *, may_be_old: bool = False
@@ -79,7 +88,7 @@
                     position = at if position < 0 else min(position, at)
                     items.extend(page)
                     if not answer.get("has_more") or not page:
-                        return Success(StoreAnswer(tuple(items), position))
+                        return Success(StoreAnswer(tuple(items), position, self._era))
                     after = page[-1].key
         return Failure(StoreProblem.UNREADABLE)
 
@@ -105,7 +114,8 @@
                 items = _read_items(answer.get("events"))
                 if items is None or not isinstance(answer.get("at"), int):
                     return Failure(StoreProblem.UNREADABLE)
-                return Success(StoreAnswer(items, max(position, answer["at"])))
+                at = max(position, answer["at"])
+                return Success(StoreAnswer(items, at, self._era))
         raise AssertionError("a result is a success or a failure")
 
     def close(self) -> None:
@@ -138,6 +148,7 @@
     def _read_answer(
         self, response: http.client.HTTPResponse, body: bytes
     ) -> Result[dict[str, Any], StoreProblem]:
+        self._era = _read_era(response)
         if response.status == http.client.GONE:
             return Failure(StoreProblem.HISTORY_GONE)
         if response.status != http.client.OK:
@@ -153,6 +164,13 @@
         return Success(answer)
 
 
+def _read_era(response: http.client.HTTPResponse) -> int | None:
+    """Return the era that an answer names; None for none or a bad one."""
+    found = (response.getheader(name) for name in _ERA_HEADERS)
+    text = next((value for value in found if value is not None), "")
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _read_items(values: Any) -> tuple[PublishedItem, ...] | None:
     """Return the items of an answer; None when it isn't a list of items."""
     if not isinstance(values, list):
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable, Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 WAIT_SECONDS = 10.0
@@ -44,9 +44,11 @@
     def log_message(self, *_: object) -> None:
         """Keep the test's output quiet."""
 
-    def send_json(self, status: int, values: object) -> None:
+    def send_json(self, status: int, values: object, **headers: str) -> None:
         body = json.dumps(values).encode()
         self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -60,6 +62,13 @@
         """Callers that hang up are part of the tests."""
 
 
+class StoreCopy(NamedTuple):
+    """What a store held at some moment."""
+
+    items: dict[str, dict[str, Any]]
+    revision: int
+
+
 class Store:
     """The platform's store: items by key, readable and watchable."""
 
@@ -67,6 +76,7 @@
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
         self.revision = 1
+        self.era = 1
         self.history_from = 0
         self.is_down = False
         self.watching = 0
@@ -116,6 +126,19 @@
             self.history_from = self.revision
             self.changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        with self.changed:
+            return StoreCopy(dict(self.items), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later revisions are given out again."""
+        with self.changed:
+            self.items = dict(copy.items)
+            self.events = [e for e in self.events if e["revision"] <= copy.revision]
+            self.revision = copy.revision
+            self.era += 1
+            self.changed.notify_all()
+
     def answer(self, handler: _Handler) -> None:
         if self.is_down:
             handler.close_connection = True
@@ -134,7 +157,8 @@
                 ]
                 answer = {"items": items[:2], "has_more": len(items) > 2}
                 answer["at"] = self.revision
-            handler.send_json(200, answer)
+                era = str(self.era)
+            handler.send_json(200, answer, Store_Era=era)
         else:
             self._answer_watch(handler, query)
 
@@ -145,18 +169,21 @@
             self.watching += 1
             while not (events := self._events(query["prefix"], after)):
                 left = deadline - time.monotonic()
-                if left <= 0 or after < self.history_from or self.is_down:
+                if left <= 0 or self._lacks(after) or self.is_down:
                     break
                 self.changed.wait(min(left, 0.1))
-            at = self.revision
+            at, era, is_lost = self.revision, str(self.era), self._lacks(after)
             self.watching -= 1
             self.told += [event["revision"] for event in events]
         if self.is_down:
             handler.close_connection = True
-        elif after < self.history_from:
-            handler.send_json(410, {})
+        elif is_lost:
+            handler.send_json(410, {}, Store_Era=era)
         else:
-            handler.send_json(200, {"events": events, "at": at})
+            handler.send_json(200, {"events": events, "at": at}, Store_Era=era)
+
+    def _lacks(self, revision: int) -> bool:
+        return not self.history_from <= revision <= self.revision
 
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
@@ -444,6 +471,12 @@
         connection.request(method, path, headers=sent)
         return connection
 
+    def fetch_metrics(self) -> str:
+        """Return its metrics page."""
+        connection = http.client.HTTPConnection(f"127.0.0.1:{self.metrics}")
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
     def call(
         self, method: str, path: str, **headers: str
     ) -> tuple[int, dict[str, str], bytes]:
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -379,9 +379,7 @@
 class TestMetrics:
     def test_counters_and_latencies_are_served(self, site: Site) -> None:
         site.entry.call("GET", "/lookup/1")
-        connection = http.client.HTTPConnection(f"127.0.0.1:{site.entry.metrics}")
-        connection.request("GET", "/metrics")
-        text = connection.getresponse().read().decode()
+        text = site.entry.fetch_metrics()
         assert "mintsaddle_ended_answered 1" in text
         assert 'mintsaddle_first_ms{workspace="north",class="lookup"' in text
 
