Give a peer the whole copy where removals have left no trace

What callers would see: requests to an endpoint or a data centre that is gone, until its key changes again.

Cause: an entry that has read the whole store holds no removal of keys that it never knew. A peer that stood before that reading took its changes over, rose to its position and kept the removed key, since nothing that was told named it, and its watch went on after the removal.

Change: a copy remembers where its last complete reading stood and which removals it has forgotten; a peer that stands before that gets everything and drops what isn't among it.

--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -46,6 +46,7 @@
         self._prefix = prefix
         self._items: dict[str, PublishedItem] = {}
         self._position = Position()
+        self._floor = 0
         self._confirmed_at: Instant = 0.0
         self._lapse_until: Instant = 0.0
 
@@ -114,6 +115,8 @@
         if not self.accepts(position, is_complete=True):
             return []
         listed = tuple(items)
+        # Of keys that came and went before, it holds no removal.
+        self._floor = max(self._floor, position.revision)
         is_new_era = position.era > self._position.era
         present = {item.key for item in listed}
         gone = [
@@ -124,18 +127,27 @@
             and (is_new_era or known.revision <= position.revision)
         ]
         if is_new_era:
+            self._floor = position.revision
             return self._start_era((*listed, *gone), position)
         return self.merge((*listed, *gone), position)
 
+    def lacks_removals_since(self, position: Position) -> bool:
+        """Return whether a peer that stands at a position needs a whole copy.
+
+        Only what is removed after the last complete reading leaves a trace.
+        """
+        return position < Position(self._position.era, self._floor)
+
     def changes_since(self, position: Position) -> list[PublishedItem]:
         """Return what a peer that stands at a position is missing.
 
-        A peer that stands in an earlier era gets everything.
+        That is everything if it needs a whole copy.
         """
         if position > self._position:
             return []
-        floor = position.revision if position.era == self._position.era else 0
-        return [item for item in self._items.values() if item.revision > floor]
+        if self.lacks_removals_since(position):
+            return list(self._items.values())
+        return [i for i in self._items.values() if i.revision > position.revision]
 
     def is_contradicted(
         self, items: Iterable[PublishedItem], asked: Position, revision: int
@@ -196,6 +208,7 @@
         removed.sort(key=lambda item: item.revision)
         for item in removed[: len(removed) - _MOST_TOMBSTONES]:
             del self._items[item.key]
+            self._floor = max(self._floor, item.revision)
 
 
 def _clash(known: PublishedItem, read: PublishedItem | None, revision: int) -> bool:
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -207,6 +207,16 @@
         replica.merge([PublishedItem("p/1", 8, None)], at(8))
         assert replica.changes_since(at(6)) == [PublishedItem("p/1", 8, None)]
 
+    def test_a_peer_hears_of_removals_that_the_teller_never_saw(self) -> None:
+        """Guards against a removal lost between two copies."""
+        peer, fresh = Replica("p/"), Replica("p/")
+        peer.merge([PublishedItem("p/1", 5, b"x")], at(5))
+        fresh.replace([PublishedItem("p/2", 6, b"y")], at(9))
+        assert fresh.lacks_removals_since(at(5))
+        told = fresh.changes_since(at(5))
+        assert PublishedItem("p/1", 9, None) in peer.replace(told, at(9))
+        assert not fresh.lacks_removals_since(at(9))
+
 
 class TestPlacement:
     def test_the_least_utilised_endpoint_is_chosen(self) -> None:
--- a/mintsaddle/direct/_relay.py
+++ b/mintsaddle/direct/_relay.py
@@ -67,7 +67,7 @@
             replica = self._gateway.replica
             hello.positions.append(self.make_position(self._gateway.now()))
             changes = replica.changes_since(known)
-            is_complete = known.era < replica.position.era
+            is_complete = replica.lacks_removals_since(known)
             reached = max(known, replica.position)
         items = [self._encode(item) for item in changes]
         news = pb.EntryNews(hello=hello, items=items, complete=is_complete)
