Relay the value that a revision has now, not one from before a restore

What callers would see: followers of a reader keep an older configuration after the store was restored, while the reader itself has the newer one.

Change: a compressed value is kept with the item that it was made of.

Shown by: the new test, which failed before.

--- a/mintsaddle/direct/_relay.py
+++ b/mintsaddle/direct/_relay.py
@@ -36,7 +36,7 @@
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
         self._changed = asyncio.Event()
-        self._compressed: dict[str, pb.RelayedItem] = {}
+        self._compressed: dict[str, tuple[PublishedItem, pb.RelayedItem]] = {}
 
     def notify(self) -> None:
         """Wake the streams of all followers."""
@@ -139,16 +139,16 @@
                 removed=item.value is None,
                 value=value,
             )
-        known = self._compressed.get(item.key)
-        if known is None or known.revision != item.revision:
-            known = pb.RelayedItem(
+        source, relayed = self._compressed.get(item.key, (None, None))
+        if relayed is None or source != item:
+            relayed = pb.RelayedItem(
                 key=item.key,
                 revision=item.revision,
                 value=zlib.compress(value),
                 compressed=True,
             )
-            self._compressed[item.key] = known
-        return known
+            self._compressed[item.key] = (item, relayed)
+        return relayed
 
 
 def position_in(hello: pb.EntryHello) -> Position:
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -1,13 +1,16 @@
 """Taking published items over."""
 
 import json
+import zlib
 
 import pytest
 
 from mintsaddle.decisions.direct import Position, PublishedItem
 from mintsaddle.decisions.routing import record_failed
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._relay import COMPRESSED_BYTES, CopyRelay
 from mintsaddle.settings import DirectSettings
+from mintsaddle.transport.proto import peer_pb2 as pb
 
 ANNOUNCED = (
     b'{"service":"desk","address":"10.0.0.9:80","zone":"a","version":"v1",'
@@ -131,3 +134,23 @@
         assert len(told) == 2
         assert "at_fault=i-7" in told[0]
         assert "Group regained group=g epoch=2" in told[1]
+
+
+class TestRelays:
+    def test_a_value_whose_revision_is_given_out_again_is_relayed(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against a compressed value kept from before a restore."""
+        relay = CopyRelay(gateway)
+        for era, word in enumerate((b"old", b"new")):
+            item = PublishedItem("op/config", 7, word * COMPRESSED_BYTES)
+            gateway.take_items(
+                [item],
+                Position(era, 7),
+                is_complete=True,
+                confirmed_at=gateway.now(),
+                source="test",
+            )
+            news, _ = relay.make_news(pb.EntryHello(), Position())
+        (told,) = [one for one in news.items if one.key == "op/config"]
+        assert zlib.decompress(told.value).startswith(b"new")
