Join only pages of one history, and date an old reading by its items

Cause: found by reading what else trusts a revision. Pages of a reading that the store answered before and after a restore were joined to a copy that never was; and the first reading of an entry, which may be seconds old, took the revision that it names for that of its items.

Change: pages whose era differs, or whose revisions go back, are read again; an old reading leads no further than its newest item.

Shown by: two tests against the stand-in store, which failed before.

--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -3,9 +3,10 @@
 import base64
 import enum
 import http.client
+import itertools
 import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 from returns.result import Failure, Result, Success
@@ -35,6 +36,17 @@
     HISTORY_GONE = "history-gone"
 
 
+class _Page(NamedTuple):
+    """A part of a reading."""
+
+    items: tuple[PublishedItem, ...]
+    at: int
+    """The store's revision as it was read."""
+
+    era: int | None
+    has_more: bool
+
+
 class StoreClient:
     """A kept connection to the store, for one thread."""
 
@@ -57,34 +69,37 @@
             may_be_old: Whether an answer that is seconds old will do; it
                 costs the store a tenth.
         """
-        items: list[PublishedItem] = []
-        position = -1
-        era: int | None = None
-        after = ""
-        for _ in range(_MOST_PAGES):
-            query = {"prefix": prefix}
-            if may_be_old:
-                query["stale_ok"] = "1"
-            if after:
-                query["after"] = after
-            match self._get("kv-range", query, READ_SECONDS):
+        pages: list[_Page] = []
+        while len(pages) < _MOST_PAGES:
+            match self._read_page(prefix, pages, may_be_old=may_be_old):
                 case Failure(problem):
                     return Failure(problem)
-                case Success(answer):
-                    page = _read_items(answer.get("items"))
-                    if page is None or not isinstance(answer.get("at"), int):
-                        return Failure(StoreProblem.UNREADABLE)
-                    at = answer["at"]
-                    is_later = position >= 0
-                    if is_later and (self._era != era or at < position):
-                        return Failure(StoreProblem.HISTORY_GONE)
-                    era, position = self._era, position if is_later else at
-                    items.extend(page)
-                    if not answer.get("has_more") or not page:
-                        return Success(StoreNews(tuple(items), position, era))
-                    after = page[-1].key
+                case Success(page):
+                    pages.append(page)
+                    if not page.has_more or not page.items:
+                        return _join_pages(pages, may_be_old=may_be_old)
         return Failure(StoreProblem.UNREADABLE)
 
+    def _read_page(
+        self, prefix: str, pages: list["_Page"], *, may_be_old: bool
+    ) -> Result["_Page", StoreProblem]:
+        query = {"prefix": prefix}
+        if may_be_old:
+            query["stale_ok"] = "1"
+        if pages:
+            query["after"] = pages[-1].items[-1].key
+        match self._get("kv-range", query, READ_SECONDS):
+            case Failure(problem):
+                return Failure(problem)
+            case Success(answer):
+                items = _read_items(answer.get("items"))
+                at = answer.get("at")
+                if items is None or not isinstance(at, int):
+                    return Failure(StoreProblem.UNREADABLE)
+                has_more = bool(answer.get("has_more"))
+                return Success(_Page(items, at, self._era, has_more))
+        raise AssertionError("a result is a success or a failure")
+
     def watch(
         self, prefix: str, position: int, wait: float
     ) -> Result[StoreNews, StoreProblem]:
@@ -157,6 +172,25 @@
         return Success(answer)
 
 
+def _join_pages(
+    pages: list[_Page], *, may_be_old: bool
+) -> Result[StoreNews, StoreProblem]:
+    items = tuple(item for page in pages for item in page.items)
+    position = min(page.at for page in pages)
+    era = pages[0].era
+    if may_be_old:
+        # The revision that an old page names may be newer than its items.
+        newest = max((item.revision for item in items), default=1)
+        return Success(StoreNews(items, min(position, newest), era))
+    is_restored = any(
+        later.era != era or later.at < earlier.at
+        for earlier, later in itertools.pairwise(pages)
+    )
+    if is_restored:
+        return Failure(StoreProblem.HISTORY_GONE)
+    return Success(StoreNews(items, position, era))
+
+
 def _read_era(response: http.client.HTTPResponse) -> int | None:
     """Return the era that an answer names; None for none or a bad one."""
     found = (response.getheader(name) for name in _ERA_HEADERS)
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -83,6 +83,9 @@
         self.watching = 0
         self.told: list[int] = []
         """Revisions of changes, once for each watch that was answered."""
+        self.on_page: Callable[[str], None] = lambda after: None
+        """Called before a page is read, with the key that it begins after."""
+
         self.changed = threading.Condition()
         store = self
 
@@ -153,6 +156,7 @@
             for key, values in parse_qs(parts.query, keep_blank_values=True).items()
         }
         if parts.path.endswith("kv-range"):
+            self.on_page(query.get("after", ""))
             with self.changed:
                 items = [
                     item
--- a/mintsaddle/platform/tests/test_restored_store.py
+++ b/mintsaddle/platform/tests/test_restored_store.py
@@ -8,7 +8,9 @@
 from pathlib import Path
 
 import pytest
+from returns.result import Failure
 
+from mintsaddle.platform import StoreClient, StoreProblem
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.standins import Site, wait_for
 
@@ -187,3 +189,29 @@
         site.store.restore(copy)
         wait_for(lambda: "Store restored" in site.entry.log(), "restored copy")
         assert site.entry.call("GET", "/lookup/1")[0] == 200
+
+
+class TestPages:
+    def test_pages_from_before_and_after_are_read_again(self) -> None:
+        """Guards against a copy that is joined of two histories."""
+        store = standins.Store()
+        for number in range(4):
+            store.put(f"servers/e-{number}", {})
+        copy = store.copy()
+
+        def restore_before_last_page(after: str) -> None:
+            if after and store.era == 1:
+                store.restore(copy)
+
+        store.on_page = restore_before_last_page
+        client = StoreClient(store.address)
+        assert client.read_all("") == Failure(StoreProblem.HISTORY_GONE)
+        assert len(client.read_all("").unwrap().items) == 4
+
+    def test_an_old_reading_leads_no_further_than_its_items(self) -> None:
+        """Guards against changes between old items and a newer revision."""
+        store = standins.Store()
+        store.put("servers/e-1", {})
+        store.revision += 5
+        news = StoreClient(store.address).read_all("", may_be_old=True).unwrap()
+        assert news.revision == news.items[0].revision
