Let no late answer bring a removed key back

What callers would see: requests to an endpoint that is gone, until its key changes again.

Cause: a reading that arrives after a peer has told newer news was merged key by key. A key that the copy didn't know counted as new, though up to its position the copy knows every key but those that are gone.

Change: of an unknown key only what is newer than the copy's position is news. The same knowledge shows a restore of a store that names no era: a current reading holds no key that was known to be gone.

Shown by: a test that failed before, and the state machine.

--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -100,8 +100,7 @@
             return []
         changed = []
         for item in items:
-            known = self._items.get(item.key)
-            if known is None or item.revision > known.revision:
+            if self._is_news(item):
                 self._items[item.key] = item
                 changed.append(item)
         self._position = max(self._position, position)
@@ -156,7 +155,7 @@
 
         Without that, a current reading is never before what was known when it
         was asked for, nor is any of its items, nor does it lack what was just
-        written.
+        written or hold what was gone.
 
         Args:
             items: What was read.
@@ -168,7 +167,12 @@
         if asked.era != self._position.era:
             return False
         read = {item.key: item for item in items}
-        return any(
+        is_unknown_old = any(
+            item.revision <= asked.revision
+            for key, item in read.items()
+            if key not in self._items
+        )
+        return is_unknown_old or any(
             known.revision <= revision and _clash(known, read.get(key), revision)
             for key, known in self._items.items()
         )
@@ -188,6 +192,12 @@
             for item in items
         )
 
+    def _is_news(self, item: PublishedItem) -> bool:
+        known = self._items.get(item.key)
+        # Up to its position a copy knows all keys but those that are gone.
+        floor = self._position.revision if known is None else known.revision
+        return item.revision > floor
+
     def _start_era(
         self, items: Iterable[PublishedItem], position: Position
     ) -> list[PublishedItem]:
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -207,6 +207,12 @@
         replica.merge([PublishedItem("p/1", 8, None)], at(8))
         assert replica.changes_since(at(6)) == [PublishedItem("p/1", 8, None)]
 
+    def test_a_late_reading_brings_no_removed_key_back(self) -> None:
+        """Guards against an answer that arrives after newer news."""
+        replica = Replica("p/")
+        replica.replace([], at(9))
+        assert replica.replace([PublishedItem("p/1", 5, b"x")], at(7)) == []
+
     def test_a_peer_hears_of_removals_that_the_teller_never_saw(self) -> None:
         """Guards against a removal lost between two copies."""
         peer, fresh = Replica("p/"), Replica("p/")
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -15,7 +15,7 @@
 )
 from mintsaddle.direct._gateway import PLATFORM_SOURCE, Gateway, describe_position
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.platform import StoreClient, StoreProblem
+from mintsaddle.platform import StoreClient, StoreProblem, is_ours
 from mintsaddle.values import Instant
 
 IDLE_SECONDS = 0.2
@@ -79,9 +79,11 @@
                 gateway.metrics.count("store_answered")
                 if not self._is_well:
                     self._record_regained()
+                ours = tuple(item for item in answer.items if is_ours(item.key))
+                news = answer._replace(items=ours)
                 with gateway.lock:
                     position = self._polling.place(
-                        replica, asked, answer, is_reading=is_reading
+                        replica, asked, news, is_reading=is_reading
                     )
                 if position is None:
                     return
