Take a key for gone if a whole copy holds only its removal

What callers would see: requests to an endpoint that is gone, until its key changes again.

Cause: a whole copy may name a removal from before the last reading, dated earlier than a peer's state of the key: it was written and removed once more since. The removal counted as a mention of the key, so the peer kept it.

Change: only keys with a value count as present in a whole copy.

--- a/mintsaddle/decisions/direct/_replica.py
+++ b/mintsaddle/decisions/direct/_replica.py
@@ -117,7 +117,7 @@
         # Of keys that came and went before, it holds no removal.
         self._floor = max(self._floor, position.revision)
         is_new_era = position.era > self._position.era
-        present = {item.key for item in listed}
+        present = {item.key for item in listed if item.value is not None}
         gone = [
             PublishedItem(key, position.revision, None)
             for key, known in self._items.items()
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -223,6 +223,13 @@
         assert PublishedItem("p/1", 9, None) in peer.replace(told, at(9))
         assert not fresh.lacks_removals_since(at(9))
 
+    def test_a_removal_that_a_whole_copy_dates_too_early_counts(self) -> None:
+        """Guards against a key that was removed, written and removed again."""
+        peer = Replica("p/")
+        peer.merge([PublishedItem("p/1", 8, b"x")], at(8))
+        whole = [PublishedItem("p/1", 3, None)]
+        assert peer.replace(whole, at(9)) == [PublishedItem("p/1", 9, None)]
+
 
 class TestPlacement:
     def test_the_least_utilised_endpoint_is_chosen(self) -> None:
