--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -13,20 +13,22 @@
 )
 from mintsaddle.decisions.direct._cold import ColdGate
 from mintsaddle.decisions.direct._directory import (
+    Directory,
+    Incarnation,
+    RankPlace,
+    usable_endpoints,
+)
+from mintsaddle.decisions.direct._facts import (
     LAPSE_GRACE,
     DataCentreBack,
     DataCentreOut,
-    Directory,
     EndpointMoved,
     EndpointPublished,
     EndpointRemoved,
     Fact,
-    Incarnation,
-    RankPlace,
     TablePublished,
     apply_facts,
     drop_lapsed,
-    usable_endpoints,
 )
 from mintsaddle.decisions.direct._first_map import EntryShare
 from mintsaddle.decisions.direct._groups import (
