Let no restored copy take a group back to an earlier epoch

What callers would see: a refusal while their group is down, since a restored announcement of its last epoch calls it open.

Change: while a restored copy is taken over, a run keeps its place of the higher epoch. Any later announcement counts as it stands, so a group whose epochs begin anew isn't lost.

Shown by: the new test, which failed before.

--- a/mintsaddle/decisions/direct/_facts.py
+++ b/mintsaddle/decisions/direct/_facts.py
@@ -10,6 +10,7 @@
 from mintsaddle.decisions.direct._directory import (
     Directory,
     Incarnation,
+    RankPlace,
     Removal,
     Withheld,
 )
@@ -182,8 +183,14 @@
         self._place(incarnation)
 
     def _advance(self, known: Incarnation, newer: Incarnation) -> Incarnation:
-        """Return the newer announcement of a run with what can't go back."""
-        return newer._replace(leaving=known.leaving or newer.leaving)
+        """Return the newer announcement of a run with what can't go back.
+
+        A run that has said that it leaves goes on leaving. A restored copy
+        may show its group in an earlier epoch.
+        """
+        places = known.place, newer.place
+        place = newer.place if self._hold_until is None else _later_place(*places)
+        return newer._replace(leaving=known.leaving or newer.leaving, place=place)
 
     def _place(self, run: Incarnation) -> None:
         """Use a run unless another one at its address started later.
@@ -244,6 +251,12 @@
         _cool_down(self._endpoints, self._table, data_centre, self._now)
 
 
+def _later_place(known: RankPlace | None, newer: RankPlace | None) -> RankPlace | None:
+    if known is None or newer is None or known.group != newer.group:
+        return newer
+    return known if known.epoch > newer.epoch else newer
+
+
 def _cool_down(
     endpoints: dict[str, Incarnation],
     table: RoutingTable | None,
--- a/mintsaddle/decisions/direct/tests/test_restored_directory.py
+++ b/mintsaddle/decisions/direct/tests/test_restored_directory.py
@@ -8,6 +8,7 @@
     EndpointRemoved,
     Fact,
     Incarnation,
+    RankPlace,
     apply_facts,
     drop_lapsed,
     usable_endpoints,
@@ -42,6 +43,16 @@
         restored = restore(known, EndpointPublished(make_endpoint()))
         assert not is_used(restored, HOLD_UNTIL)
 
+    def test_its_group_does_not_go_back_to_an_earlier_epoch(self) -> None:
+        """Guards against requests to a group as it was before it failed."""
+        place = RankPlace("g", 2, 0, 12, False)
+        known = learn(EndpointPublished(make_endpoint()._replace(place=place)))
+        earlier = place._replace(epoch=1, is_open=True)
+        listed = EndpointPublished(make_endpoint()._replace(place=earlier))
+        assert restore(known, listed).endpoints["e-1"].place == place
+        announced = apply_facts(known, [listed], 0.0, 11.0)
+        assert announced.endpoints["e-1"].place == earlier
+
     def test_a_later_run_of_the_same_name_is_used(self) -> None:
         known = learn(EndpointPublished(make_endpoint(leaving=True)))
         restored = restore(known, EndpointPublished(make_endpoint(born=6)))
