--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -7,6 +7,7 @@
 import random
 import time
 import tracemalloc
+import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -122,6 +123,38 @@
     return size / endpoints
 
 
+def make_items(endpoints: int, routes: int, workspaces: int) -> list[PublishedItem]:
+    """Return all that is published: announcements and a table."""
+    items = [
+        PublishedItem(f"servers/i-{number}", number + 1, b"%320d" % number)
+        for number in range(endpoints)
+    ]
+    table = make_table(routes, workspaces)
+    return [*items, PublishedItem("op/config", endpoints + 1, table)]
+
+
+def whole_copy_kilobytes(endpoints: int, routes: int, workspaces: int) -> float:
+    """Return the size of a whole copy, as a follower gets it."""
+    *announced, table = make_items(endpoints, routes, workspaces)
+    size = sum(len(item.key) + len(item.value or b"") for item in announced)
+    return (size + len(zlib.compress(table.value or b""))) / 1e3
+
+
+def restore_milliseconds(endpoints: int) -> float:
+    """Return the time to find that the store was restored, and to follow."""
+    items = make_items(endpoints, 1, 1)
+    restored = [item._replace(revision=1) for item in items]
+
+    def follow() -> None:
+        replica = Replica("")
+        replica.replace(items, Position(0, endpoints + 1))
+        asked = replica.position
+        assert replica.is_contradicted(restored, asked, asked.revision)
+        replica.replace(restored, Position(1, 1))
+
+    return measure_seconds(follow) * 1e3
+
+
 def spread_milliseconds(ranks: int, experts: int, layers: int) -> float:
     """Return the time to plan a map with one expert that is hot."""
     first = make_first_map(0, ranks, experts, layers, -(-experts // ranks))
@@ -195,6 +228,16 @@
             f"{announcement_bytes(15):.0f} bytes of 15",
             f"{announcement_bytes(820):.0f} bytes of 820",
         ),
+        Row(
+            "a whole copy for a follower, table packed",
+            f"{whole_copy_kilobytes(15, 115, 10):.1f} KB, 15 endpoints, 115 routes",
+            f"{whole_copy_kilobytes(820, 500, 4700):.0f} KB, 820 endpoints, 500 routes",
+        ),
+        Row(
+            "taking a restored store over",
+            f"{restore_milliseconds(15):.2f} ms, 15 endpoints",
+            f"{restore_milliseconds(820):.1f} ms, 820 endpoints",
+        ),
         Row(
             "planning copies of hot experts",
             f"{spread_milliseconds(12, 96, 3):.1f} ms, 12 ranks, 96 experts, 3 layers",
