Keep endpoints cold and runs later than a restored copy says

What callers would see: an endpoint that is cold falls over, since all entries take it for warm; requests refused by an endpoint that started anew under its name.

Cause: a copy from before an endpoint turned cold, or before it started anew under the same name, was believed where the run is the same or no other run has its address.

Change: while a restored copy is taken over, of two runs under one name the later one stays, and the longer time to warm up counts. Announcements afterwards count as they stand.

Shown by: three tests, two of which failed before.

--- a/mintsaddle/decisions/direct/_facts.py
+++ b/mintsaddle/decisions/direct/_facts.py
@@ -171,26 +171,35 @@
     def _publish(self, incarnation: Incarnation) -> None:
         name = incarnation.name
         removal = self._removed.get(name)
-        is_known_gone = removal is not None and removal.born == incarnation.born
+        is_known_gone = removal is not None and removal.born >= incarnation.born
         if self._hold_until is not None and is_known_gone:
             self._withheld[name] = Withheld(incarnation, self._hold_until)
             return
         self._withheld.pop(name, None)
         self._removed.pop(name, None)
         known = self._endpoints.get(name)
-        if known is not None and known.born == incarnation.born:
+        if known is not None:
             incarnation = self._advance(known, incarnation)
         self._place(incarnation)
 
     def _advance(self, known: Incarnation, newer: Incarnation) -> Incarnation:
-        """Return the newer announcement of a run with what can't go back.
+        """Return a newer announcement with what can't go back.
 
         A run that has said that it leaves goes on leaving. A restored copy
-        may show its group in an earlier epoch.
+        may hold what was announced before an endpoint started anew, turned
+        cold or saw its group form.
         """
-        places = known.place, newer.place
-        place = newer.place if self._hold_until is None else _later_place(*places)
-        return newer._replace(leaving=known.leaving or newer.leaving, place=place)
+        if self._hold_until is not None and known.born > newer.born:
+            return known
+        if known.born != newer.born:
+            return newer
+        newer = newer._replace(leaving=known.leaving or newer.leaving)
+        if self._hold_until is None:
+            return newer
+        return newer._replace(
+            cold_until=max(known.cold_until, newer.cold_until),
+            place=_later_place(known.place, newer.place),
+        )
 
     def _place(self, run: Incarnation) -> None:
         """Use a run unless another one at its address started later.
--- a/mintsaddle/decisions/direct/tests/test_restored_directory.py
+++ b/mintsaddle/decisions/direct/tests/test_restored_directory.py
@@ -59,6 +59,24 @@
         assert is_used(restored, RESTORED_AT)
 
 
+class TestColdEndpoints:
+    def test_one_that_turned_cold_since_the_copy_stays_cold(self) -> None:
+        """Guards against a flood of requests to an endpoint that is cold."""
+        cold = make_endpoint()._replace(cold_until=13.0)
+        known = learn(EndpointPublished(cold))
+        restored = restore(known, EndpointPublished(make_endpoint()))
+        assert restored.endpoints["e-1"].cold_until == 13.0
+        warm = apply_facts(known, [EndpointPublished(make_endpoint())], 0.0, 11.0)
+        assert warm.endpoints["e-1"].cold_until == 0.0
+
+    def test_one_that_started_anew_under_its_name_stays(self) -> None:
+        """Guards against a run from before the copy in place of the last."""
+        started = make_endpoint(born=6)._replace(cold_until=13.0)
+        known = learn(EndpointPublished(started))
+        restored = restore(known, EndpointPublished(make_endpoint(born=5)))
+        assert restored.endpoints["e-1"] == started
+
+
 class TestRemovedEndpoints:
     def learn_removal(self) -> Directory:
         return learn(EndpointPublished(make_endpoint()), EndpointRemoved("e-1"))
@@ -68,6 +86,11 @@
         restored = restore(self.learn_removal(), EndpointPublished(make_endpoint()))
         assert not is_used(restored, HOLD_UNTIL - 0.1)
 
+    def test_nor_is_a_copy_that_lists_an_earlier_run(self) -> None:
+        earlier = EndpointPublished(make_endpoint(born=4))
+        restored = restore(self.learn_removal(), earlier)
+        assert not is_used(restored, HOLD_UNTIL - 0.1)
+
     def test_one_that_is_listed_for_long_is_used(self) -> None:
         """Guards against losing an endpoint that lapsed for a moment."""
         restored = restore(self.learn_removal(), EndpointPublished(make_endpoint()))
