--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -81,6 +81,12 @@
         self.history_from = 0
         self.is_down = False
         self.watching = 0
+        self.readings = 0
+        """First pages of readings."""
+
+        self.gone = 0
+        """Watches that were told that their history is gone."""
+
         self.told: list[int] = []
         """Revisions of changes, once for each watch that was answered."""
         self.on_page: Callable[[str], None] = lambda after: None
@@ -158,6 +164,7 @@
         if parts.path.endswith("kv-range"):
             self.on_page(query.get("after", ""))
             with self.changed:
+                self.readings += "after" not in query
                 items = [
                     item
                     for key, item in sorted(self.items.items())
@@ -185,6 +192,7 @@
                 self.changed.wait(min(left, 0.1))
             at, headers, is_lost = self.revision, self._headers(), self._lacks(after)
             is_cut = era != self.era
+            self.gone += is_lost and not is_cut
             self.watching -= 1
             self.told += [event["revision"] for event in events]
         if self.is_down or is_cut:
--- a/mintsaddle/platform/tests/test_restored_store.py
+++ b/mintsaddle/platform/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -46,6 +47,14 @@
         assert "mintsaddle_store_answered" in counted
 
 
+def knows(entry: standins.Entry, version: int) -> bool:
+    return f"version={version} " in entry.log()
+
+
+def sees_one_leave(entry: standins.Entry) -> bool:
+    return "leaving=1 " in lines_with(entry, "Beliefs changed")[-1]
+
+
 def make_keys(version: int, *keys: str) -> dict[str, object]:
     """Return a configuration with these keys of its only workspace."""
     tenants = [{"name": "north", "api_keys": list(keys)}]
@@ -141,6 +150,41 @@
         wait_for(lambda: "leaving=1" in site.entry.log(), "news of the leaving")
 
 
+class TestCalls:
+    def test_a_restore_costs_a_reading_and_no_loop(self, site: Site) -> None:
+        """Guards against a watch refused and a reading ignored by turns."""
+        copy = site.store.copy()
+        for version in (2, 3, 4):
+            publish(site, site.entry, version)
+        readings = site.store.readings
+        site.store.restore(copy)
+        for version in (5, 6):
+            publish(site, site.entry, version)
+        assert site.store.readings - readings <= 2
+        assert site.store.gone <= 1
+
+
+class TestFleet:
+    def test_all_entries_follow_one_restore_after_another(self, site: Site) -> None:
+        """Guards against relays that bring an earlier copy back."""
+        seeds = [site.entry.control]
+        others = [site.add_entry(site.store.address, seeds) for _ in "12"]
+        entries = [site.entry, *others]
+        for entry in entries:
+            wait_for(entry.is_ready, "ready entry")
+        for version in (2, 12, 22):
+            copy = site.store.copy()
+            publish(site, site.entry, version)
+            for entry in entries:
+                publish(site, entry, version + 1)
+            site.store.restore(copy)
+            leave(site, number=0)
+            site.store.put("op/config", make_keys(version + 2, "good-key"))
+            for entry in entries:
+                wait_for(partial(knows, entry, version + 2), "newer table")
+                wait_for(partial(sees_one_leave, entry), "news of the leaving")
+
+
 class TestWhatTheCopyLacks:
     """What was known before the restore holds until it is written again."""
 
