--- a/fakes/lockstep/tests/test_lockstep.py
+++ b/fakes/lockstep/tests/test_lockstep.py
@@ -79,10 +79,6 @@
         assert result.worth > 0.95
 
     def test_late_callers_after_fresh_ones_once_a_group_is_back(self) -> None:
-        """A rank is lost for 6 s, and all who waited come back at once.
-
-        In the order of arrival they make those who ask for the first time
-        late as well, for as long as the backlog lasts.
-        """
+        """Guards against fresh callers that wait behind late ones."""
         plain = PRODUCT._replace(names_urgency=False)
         assert worth_after_opening(PRODUCT) > worth_after_opening(plain) + 0.005
--- a/fakes/model/tests/test_partition.py
+++ b/fakes/model/tests/test_partition.py
@@ -28,11 +28,7 @@
     @pytest.mark.parametrize("kind", [Kind.STREAM, Kind.ISSUED, Kind.DRAWN])
     @pytest.mark.parametrize("entry", ["a-entry", "b-entry"])
     def test_each_side_takes_new_work(self, kind: Kind, entry: str) -> None:
-        """A counter on the smaller side could order nothing for an hour.
-
-        Data centre a is cut off from the others and from the platform. Each
-        side serves its own callers; an order runs once, on its own side.
-        """
+        """Guards against a side of a partition that can order nothing."""
         site = Site(Kind.STREAM, seed=5)
         site.start()
         site.world.run_until(WATCHED_AT)
--- a/fakes/tests/test_processes.py
+++ b/fakes/tests/test_processes.py
@@ -133,11 +133,7 @@
     def test_drafts_go_on_elsewhere(
         self, running: Running, number: signal.Signals
     ) -> None:
-        """A counter would see its draft stop in the middle.
-
-        The endpoint daemon that carries it is killed, or frozen and woken
-        late; the entry resumes the draft at the other endpoint.
-        """
+        """Guards against streams that end with their daemon."""
         drafts = [running.draft("a-entry") for _ in range(3)]
         wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
         running.site.signal("a-letters", number)
@@ -146,11 +142,7 @@
         running.site.signal("a-letters", signal.SIGCONT)
 
     def test_stop_cuts_nothing(self, running: Running) -> None:
-        """A planned stop would cut the drafts that are under way.
-
-        SIGTERM comes while streams are open; they end whole, the daemon takes
-        nothing new and exits with 0.
-        """
+        """Guards against streams that a planned stop cuts."""
         drafts = [running.draft("a-entry") for _ in range(3)]
         wait_for(lambda: running.held("a-letters") == 3, "three drafts at a")
         running.site.signal("a-letters", signal.SIGTERM)
@@ -161,10 +153,7 @@
         assert running.site.executions("a-letters")["cancelled"] == 0
 
     def test_order_is_answered_after_a_planned_restart(self, running: Running) -> None:
-        """A counter asks again after a planned restart and would get a doubt.
-
-        The home gave its ledger to the other home and took it back.
-        """
+        """Guards against a ledger that is lost by a planned restart."""
         key = uuid7()
         first = running.order("a-entry", key)
         home = next(
@@ -188,11 +177,7 @@
     def test_killed_home_leaves_a_doubt_and_no_second_run(
         self, running: Running
     ) -> None:
-        """A redirection would be billed twice.
-
-        The home is killed while the order runs and comes back with no memory;
-        the caller comes again by the other entry with its key.
-        """
+        """Guards against an order that a home without memory runs again."""
         key = uuid7()
         order = running.callers.submit(running.order, "a-entry", key, 1.0)
         wait_for(lambda: running.runs(key) == 1, "the order at the service")
@@ -220,21 +205,14 @@
         assert running.site.wait_for_exit("a-entry") == 0
 
     def test_idle_stop_does_not_wait_for_a_watch(self, running: Running) -> None:
-        """An operator waits half a minute for a daemon that has nothing to do.
-
-        A thread that watches the platform held the process after its end.
-        """
+        """Guards against a process that outlives its stop for a watch."""
         started = time.monotonic()
         running.site.signal("b-orders", signal.SIGTERM)
         assert running.site.wait_for_exit("b-orders") == 0
         assert time.monotonic() - started < WATCH_SECONDS / 2
 
     def test_kill_never_doubles_an_order(self, running: Running) -> None:
-        """A counter loses its connection and comes by the other entry.
-
-        The first entry is killed while the order runs; the second one gets
-        the first run's answer from the home.
-        """
+        """Guards against an order that runs again by another entry."""
         key = uuid7()
         order = running.callers.submit(running.order, "a-entry", key, 1.0)
         wait_for(lambda: running.runs(key) == 1, "the order at the service")
@@ -245,11 +223,7 @@
         assert running.runs(key) == 1
 
     def test_frozen_entry_wakes_with_old_marks(self, running: Running) -> None:
-        """An entry that slept through a mark sends work where none may go.
-
-        Data centre a is marked out while b's entry is frozen. What it sends
-        on waking is refused by a's endpoints and served by b's.
-        """
+        """Guards against work sent by a frozen entry's old marks."""
         running.site.signal("b-entry", signal.SIGSTOP)
         running.site.publish("marks", 1, "[marks]\ndata centre a = out\n")
         running.site.wait_for_health("a-entry", 503)
@@ -289,11 +263,7 @@
 
 class TestEngine:
     def test_cold_restart_is_never_overrun(self, running: Running) -> None:
-        """An engine that comes back cold would fall over under a full share.
-
-        It is killed and started while callers go on; it counts for itself
-        what it held above what it could bear.
-        """
+        """Guards against a cold engine that gets a warm engine's load."""
         drafts = [running.draft("a-entry") for _ in range(4)]
         wait_for(lambda: running.held("a-letters") > 0, "drafts at a")
         running.site.signal("a-letters engine", signal.SIGKILL)
@@ -308,11 +278,7 @@
 
 class TestPlatform:
     def test_old_text_never_comes_back(self, running: Running) -> None:
-        """A counter would be refused by a text that was replaced long ago.
-
-        The platform is killed and comes back with an older revision; a new
-        daemon asks its peers before it serves and follows the newer one.
-        """
+        """Guards against an older text from a platform that came back."""
         running.site.publish("fleet", 8, running.site.fleet_text("# newer\n"))
         for name in running.site.addresses:
             wait_for(partial(has_revision, running, name, 8), f"8 at {name}")
@@ -359,11 +325,7 @@
 
 class TestGroup:
     def test_coordinator_that_dies_leaves_one_map(self) -> None:
-        """All ranks would stand still, or step on different maps.
-
-        The coordinator's daemon is killed at some moment of its work and
-        comes back; the group steps on and no step mixes maps.
-        """
+        """Guards against ranks that step on different maps, or on none."""
         plans = [VmPlan("a-entry", "a", "entry")]
         plans += [VmPlan(n, "a", "endpoint", rank=i) for i, n in enumerate(RANKS)]
         site = Site(plans, GROUP_SERVICES)
--- a/mintsaddle/decisions/arrivals/tests/test_arrivals.py
+++ b/mintsaddle/decisions/arrivals/tests/test_arrivals.py
@@ -121,11 +121,7 @@
         assert found == (Claim.MAYBE, Reason.WRONG_HOME)
 
     def test_former_home_knows_its_keys(self) -> None:
-        """A caller would be told ask-again for ever.
-
-        The service moves away from a home. It still answers for the order
-        that it ran, and says of a key issued to it that it never will run.
-        """
+        """Guards against keys of a former home that nobody answers for."""
         endpoint = Endpoint()
         ran, issued = endpoint.key(), endpoint.key()
         endpoint.arrive("r1", ran)
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -85,10 +85,7 @@
         assert decision.outcome is Outcome.IN_DOUBT
 
     def test_a_later_refusal_does_not_undo_the_doubt(self) -> None:
-        """A caller is told "not run" of an order that has run.
-
-        The first endpoint ran it and was cut off; the second one refused.
-        """
+        """Guards against «not run» for an order that may have run."""
         call = record_attempt(make_call(), "e-1", Ending.BROKEN)
         call = record_attempt(call, "e-2", Ending.NOT_RUN)
         decision = decide_next(call, Ending.NOT_RUN, has_budget=True, now=1.0)
@@ -139,10 +136,7 @@
         assert [one.name for one in usable_endpoints(directory, "desk")] == ["e-1"]
 
     def test_lapsed_endpoints_are_used_for_their_grace_only(self) -> None:
-        """All endpoints vanish for a moment after the store was away.
-
-        Their entries lapsed meanwhile, and are back a second later.
-        """
+        """Guards against lost endpoints while the store was away."""
         published = EndpointPublished(make_endpoint("e-1"))
         known = apply_facts(Directory(), [published], 0.0, 1.0)
         lapsed = apply_facts(known, [EndpointRemoved("e-1")], 3.0, 1.0)
@@ -181,10 +175,7 @@
 
 class TestReplica:
     def test_older_news_change_nothing_whoever_brings_them(self) -> None:
-        """An endpoint that has left gets work again.
-
-        A peer that was cut off relays its old announcement after the removal.
-        """
+        """Guards against an announcement relayed after its removal."""
         replica = Replica("p/")
         replica.merge([PublishedItem("p/1", 5, b"old")], at(5))
         replica.merge([PublishedItem("p/1", 7, None)], at(7))
@@ -262,11 +253,7 @@
     SERVICE = DirectService("desk", "/health", 100, 26.0, True, cold_seconds=3.0)
 
     def test_all_entries_together_keep_to_what_a_cold_endpoint_bears(self) -> None:
-        """Engines that have just come back fall over, again and again.
-
-        Each of seven entries finds them the least loaded and sends all that it
-        has, within what it alone would be allowed.
-        """
+        """Guards against entries that each send what one of them may."""
         endpoint = make_endpoint("e-1", cold_until=10.0)
         gates = [ColdGate(1.5, 5.0) for _ in range(7)]
         sent = 0
@@ -320,11 +307,7 @@
 
 class TestGroups:
     def test_one_refusal_speaks_for_all_ranks(self) -> None:
-        """While a rank is lost, every caller's request stalls at another one.
-
-        Each of the twelve ranks refuses for the group's sake; a request that
-        is sent to the next rank is refused there too.
-        """
+        """Guards against a stall at each rank of a lost group."""
         beliefs = GroupBeliefs()
         place = RankPlace("llm/g", 1, 0, 12, is_open=True)
         other = make_endpoint("e-2", place=place._replace(rank=1))
@@ -389,11 +372,7 @@
         assert members.choose_peers(later, rng, is_searching=False) == ("a:2",)
 
     def test_a_message_stays_small_and_limits_stay_shared(self) -> None:
-        """With 340 entries each one thinks it has a dozen peers.
-
-        It would take a tenth of the retry budget, and all of them together
-        thirty times what is allowed.
-        """
+        """Guards against limits shared by the entries of one message."""
         members = Membership("e-0", "a:0", [])
         for number in range(1, 340):
             heard_at = 10.0 + number / 10
@@ -403,20 +382,13 @@
         assert members.count(44.0) == 340
 
     def test_a_young_entry_takes_no_duty(self) -> None:
-        """After a power cut a group stands still for 2.6 s.
-
-        All entries start together, none knows the others yet, and two of them
-        take themselves for the coordinator of the group's map.
-        """
+        """Guards against two entries that take up one duty."""
         member = Membership("e-1", "a:1", ["a:2"], started_at=100.0)
         assert not member.is_chosen("maps g", 100.0 + SETTLE_SECONDS / 2)
         assert member.is_chosen("maps g", 100.0 + SETTLE_SECONDS)
 
     def test_a_duty_passes_on_when_its_holder_is_silent(self) -> None:
-        """A group stands still for ten seconds after one entry lost power.
-
-        The entry held a step; the others took five seconds to notice.
-        """
+        """Guards against a group that is held by an entry without power."""
         names = ["e-1", "e-2", "e-3"]
         members = {name: Membership(name, name, []) for name in names}
         for one in members.values():
@@ -432,11 +404,7 @@
         assert [one.is_chosen("maps g", 1.5) for one in others].count(True) == 1
 
     def test_a_leaving_entry_is_not_brought_back_by_gossip(self) -> None:
-        """No map is changed for four seconds while entries are replaced.
-
-        An entry says that it is leaving; a peer that hasn't heard so yet tells
-        of it once more, and it counts as the coordinator of the maps again.
-        """
+        """Guards against duties that stay with an entry that has left."""
         member = Membership("e-1", "a:1", [])
         gossip = KnownEntry("e-2", "a:2", 9.9)
         member.note(gossip)
--- a/mintsaddle/decisions/direct/tests/test_urgency.py
+++ b/mintsaddle/decisions/direct/tests/test_urgency.py
@@ -37,22 +37,14 @@
 
 class TestRouteDeadlines:
     def test_a_caller_that_comes_back_is_known_by_what_it_has_left(self) -> None:
-        """A caller is refused while a group is down, and comes back in 3.8 s.
-
-        Taken for a fresh one it goes before callers that can still be on time,
-        and all of them are late for as long as such callers return.
-        """
+        """Guards against late callers that go before fresh ones."""
         deadlines = RouteDeadlines()
         deadlines.note("draft", 8.0)
         deadlines.note("draft", 4.25)
         assert deadlines.is_returning("draft", 4.25)
 
     def test_callers_with_somewhat_shorter_times_are_fresh(self) -> None:
-        """Callers bring 6.85 to 8 s, each one its own.
-
-        With each second less taken for spent, half of the callers of a calm
-        day count as late and are held back, though places are free.
-        """
+        """Guards against callers held back since others bring more."""
         deadlines = RouteDeadlines()
         deadlines.note("draft", 8.0)
         assert not deadlines.is_returning("draft", 6.85)
@@ -61,10 +53,7 @@
         assert not RouteDeadlines().is_returning("draft", 3.0)
 
     def test_shorter_deadlines_are_learned(self) -> None:
-        """Operators halve a route's timeout, and its callers bring half.
-
-        With the old longest deadline all of them would count as late for good.
-        """
+        """Guards against callers late for good by a shorter timeout."""
         deadlines = RouteDeadlines()
         deadlines.note("draft", 8.0)
         for _ in range(128):
--- a/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_armed_switch.py
@@ -262,12 +262,7 @@
 
 class TestArmedSwitch:
     def test_no_step_begins_with_two_maps(self) -> None:
-        """Streams of a group turn to garbage after a change of the map.
-
-        One rank's arm got no answer, the switch was released all the same, and
-        the step began with the new map on some ranks and the old one on the
-        others; or the arm was carried out late, after it had been given up.
-        """
+        """Guards against a release before all ranks are armed."""
         assert play() > 600
 
     @pytest.mark.parametrize("variant", PERMISSIVE)
@@ -281,12 +276,7 @@
     def test_coordinators_may_not_draw_the_same_version(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """All entries lose power, and some of their streams turn to garbage.
-
-        Two entries take themselves for the coordinator, and both draw the
-        next version. Each takes what the other one has prepared, armed and
-        held for its own; when one withdraws, it disarms the other one's ranks.
-        """
+        """Guards against two coordinators that share a version."""
         monkeypatch.setattr(_armed_begin, "draw_version", draw_next_number)
         with pytest.raises(AssertionError, match="begins with maps"):
             play()
@@ -294,11 +284,7 @@
     def test_a_hold_may_be_shared_by_two_coordinators(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Two coordinators hold the same step at the same rank.
-
-        The rank has one hold for both. The one whose map was replaced by the
-        other one's withdraws and releases it, while the other one still arms.
-        """
+        """Guards against a withdrawal that releases another one's hold."""
         monkeypatch.setattr(
             _armed_switch, "_record_fenced", take_any_higher_version_for_a_fence
         )
@@ -306,12 +292,7 @@
             play(6000)
 
     def test_a_switch_is_given_up_once_another_one_is_ahead(self) -> None:
-        """After a power cut no map is changed for eight seconds.
-
-        A second coordinator prepared a higher version; the first one, whose
-        weights were never reported, waited for them until its timeout ended,
-        and it was the one chosen to manage the group.
-        """
+        """Guards against a coordinator that waits for a lost race."""
         group = Group()
         reports = [group.report(rank) for rank in range(RANKS)]
         switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
@@ -323,21 +304,14 @@
         assert record_reports(switch, reports, now=0.3).stage is SwitchStage.FAILED
 
     def test_a_refused_version_is_not_tried_again(self) -> None:
-        """After a group has formed anew its map is never changed again.
-
-        Its ranks report map 0 only, and refuse versions that they have had.
-        """
+        """Guards against a group whose map never changes once formed anew."""
         reports = [Group().report(rank) for rank in range(RANKS)]
         rng = random.Random(1)
         first = _armed_begin.draw_version(reports, rng)
         assert _armed_begin.draw_version(reports, rng, above=first) > first
 
     def test_loaded_weights_are_known_before_a_report_tells(self) -> None:
-        """Steps stay long for a third of a second after the weights are there.
-
-        Reports are up to 0.2 s old; the same order, given again, is answered
-        by the engine as done.
-        """
+        """Guards against steps that wait for an old report."""
         group = Group()
         reports = [group.report(rank) for rank in range(RANKS)]
         switch = begin_switch(FIRST_MAP, ExpertMap(5, MAPS[0]), reports, now=0.0)
@@ -364,12 +338,7 @@
         assert [engine.version for engine in group.engines] == [1] * RANKS
 
     def test_a_newer_switch_outlives_a_withdrawal(self) -> None:
-        """Streams turn to garbage seconds after a dead entry's hold was freed.
-
-        While the withdrawal waits for its fence, a newer switch is armed for a
-        later step. Disarmed rank by rank behind its coordinator's back, it is
-        released with a part of its ranks only.
-        """
+        """Guards against a newer switch that is disarmed in part."""
         group = Group()
         for engine in group.engines:
             engine.highest = engine.prepared = 4
@@ -393,11 +362,7 @@
         assert [engine.armed for engine in group.engines] == [(9, 6)] * RANKS
 
     def test_withdrawals_hold_at_ranks_drawn_by_chance(self) -> None:
-        """Two entries free the same held group, and one of them is frozen.
-
-        It wakes up and releases every hold that it knew of; the other one's
-        is among them if both took the first free rank.
-        """
+        """Guards against two withdrawals that hold at the same rank."""
         group = Group()
         group.engines[0].held = 2
         reports = [group.report(rank) for rank in range(RANKS)]
@@ -413,11 +378,7 @@
         assert drawn == {1, 2}
 
     def test_a_group_that_moves_is_left_alone(self) -> None:
-        """A restarted entry sees a held step, and streams turn to garbage.
-
-        All ranks are armed for step 3, which has been released; another switch
-        holds step 4. Disarming rank by rank meets the beginning of step 3.
-        """
+        """Guards against ranks disarmed while their step begins."""
         group = Group()
         for engine in group.engines:
             engine.highest = engine.prepared = 4
@@ -431,10 +392,7 @@
         assert withdraw_held(FIRST_MAP, reports, 0.0, random.Random(1)) is not None
 
     def test_a_held_group_is_freed_by_another_coordinator(self) -> None:
-        """A whole group stands still after one entry lost power.
-
-        The entry had held a step and armed one of the ranks; nobody else knew.
-        """
+        """Guards against a group held by an entry that is gone."""
         group = Group()
         for engine in group.engines:
             engine.highest = engine.prepared = 4
--- a/mintsaddle/decisions/expert_maps/tests/test_spread.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_spread.py
@@ -44,10 +44,7 @@
 class TestSpread:
     @pytest.mark.parametrize("seed", range(10))
     def test_a_hot_expert_no_longer_makes_one_rank_slow(self, seed: int) -> None:
-        """All streams of a group are late while one expert is in demand.
-
-        Its rank gets a fifth of all tokens, and every step waits for it.
-        """
+        """Guards against a step that waits for one expert's rank."""
         popularity = make_popularity(seed)
         new = spread_experts(1, FIRST_MAP, popularity, LIMITS)
         assert slowest_share(FIRST_MAP, popularity) > 2.5
@@ -75,10 +72,7 @@
 
 class TestSamples:
     def test_ranks_without_work_are_not_asked(self) -> None:
-        """Streams are late for as long as a data centre is out.
-
-        The group's step was judged by a rank there, which seemed idle.
-        """
+        """Guards against a group judged by a rank that is idle."""
         assert choose_samples(range(4, 12), 2) == [4, 8]
         assert choose_samples(range(12), 2) == [0, 6]
         assert choose_samples([3], 2) == [3]
@@ -86,11 +80,7 @@
 
 class TestSlowRanks:
     def test_a_slow_rank_gets_less_of_the_hot_experts(self) -> None:
-        """Streams of a whole group stutter because one engine is slow.
-
-        It has as much to do as the others and takes 1.6 times as long, so all
-        of them wait for it in every step.
-        """
+        """Guards against a step that waits for a slow engine."""
         speeds = [1.0] * RANKS
         speeds[5] = 1.0 / 1.6
         blind, aware = 0.0, 0.0
@@ -124,11 +114,7 @@
 
     @pytest.mark.parametrize("seed", range(6))
     def test_no_rank_loads_more_than_the_others_wait_for(self, seed: int) -> None:
-        """Streams stay late for half a second after each change of popularity.
-
-        One rank loads four experts while the others have long loaded theirs,
-        and the map comes into use only when the last one is done.
-        """
+        """Guards against a map that waits for one rank's weights."""
         limits = LIMITS._replace(loads=1)
         popularity = make_popularity(seed)
         new = spread_experts(1, FIRST_MAP, popularity, limits)
@@ -159,11 +145,7 @@
         assert self.watch_steps(0.1).is_busy
 
     def test_a_group_without_a_named_pause_isnt_always_busy(self) -> None:
-        """Weights are moved all day on a group that has nothing to do.
-
-        No route to its service names a longest pause, and any step is longer
-        than none.
-        """
+        """Guards against weights moved on an idle group."""
         watch = MapWatch(1, LAYERS, EXPERTS, 0.0)
         assert not watch.is_busy
         for look in range(4):
@@ -187,11 +169,7 @@
         assert not idle.is_stuck(9.0)
 
     def test_a_change_of_popularity_is_followed_within_one_look(self) -> None:
-        """Streams come late for a second after each change of popularity.
-
-        Old counts are averaged with new ones, so the next map suits a mixture
-        that never was, and another switch has to follow.
-        """
+        """Guards against old counts averaged with new ones."""
         watch = self.watch_steps(0.1)
         before, after = make_popularity(1), make_popularity(2)
         counts = [
@@ -206,11 +184,7 @@
         assert slowest_share(planned, after) < 1.02 * slowest_share(ideal, after)
 
     def test_no_map_is_planned_until_the_last_one_is_in_use(self) -> None:
-        """A switch fails or moves again what the one before has moved.
-
-        The switch is done once all ranks are armed, and their reports show the
-        old map until the step comes for which they are.
-        """
+        """Guards against plans from a map that isn't in force."""
         watch = self.watch_steps(0.1)
         watch.record_switch(7, now=2.0)
         assert not watch.is_in_force(3, now=2.1)
--- a/mintsaddle/decisions/expert_maps/tests/test_stall.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_stall.py
@@ -28,10 +28,7 @@
 
 class TestGuards:
     def test_a_group_is_freed_before_callers_leave(self) -> None:
-        """Callers leave their streams, since an entry froze with a step held.
-
-        Its duty passes on after seconds only; they leave after two.
-        """
+        """Guards against a hold that outlasts its callers' patience."""
         timeout = [watchdog_timeout(place) for place in range(3)]
         assert timeout == sorted(set(timeout))
         assert timeout[-1] < 1.5
--- a/mintsaddle/decisions/orders/tests/test_homes_machine.py
+++ b/mintsaddle/decisions/orders/tests/test_homes_machine.py
@@ -375,11 +375,7 @@
 
 class TestBootstrap:
     def test_bootstrap_published_later_settles_the_homes(self) -> None:
-        """Brought keys would answer ask-again for ever.
-
-        All homes restart together and agree, but nobody is anchored. Then
-        the operator publishes a text with a later bootstrap date.
-        """
+        """Guards against homes that never settle after a common restart."""
         story = Story()
         for vm in "ac":
             story.restart(vm, 7, planned=False)
@@ -398,11 +394,7 @@
 
 class TestPlannedRestart:
     def test_key_before_the_stop_is_answered_after_it(self) -> None:
-        """A counter asks again after a planned restart of the home.
-
-        The order ran before the stop. The next run took the ledger back from
-        the other homes, so it answers instead of leaving the order in doubt.
-        """
+        """Guards against an order in doubt after a planned restart."""
         story = Story()
         key = story.key_of("a")
         story.runs("a", key)
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -159,11 +159,7 @@
     def test_bytes_after_an_answer_spoil_the_connection(
         self, endpoint: Endpoint, pool: ConnectionPool
     ) -> None:
-        """A caller gets an answer that belongs to another request.
-
-        An endpoint sends a second answer late; the next request on that
-        connection would take it for its own.
-        """
+        """Guards against an answer that belongs to another request."""
         exchange = Exchange(endpoint.address)
         ask(exchange)
         endpoint.send_late(ANSWER)
@@ -204,11 +200,7 @@
     def test_a_reset_on_a_kept_connection_is_repeated_on_a_fresh_one(
         self, endpoint: Endpoint, pool: ConnectionPool
     ) -> None:
-        """A lookup fails, and its endpoint counts as sick, for no reason.
-
-        The endpoint closes an idle connection at the moment at which the
-        entry sends a request on it.
-        """
+        """Guards against a request lost to an idle time-out."""
         exchange = Exchange(endpoint.address)
         ask(exchange)
         pool.give(make_run(endpoint), exchange, 3.0)
--- a/mintsaddle/direct/tests/test_rank_calls.py
+++ b/mintsaddle/direct/tests/test_rank_calls.py
@@ -108,11 +108,7 @@
         engine: Engine,
         agent: RankAgent,
     ) -> None:
-        """A group stands still for as long as a frozen VM sleeps.
-
-        The VM that had held the step for a switch froze; nothing reaches the
-        engine behind it, so nobody can let the step begin.
-        """
+        """Guards against a hold that nobody can release while a VM sleeps."""
         calls, _ = make_calls(monkeypatch, clock, port_of(agent))
         group = make_group(engine)
         calls.poll(group, [0])
@@ -125,11 +121,7 @@
 
 class TestGroupPoll:
     def test_a_group_has_work_though_some_rank_has_none(self) -> None:
-        """Streams are late for two seconds after each calm spell.
-
-        Sixty ranks share few requests; the one rank that was asked had none,
-        so the whole group counted as idle and no map was planned.
-        """
+        """Guards against a group that counts as idle for one rank."""
         idle = RankReport(0, 3, True, False, 9, 0, 1, None, None, None)
         busy = idle._replace(rank=1, running=2)
         assert GroupPoll({0: idle, 1: busy}, {}).running == 2
@@ -139,10 +131,7 @@
     def test_a_silent_agent_is_left_out_for_a_while(
         self, monkeypatch: pytest.MonkeyPatch, clock: Clock, engine: Engine
     ) -> None:
-        """Maps are late on a whole group since one agent is dead.
-
-        Each poll waits for its reply before it asks over the network.
-        """
+        """Guards against polls that each wait for a dead agent."""
         calls, counted = make_calls(monkeypatch, clock, port=9, seconds=0.02)
         group = make_group(engine)
         for _ in range(4):
--- a/mintsaddle/entry/tests/test_requests.py
+++ b/mintsaddle/entry/tests/test_requests.py
@@ -114,10 +114,7 @@
         ("has_key", "outcome"), [(False, "not-run"), (True, "ask-again")]
     )
     def test_nothing_is_claimed_of_a_key(self, has_key: bool, outcome: str) -> None:
-        """A counter would order again while its first attempt runs.
-
-        Its retry has a bad header; the first attempt went by another entry.
-        """
+        """Guards against a claim about a key whose first attempt runs."""
         seen: list[tuple[str, str]] = []
         problem = Problem("400 Bad Request", "Timeout: 'x' is not a number")
         body = answer_problem(lambda _, h: seen.extend(h), problem, has_key=has_key)
--- a/mintsaddle/observe/tests/test_logs.py
+++ b/mintsaddle/observe/tests/test_logs.py
@@ -8,10 +8,7 @@
 
 class TestLogs:
     def test_a_full_buffer_drops_lines_and_counts_them(self) -> None:
-        """All callers of an entry wait for its log.
-
-        Its output is read slowly while a burst writes thousands of lines.
-        """
+        """Guards against callers that wait for the log."""
         handler = _BoundedHandler()
         record = logging.LogRecord("part", logging.INFO, "", 0, "line", (), None)
         for _ in range(MOST_LINES + 5):
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -30,11 +30,7 @@
         assert body.startswith(b"whole answer of e-")
 
     def test_an_order_is_not_repeated_after_a_cut(self, site: Site) -> None:
-        """A redirection is registered twice and billed twice.
-
-        The first desk registers it and its answer is lost on the way; the
-        entry sends the order to the second desk.
-        """
+        """Guards against an order that runs at two endpoints."""
         site.script(standins.cut)
         status, _, _ = site.entry.call("POST", "/order/1")
         assert (status, len(site.requests())) == (502, 1)
@@ -61,10 +57,7 @@
 
 class TestStreams:
     def test_a_cut_stream_goes_on_after_its_last_whole_event(self, site: Site) -> None:
-        """A letter lacks a sentence, or has one twice.
-
-        The engine breaks off in the middle of an event; another one goes on.
-        """
+        """Guards against an event that is lost or comes twice."""
         site.script(standins.stream(1, 3, is_whole=False), standins.stream(4, 5))
         status, _, body = site.entry.call("POST", "/letter/1")
         assert status == 200
@@ -85,11 +78,7 @@
             response.read()
 
     def test_a_caller_that_leaves_frees_its_endpoint(self, site: Site) -> None:
-        """Engines stay full of work that nobody waits for.
-
-        A caller hangs up before the first event; its entry waits in a read of
-        the engine's answer and doesn't notice.
-        """
+        """Guards against engines full of work that nobody waits for."""
         site.script(standins.stay_silent)
         connection = site.entry.open("POST", "/letter/1")
         wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
@@ -106,10 +95,7 @@
     def test_only_what_may_be_repeated_goes_over_a_kept_connection(
         self, site: Site
     ) -> None:
-        """An order is registered twice, or is said not to have run and did.
-
-        A reset on a kept connection may mean either; a fresh one tells.
-        """
+        """Guards against an order reset on an idle connection."""
         for endpoint in site.endpoints[1:]:
             leaving = standins.announce(endpoint, "desk", state="draining")
             site.store.put(f"servers/{endpoint.name}", leaving)
@@ -198,11 +184,7 @@
     def test_an_entry_that_the_store_turns_away_hears_from_a_peer(
         self, site: Site
     ) -> None:
-        """Callers of one entry are refused, or sent to an endpoint that left.
-
-        The store serves all entries but one; changes reach that one only by
-        the others.
-        """
+        """Guards against an old copy in one entry."""
         away = standins.Store()
         away.is_down = True
         other = site.add_entry(away.address, [site.entry.control])
@@ -296,10 +278,7 @@
 
 class TestReload:
     def test_a_changed_file_is_read_again_and_cuts_nobody(self, site: Site) -> None:
-        """An entry dies when its settings change.
-
-        The signal that says so ends a process that doesn't handle it.
-        """
+        """Guards against a signal that ends the process."""
         site.entry.change_settings("retry_slack = 90", "retry_slack = 45")
         site.entry.process.send_signal(signal.SIGHUP)
         wait_for(lambda: "Reloaded" in site.entry.log(), "reload")
@@ -311,10 +290,7 @@
 
 class TestSilentEndpoints:
     def test_a_lookup_goes_elsewhere_in_time(self, site: Site) -> None:
-        """A lookup fails at its deadline though another desk is idle.
-
-        The first desk has run it and its answer was lost without a reset.
-        """
+        """Guards against a lookup that waits for a lost answer."""
         site.script(standins.stay_silent)
         status, _, _ = site.entry.call(
             "GET", "/lookup/1", X_Mintsaddle_Deadline_Ms="1200"
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -81,13 +81,7 @@
     def test_a_removal_after_a_long_quiet_watch_counts_at_once(
         self, gateway: Gateway
     ) -> None:
-        """A caller's request runs at a desk that left over two seconds ago.
-
-        The endpoint leaves without saying so first: its entry is removed. The
-        watch that tells of it had waited quietly for longer than a second,
-        which was taken for an absence of the platform, so the endpoint was
-        kept for two seconds more.
-        """
+        """Guards against a quiet watch taken for an absence."""
         replica = gateway.replica
         assert replica.lapse_until == 0.0
 
@@ -121,10 +115,7 @@
     def test_each_lost_and_regained_group_is_logged_once(
         self, gateway: Gateway, caplog: pytest.LogCaptureFixture
     ) -> None:
-        """Drafts failed for some seconds, and no line says until when.
-
-        The group was heard of by an announcement, before it was asked.
-        """
+        """Guards against a lost group without a line at its end."""
         caplog.set_level("INFO")
         gateway.record_group_refusal("g", 1, "i-7")
         gateway.record_group_refusal("g", 1, "i-7")
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -88,11 +88,7 @@
         assert link.is_reached
 
     def test_an_order_is_not_sent_twice(self, engine: Engine) -> None:
-        """A step is let go that a newer switch holds.
-
-        The engine carries the order out and its answer is lost; repeated by
-        the agent, unknown to its sender, it would arrive after newer orders.
-        """
+        """Guards against an order repeated by the agent after newer ones."""
         engine.is_breaking = True
         link = EngineLink(engine.address, TIMEOUT)
         assert link.call(ORDER) is NO_ANSWER
