Read all answers of the store in one place, with their era

Cause: reading the whole change again. A page of a reading and a watch's answer were each checked for items and revision by their own copy of the same lines, and the era went from one method to the others through a field of the client.

Change: one function reads an answer's items, revision and era; the field is gone. Behaviour is the same.

--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -37,7 +37,7 @@
 
 
 class _Page(NamedTuple):
-    """A part of a reading."""
+    """One answer of the store."""
 
     items: tuple[PublishedItem, ...]
     at: int
@@ -53,7 +53,6 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._connection: http.client.HTTPConnection | None = None
-        self._era: int | None = None
 
     def read_all(
         self, prefix: str, *, may_be_old: bool = False
@@ -71,7 +70,7 @@
         """
         pages: list[_Page] = []
         while len(pages) < _MOST_PAGES:
-            match self._read_page(prefix, pages, may_be_old=may_be_old):
+            match self._ask_page(prefix, pages, may_be_old=may_be_old):
                 case Failure(problem):
                     return Failure(problem)
                 case Success(page):
@@ -80,25 +79,15 @@
                         return _join_pages(pages, may_be_old=may_be_old)
         return Failure(StoreProblem.UNREADABLE)
 
-    def _read_page(
-        self, prefix: str, pages: list["_Page"], *, may_be_old: bool
-    ) -> Result["_Page", StoreProblem]:
+    def _ask_page(
+        self, prefix: str, pages: list[_Page], *, may_be_old: bool
+    ) -> Result[_Page, StoreProblem]:
         query = {"prefix": prefix}
         if may_be_old:
             query["stale_ok"] = "1"
         if pages:
             query["after"] = pages[-1].items[-1].key
-        match self._get("kv-range", query, READ_SECONDS):
-            case Failure(problem):
-                return Failure(problem)
-            case Success(answer):
-                items = _read_items(answer.get("items"))
-                at = answer.get("at")
-                if items is None or not isinstance(at, int):
-                    return Failure(StoreProblem.UNREADABLE)
-                has_more = bool(answer.get("has_more"))
-                return Success(_Page(items, at, self._era, has_more))
-        raise AssertionError("a result is a success or a failure")
+        return self._get("kv-range", query, READ_SECONDS, "items")
 
     def watch(
         self, prefix: str, position: int, wait: float
@@ -115,16 +104,10 @@
             "after": str(position),
             "wait_ms": str(int(wait * MILLISECONDS)),
         }
-        match self._get("kv-watch", query, wait + READ_SECONDS):
-            case Failure(problem):
-                return Failure(problem)
-            case Success(answer):
-                items = _read_items(answer.get("events"))
-                if items is None or not isinstance(answer.get("at"), int):
-                    return Failure(StoreProblem.UNREADABLE)
-                at = max(position, answer["at"])
-                return Success(StoreNews(items, at, self._era))
-        raise AssertionError("a result is a success or a failure")
+        answer = self._get("kv-watch", query, wait + READ_SECONDS, "events")
+        return answer.map(
+            lambda page: StoreNews(page.items, max(position, page.at), page.era)
+        )
 
     def close(self) -> None:
         """Close the connection; the next call opens another one."""
@@ -133,8 +116,8 @@
             self._connection = None
 
     def _get(
-        self, call: str, query: Mapping[str, str], seconds: float
-    ) -> Result[dict[str, Any], StoreProblem]:
+        self, call: str, query: Mapping[str, str], seconds: float, listing: str
+    ) -> Result[_Page, StoreProblem]:
         connection = self._connection
         if connection is None:
             connection = http.client.HTTPConnection(self._address, timeout=seconds)
@@ -151,12 +134,13 @@
             # A connection on which an answer was lost gives nothing any more.
             self.close()
             return Failure(StoreProblem.UNREACHABLE)
-        return self._read_answer(response, body)
+        era = _read_era(response)
+        answer = self._read_answer(response, body)
+        return answer.bind(lambda values: _read_page(values, listing, era))
 
     def _read_answer(
         self, response: http.client.HTTPResponse, body: bytes
     ) -> Result[dict[str, Any], StoreProblem]:
-        self._era = _read_era(response)
         if response.status == http.client.GONE:
             return Failure(StoreProblem.HISTORY_GONE)
         if response.status != http.client.OK:
@@ -172,6 +156,16 @@
         return Success(answer)
 
 
+def _read_page(
+    values: Mapping[str, Any], listing: str, era: int | None
+) -> Result[_Page, StoreProblem]:
+    """Return an answer's items, which are listed under a name of the call."""
+    items, at = _read_items(values.get(listing)), values.get("at")
+    if items is None or not isinstance(at, int):
+        return Failure(StoreProblem.UNREADABLE)
+    return Success(_Page(items, at, era, bool(values.get("has_more"))))
+
+
 def _join_pages(
     pages: list[_Page], *, may_be_old: bool
 ) -> Result[StoreNews, StoreProblem]:
