Log and count endpoints that ask to wait or say that they leave

Change: both headers are decoded in platform/, logged with the request and the endpoint and counted. Nothing decides by them yet. Server-Leaving is read with and without the prefix of the other headers. A Retry-After that is a date is read against the answer's own Date.

--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -297,6 +297,7 @@
         gateway = self._gateway
         if not head.is_misdirected:
             gateway.record_rate_limit(endpoint.name, head.rate_limit, gateway.now())
+        self._record_notices(endpoint, head)
         if head.load is None:
             return
         with gateway.lock:
@@ -308,6 +309,18 @@
                 gateway.now(),
             )
 
+    def _record_notices(self, endpoint: Incarnation, head: ResponseHead) -> None:
+        """Record a request to wait, or that the endpoint is shutting down."""
+        names = {"request": self._call.request_id, "endpoint": endpoint.name}
+        if head.retry_after > 0:
+            self._gateway.metrics.count("endpoint_asked_to_wait")
+            details = fields(**names, status=head.status, seconds=head.retry_after)
+            _log.info("Endpoint asked to wait %s.", details)
+        if head.is_leaving:
+            self._gateway.metrics.count("endpoint_said_leaving")
+            details = fields(**names, status=head.status)
+            _log.info("Endpoint said that it leaves %s.", details)
+
     def _finish(self, attempt: _Attempt, *, is_complete: bool) -> None:
         """Pool the connection if the answer is complete, else close it."""
         endpoint, exchange = attempt.endpoint, attempt.exchange
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_messages.py
@@ -8,6 +8,7 @@
 import math
 import re
 from collections.abc import Iterable, Mapping
+from email.utils import parsedate_to_datetime
 from typing import Any, NamedTuple
 
 from mintsaddle.values import MILLISECONDS, Load, Outcome, Reason
@@ -28,6 +29,10 @@
 _RATE_LIMIT_HEADERS = ("X-Mintsaddle-Server-Limit", "Server-Limit")
 """The header is documented without the prefix that the others have."""
 
+_LEAVING_HEADERS = ("X-Mintsaddle-Server-Leaving", "Server-Leaving")
+"""The header is documented without the prefix that the others have."""
+
+_RETRY_AFTER = "Retry-After"
 _FAULTY_ENDPOINT = "At-Server"
 _API_KEY = "Api-Key"
 _LAST_EVENT_ID = "Last-Event-Id"
@@ -61,6 +66,7 @@
 _REMOVED_RESPONSE_HEADERS = frozenset({"content-length", "date"}) | _HOP_BY_HOP_HEADERS
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout=(?P<seconds>\d+)")
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 _TIMEOUT_REASONS = frozenset({Reason.TOO_LATE, Reason.SILENT})
 _MIN_RETRY_AFTER_SECONDS = 0.02
 
@@ -98,6 +104,13 @@
     """Requests per second that it accepts from all entries together; None
     without a limit."""
 
+    retry_after: float
+    """Seconds for which a refusing endpoint asks this VM to send it nothing; 0
+    if it doesn't ask."""
+
+    is_leaving: bool
+    """Whether the endpoint says that it is shutting down."""
+
     at_fault: str
     """Endpoint that caused a refusal; an empty string if none is named."""
 
@@ -182,6 +195,8 @@
         is_stream=headers.get("Content-Type", "").startswith(EVENT_STREAM),
         load=_read_load(headers.get(_LOAD, ""), slots),
         rate_limit=_read_rate_limit(headers),
+        retry_after=_read_retry_after(response),
+        is_leaving=_is_leaving(headers),
         at_fault=headers.get(_FAULTY_ENDPOINT, ""),
         idle_seconds=_read_idle_seconds(response),
     )
@@ -211,7 +226,7 @@
     headers = [(_REQUEST_ID, request_id)] if request_id else []
     if outcome is Outcome.NOT_RUN:
         seconds = max(_MIN_RETRY_AFTER_SECONDS, retry_after)
-        headers.append(("Retry-After", f"{seconds:.2f}"))
+        headers.append((_RETRY_AFTER, f"{seconds:.2f}"))
         return "503 Service Unavailable", headers
     if reason in _TIMEOUT_REASONS:
         return "504 Gateway Timeout", headers
@@ -254,6 +269,36 @@
     return max(0.0, rate) if math.isfinite(rate) else None
 
 
+def _read_retry_after(response: http.client.HTTPResponse) -> float:
+    """Return the seconds in a refusal's Retry-After; 0 if it has no valid one.
+
+    A date is read relative to the endpoint's own clock, since this VM's clock
+    may differ from it.
+    """
+    text = response.headers.get(_RETRY_AFTER)
+    if text is None or response.status != _UNAVAILABLE_STATUS:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = _seconds_until(text, response.headers.get("Date", ""))
+    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
+
+
+def _seconds_until(date: str, now: str) -> float:
+    """Return the seconds between two HTTP dates; 0 if one is invalid."""
+    try:
+        until, since = parsedate_to_datetime(date), parsedate_to_datetime(now)
+        return (until - since).total_seconds()
+    except (ValueError, TypeError):
+        return 0.0
+
+
+def _is_leaving(headers: http.client.HTTPMessage) -> bool:
+    values = [headers[name] for name in _LEAVING_HEADERS if name in headers]
+    return any(value.strip() == "1" for value in values)
+
+
 def _read_event_id(text: str) -> int | None:
     return int(text) if text.isdecimal() else None
 
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -1,9 +1,11 @@
 """Translation between the platform's formats and the product's types."""
 
+import http.client
 import json
 import re
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from returns.result import Failure, Success
@@ -19,10 +21,12 @@
     Repeat,
 )
 from mintsaddle.platform import (
+    ResponseHead,
     decode_items,
     make_endpoint_headers,
     make_refusal,
     read_request_head,
+    read_response_head,
 )
 from mintsaddle.platform._configuration import decode_table
 from mintsaddle.platform._ranks import _decode_report
@@ -33,7 +37,7 @@
 PACKAGE = Path(mintsaddle.__file__).parent
 PLATFORM_NAMES = re.compile(
     r"x-mintsaddle-|kv-(key|range|watch)|op/(config|evacuate)|servers/"
-    r"|MINTSADDLE_NODE_FILE|weighted_backends|Api-Key|At-Server|cold_left_ms",
+    r"|MINTSADDLE_NODE_FILE|weighted_backends|Api-Key|At-Server|Server-Leaving|cold_left_ms",
     re.IGNORECASE,
 )
 
@@ -170,6 +174,59 @@
         assert ("Retry-After" in dict(headers)) == (status == "503")
 
 
+def read_answer(status: int, **headers: str) -> ResponseHead:
+    """Return the decoded head of an endpoint's response to request r."""
+    message = http.client.HTTPMessage()
+    for name, value in headers.items():
+        message[name.replace("_", "-")] = value
+    response = SimpleNamespace(status=status, headers=message, will_close=False)
+    return read_response_head(cast(http.client.HTTPResponse, response), "r", 6)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ("status", "text", "seconds"),
+        [
+            (503, "3", 3.0),
+            (503, " 0.25 ", 0.25),
+            (503, "-3", 0.0),
+            (503, "nan", 0.0),
+            (503, "1e999", 0.0),
+            (503, "soon", 0.0),
+            (503, "", 0.0),
+            (503, "Thu, 01 Jan 2026 00:00:05 GMT", 4.0),
+            (503, "Thu, 99 Jan 2026 00:00:05 GMT", 0.0),
+            (200, "3", 0.0),
+            (504, "3", 0.0),
+        ],
+    )
+    def test_a_refusal_may_ask_to_wait(
+        self, status: int, text: str, seconds: float
+    ) -> None:
+        date = "Thu, 01 Jan 2026 00:00:01 GMT"
+        head = read_answer(status, Retry_After=text, Date=date)
+        assert head.retry_after == seconds
+
+    def test_a_date_without_the_endpoints_clock_asks_for_nothing(self) -> None:
+        head = read_answer(503, Retry_After="Thu, 01 Jan 2026 00:00:05 GMT")
+        assert head.retry_after == 0.0
+
+    @pytest.mark.parametrize(
+        ("headers", "is_leaving"),
+        [
+            ({"Server_Leaving": "1"}, True),
+            ({"X_Mintsaddle_Server_Leaving": "1"}, True),
+            ({"Server_Leaving": "0"}, False),
+            ({"Server_Leaving": "soon"}, False),
+            ({}, False),
+        ],
+    )
+    def test_an_endpoint_may_say_that_it_leaves(
+        self, headers: dict[str, str], is_leaving: bool
+    ) -> None:
+        assert read_answer(200, **headers).is_leaving is is_leaving
+
+
 class TestSettings:
     def test_all_findings_are_reported_together(self) -> None:
         result = decode_settings("file", {"bounds": {"grace_s": "long"}})
