Add failing tests of endpoints that ask to wait or say that they leave

An idle endpoint that refuses with Retry-After 2.5 gets 4 requests (orders, streams) to 10 (after its announcement was away for a moment) within one wait, where 2 are allowed. An endpoint whose answers say that it leaves gets 8 further requests within 0.5 s as long as the store calls it ready. No logic is changed.

--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -234,6 +234,9 @@
         self.requests: list[dict[str, str]] = []
         self.arrivals: list[float] = []
         self.rate_limit: str | None = None
+        self.load: str | None = None
+        """Load header of its answers: running, queued, slots."""
+
         self.connection_closed = threading.Event()
         endpoint = self
 
@@ -273,6 +276,8 @@
     handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
     if endpoint.rate_limit is not None:
         handler.send_header("X-Mintsaddle-Server-Limit", endpoint.rate_limit)
+    if endpoint.load is not None:
+        handler.send_header("X-Mintsaddle-Server-Load", endpoint.load)
     for name, value in headers.items():
         handler.send_header(name.replace("_", "-"), value)
     handler.end_headers()
@@ -296,6 +301,28 @@
     handler.end_headers()
 
 
+def ask_to_wait(seconds: str) -> Responder:
+    """Return a responder that refuses as idle and sends a Retry-After."""
+
+    def responder(endpoint: Endpoint, handler: _Handler) -> None:
+        handler.send_response(503)
+        handler.send_header("X-Mintsaddle-Not-Executed", "1")
+        handler.send_header("X-Mintsaddle-Server-Load", "0,0,6")
+        handler.send_header("Retry-After", seconds)
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
+    return responder
+
+
+def respond_leaving(endpoint: Endpoint, handler: _Handler) -> None:
+    body = f"whole answer of {endpoint.name}".encode()
+    _send_head(
+        endpoint, handler, 200, Content_Length=str(len(body)), Server_Leaving="1"
+    )
+    handler.wfile.write(body)
+
+
 def drop_connection(endpoint: Endpoint, handler: _Handler) -> None:
     handler.close_connection = True
 
