Send nothing to endpoints that have asked this VM to wait

Callers saw: refusals while most engines were free. Cause: Retry-After of a refusal was not read. What was kept of a refusal was a back-off of 0.5 s in the endpoint's view, which any answer with a load header resets, the refusal itself included. An engine that turns all away is idle, so its load made it the best choice of all entries. Ruled out: requests on their way (callers of the tests ask one by one); forgetting with the announcement is real too, but a second way to the same end: a test covers it. Change: waits are state of their own (decisions/direct/_requested_waits.py), by name of the run, ended by time alone. Endpoints that wait are not chosen, also not by requests that were chosen before, sent again on a broken connection or resumed, nor by group checks if another rank can be asked. If all endpoints of a service wait beyond the request's objective it is refused at once, with the first end as Retry-After, to which jitter is added instead of taken off (the same for permits). A wait is lengthened by up to a fifth at random and ends with one request on trial, so that entries that were turned away together don't return together; last attempts don't go on trial. Map orders are sent all the same: a withheld release would halt a group. Why it works: nothing but time ends a wait, so no answer, load or announcement can undo it; a state machine checks that in any order of events.

--- a/mintsaddle/cli/_trace.py
+++ b/mintsaddle/cli/_trace.py
@@ -32,6 +32,9 @@
     "not-run:group-down": "It was refused: the engines' group was down for as "
     "long as its caller was willing to wait.",
     "not-run:full": "It was refused: all endpoints that were tried were full.",
+    "not-run:asked-to-wait": "It was refused: all endpoints had asked the entry "
+    "to wait for longer than the request could.",
+    "not-run:rate-limited": "It was refused: no endpoint had a permit left in time.",
     "not-run:no-endpoint": "It was refused: no endpoint of its service was available.",
     "not-run:unreachable": "It was refused: no connection to an endpoint succeeded.",
     "in-doubt:cut-off": "It may have run: the endpoint cut off its response.",
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -60,6 +60,10 @@
     PublishedItem,
     Replica,
 )
+from mintsaddle.decisions.direct._requested_waits import (
+    RequestedWaits,
+    prefer_proven,
+)
 from mintsaddle.decisions.direct._reuse import MAX_IDLE_CONNECTIONS, idle_limit_seconds
 from mintsaddle.decisions.direct._store_polling import StorePolling, StoreResponse
 from mintsaddle.decisions.direct._table import (
@@ -153,6 +157,7 @@
     "ReachabilityTracker",
     "Repeat",
     "Replica",
+    "RequestedWaits",
     "Route",
     "RouteDeadlines",
     "RoutingTable",
@@ -182,6 +187,7 @@
     "may_wait_for_slot",
     "must_poll",
     "place_at",
+    "prefer_proven",
     "prefer_quick_groups",
     "rank_incarnations",
     "record_attempt",
--- a/mintsaddle/decisions/direct/_groups.py
+++ b/mintsaddle/decisions/direct/_groups.py
@@ -132,7 +132,11 @@
 
 
 def advise_retry(
-    seconds_left: float, preferred_seconds: float, rng: random.Random
+    seconds_left: float,
+    preferred_seconds: float,
+    rng: random.Random,
+    *,
+    is_minimum: bool = False,
 ) -> float:
     """Return after how many seconds a refused caller should retry.
 
@@ -144,6 +148,11 @@
         seconds_left: How long the caller still waits.
         preferred_seconds: Seconds after which there will probably be capacity.
         rng: The random number generator for the jitter.
+        is_minimum: Whether there certainly is no capacity before, so that the
+            jitter is added.
     """
-    seconds = min(preferred_seconds, seconds_left * MAX_RETRY_DELAY_SHARE)
-    return seconds * (1.0 - _RETRY_JITTER_SHARE * rng.random())
+    longest = seconds_left * MAX_RETRY_DELAY_SHARE
+    jitter = _RETRY_JITTER_SHARE * rng.random()
+    if is_minimum:
+        return min(preferred_seconds * (1.0 + jitter), longest)
+    return min(preferred_seconds, longest) * (1.0 - jitter)
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -362,6 +362,14 @@
         assert max(times) <= 2.0
         assert max(times) - min(times) > 0.3
 
+    def test_callers_do_not_return_before_there_is_capacity(self) -> None:
+        """Guards against a Retry-After that ends too early."""
+        rng = random.Random(1)
+        times = [advise_retry(9.0, 2.0, rng, is_minimum=True) for _ in range(50)]
+        assert min(times) >= 2.0
+        assert max(times) - min(times) > 0.3
+        assert advise_retry(3.0, 2.0, rng, is_minimum=True) <= 1.0
+
 
 class TestMembership:
     def test_unresponsive_entries_expire_and_seeds_are_contacted_again(self) -> None:
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -229,14 +229,20 @@
     ) -> float:
         gateway = self._gateway
         preferred = _RETRY_SECONDS.get(reason, _USUAL_RETRY_SECONDS)
+        opens_at = gateway.first_wait_end(service)
         if reason is Reason.RATE_LIMITED:
-            permit_at = gateway.next_permit_at(service)
-            if permit_at is not None:
-                preferred = permit_at - gateway.now()
+            opens_at = opens_at or gateway.next_permit_at(service)
+        if opens_at is not None:
+            preferred = opens_at - gateway.now()
         if reason is Reason.ISOLATED:
             preferred = max(_USUAL_RETRY_SECONDS, gateway.reach.failover_seconds_left)
         with gateway.lock:
-            return advise_retry(seconds_left, preferred, gateway.rng)
+            return advise_retry(
+                seconds_left,
+                preferred,
+                gateway.rng,
+                is_minimum=opens_at is not None,
+            )
 
     def _record(self, call: DirectCall, measure: Measure) -> None:
         key = HistogramKey(call.workspace or "none", call.route.name, measure)
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -44,8 +44,8 @@
     """Return the endpoint to try, or why there is none.
 
     The request waits here while all groups of the service are down, or while
-    its endpoints are cold and have received their share of requests. They
-    would refuse it if it were sent.
+    its endpoints have asked to wait or are cold and have received their share
+    of requests. They would refuse it if it were sent.
 
     Args:
         gateway: The entry's shared state.
@@ -86,7 +86,7 @@
             return available
         ranked = rank_incarnations(
             gateway.routing,
-            available,
+            gateway.waits.prefer_proven(call, available),
             call.tried,
             gateway.now(),
             gateway.rng,
@@ -248,10 +248,13 @@
         has_waited = True
         if gateway.reach.is_isolated:
             return Reason.ISOLATED
+        wait_end = gateway.first_wait_end(call.service)
+        if wait_end is not None and wait_end > call.due_at:
+            return Reason.ASKED_TO_WAIT
         permit_at = gateway.limits.next_permit_at(endpoint.name for endpoint in usable)
         if permit_at is not None and permit_at > call.due_at:
             return Reason.RATE_LIMITED
-        left = (permit_at or wait_until) - gateway.now()
+        left = (wait_end or permit_at or wait_until) - gateway.now()
         if left <= 0:
             return _unavailable_reason(gateway)
         gateway.groups_changed.wait(min(left, _DISCONNECT_POLL_SECONDS))
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -8,7 +8,7 @@
 import http.client
 import select
 import socket
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from mintsaddle.engines import shut_down
 from mintsaddle.values import MILLISECONDS
@@ -115,6 +115,7 @@
         headers: Iterable[tuple[str, str]],
         body: bytes,
         seconds: float,
+        may_resend: Callable[[], bool] = lambda: True,
     ) -> http.client.HTTPResponse:
         """Send the request and return the answer, whose head has been read.
 
@@ -128,6 +129,8 @@
             headers: All headers except Content-Length.
             body: The complete body.
             seconds: Timeout for reads and for unacknowledged data.
+            may_resend: Returns whether the endpoint may still get a request
+                after a reused connection broke.
 
         Raises:
             OSError: The connection broke or timed out.
@@ -136,7 +139,7 @@
         try:
             self._response = self._send(method, target, headers, body, seconds)
         except (OSError, http.client.HTTPException):
-            if not self._is_reused or self._aborted:
+            if not self._is_reused or self._aborted or not may_resend():
                 raise
             self._connection.close()
             self._is_reused = False
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -26,6 +26,7 @@
 )
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_sent
 from mintsaddle.direct._endpoint_limits import EndpointLimits
+from mintsaddle.direct._endpoint_waits import EndpointWaits
 from mintsaddle.direct._metrics import Metrics
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.direct._probe import LoadProbe
@@ -82,6 +83,9 @@
             settings.cold_factor, settings.cold_slack
         )
         self._limits = EndpointLimits(self._lock, self.now)
+        self._waits = EndpointWaits(
+            self._lock, self.now, self._rng, self._notify_waiting
+        )
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
@@ -137,6 +141,11 @@
         """Request rate limits of endpoints, and permits for them."""
         return self._limits
 
+    @property
+    def waits(self) -> EndpointWaits:
+        """Waits that endpoints have asked this entry for."""
+        return self._waits
+
     @property
     def reach(self) -> Reachability:
         """Which data centres this entry can reach."""
@@ -359,6 +368,8 @@
             return False
         if self._reach.is_unreachable(endpoint.data_centre):
             return False
+        if not self._waits.takes_work(endpoint.name):
+            return False
         if not self._limits.takes_work(endpoint.name):
             return False
         return self._cold_start_limiter.allows(
@@ -406,6 +417,7 @@
     def record_chosen(self, endpoint: Incarnation) -> None:
         """Count a request that is about to be sent; requires the lock."""
         record_sent(self._routing, endpoint.name)
+        self._waits.record_sent(endpoint.name)
         self._cold_start_limiter.record_sent(endpoint, self.now())
 
     def next_permit_at(self, service: str) -> Instant | None:
@@ -414,11 +426,23 @@
         Args:
             service: The service; a permit for any of its endpoints will do.
         """
-        with self._lock:
-            names = [
-                endpoint.name for endpoint in usable_endpoints(self._directory, service)
-            ]
-        return self._limits.next_permit_at(names)
+        return self._limits.next_permit_at(self._usable_names(service))
+
+    def first_wait_end(self, service: str) -> Instant | None:
+        """Return when a service's endpoints stop waiting.
+
+        Args:
+            service: The service.
+
+        Returns:
+            None unless all its usable endpoints have asked to wait.
+        """
+        return self._waits.first_end(self._usable_names(service))
+
+    def _usable_names(self, service: str) -> list[str]:
+        return [
+            endpoint.name for endpoint in usable_endpoints(self._directory, service)
+        ]
 
     def record_rate_limit(
         self, endpoint: str, rate: float | None, observed_at: Instant
@@ -537,6 +561,7 @@
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
             self._limits.forget(name)
+        self._waits.discard_ended(after.endpoints.keys())
         self._log_directory(source)
 
     def _log_directory(self, source: str) -> None:
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -30,16 +30,17 @@
 
 def _check_group(gateway: Gateway, calls: RankCalls, group: str) -> None:
     """Read the report of a random rank, since some ranks may be cut off."""
-    assignments = {
-        endpoint.address: endpoint.assignment
+    ranks = [
+        (endpoint, endpoint.assignment.rank)
         for endpoint in gateway.directory.endpoints.values()
         if endpoint.assignment is not None and endpoint.assignment.group == group
-    }
-    if not assignments:
+    ]
+    if not ranks:
         return
+    willing = [rank for rank in ranks if not gateway.waits.is_waiting(rank[0].name)]
     with gateway.lock:
-        address = gateway.rng.choice(list(assignments))
-    report = calls.read_report(address, assignments[address].rank)
+        endpoint, rank = gateway.rng.choice(willing or ranks)
+    report = calls.read_report(endpoint.address, rank)
     # A rank without a report may be the lost one; the next check picks again.
     if report is not None:
         gateway.record_group(group, report.epoch, report.is_open, report.step)
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -153,7 +153,7 @@
             self._gateway.reach.record(endpoint.data_centre, received=True)
         call, request = self._call, self._request
         left = call.deadline - self._gateway.now()
-        if left <= 0:
+        if left <= 0 or self._gateway.waits.is_waiting(endpoint.name):
             return Ending.NOT_SENT, None
         headers = make_endpoint_headers(
             request.environ,
@@ -170,6 +170,7 @@
                 headers,
                 request.body,
                 left + 2 * DEADLINE_GRACE_SECONDS,
+                lambda: not self._gateway.waits.is_waiting(endpoint.name),
             )
         except (OSError, http.client.HTTPException, ValueError) as error:
             self._log_broken_answer(endpoint, error)
@@ -311,6 +312,7 @@
 
     def _record_notices(self, endpoint: Incarnation, head: ResponseHead) -> None:
         """Record a request to wait, or that the endpoint is shutting down."""
+        self._gateway.waits.record_answer(endpoint.name, head.retry_after)
         names = {"request": self._call.request_id, "endpoint": endpoint.name}
         if head.retry_after > 0:
             self._gateway.metrics.count("endpoint_asked_to_wait")
--- a/mintsaddle/values/_outcomes.py
+++ b/mintsaddle/values/_outcomes.py
@@ -42,6 +42,7 @@
     MARKED_OUT = "marked-out"
     FULL = "full"
     RATE_LIMITED = "rate-limited"
+    ASKED_TO_WAIT = "asked-to-wait"
     TOO_LATE = "too-late"
     ENGINE_DOWN = "engine-down"
     ENGINE_FAILED = "engine-failed"
