Send nothing more to endpoints whose answers say that they leave

Cause: leaving was known from the store alone, which may be away, behind, or restored from a backup. Change: a run that says Server-Leaving in an answer to a caller's request counts as leaving, by its name and start, in all places that a run may be in (listed, removed and listed again, behind a later run at its address, withheld after a restore, not yet listed). A later run of the same name is used.

--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -62,6 +62,16 @@
     """When this entry learned of the removal."""
 
 
+class LeavingRun(NamedTuple):
+    """A run that has said in an answer that it is shutting down."""
+
+    started_at_ms: int
+    """Announced start of the run in Unix milliseconds."""
+
+    known_at: Instant
+    """When this entry received the answer."""
+
+
 class WithheldRun(NamedTuple):
     """A removed run that is listed again by a store restored from a backup."""
 
@@ -93,6 +103,9 @@
     removed: Mapping[str, Removal] = MappingProxyType({})
     """Removed endpoints, by name."""
 
+    said_leaving: Mapping[str, LeavingRun] = MappingProxyType({})
+    """Endpoints that have said that they leave, by name."""
+
     withheld: Mapping[str, WithheldRun] = MappingProxyType({})
     """Removed endpoints that a restored store lists again, by name."""
 
--- a/mintsaddle/decisions/direct/_updates.py
+++ b/mintsaddle/decisions/direct/_updates.py
@@ -10,6 +10,7 @@
 from mintsaddle.decisions.direct._directory import (
     Directory,
     Incarnation,
+    LeavingRun,
     RankAssignment,
     Removal,
     WithheldRun,
@@ -51,6 +52,14 @@
     name: str
 
 
+class EndpointSaidLeaving(NamedTuple):
+    """An endpoint has said in an answer that it is shutting down."""
+
+    name: str
+    started_at_ms: int
+    """Announced start of the run that answered, in Unix milliseconds."""
+
+
 class DataCentreEvacuated(NamedTuple):
     """The operator has taken a data centre out of service."""
 
@@ -68,6 +77,7 @@
     | EndpointPublished
     | EndpointRemoved
     | EndpointReplaced
+    | EndpointSaidLeaving
     | DataCentreEvacuated
     | DataCentreReinstated
 )
@@ -122,6 +132,7 @@
         self._pending_reinstatement = dict(directory.pending_reinstatement)
         self._removed = dict(directory.removed)
         self._withheld = dict(directory.withheld)
+        self._said_leaving = dict(directory.said_leaving)
 
     def apply(self, update: DirectoryUpdate) -> None:
         """Apply one update."""
@@ -135,6 +146,8 @@
                 self._publish_run(incarnation)
             case EndpointReplaced(name):
                 self._drop(name)
+            case EndpointSaidLeaving(name, started_at_ms):
+                self._record_leaving(name, started_at_ms)
             case EndpointRemoved(name):
                 self._remove(name)
             case DataCentreEvacuated(name):
@@ -147,6 +160,12 @@
         """Return the resulting directory."""
         known_since = self._now - REMOVAL_MEMORY_SECONDS
         removed = {n: r for n, r in self._removed.items() if r.known_at > known_since}
+        listed = self._endpoints.keys() | self._superseded.keys()
+        said_leaving = {
+            name: run
+            for name, run in self._said_leaving.items()
+            if name in listed or run.known_at > known_since
+        }
         return Directory(
             table=self._table,
             endpoints=self._endpoints,
@@ -155,6 +174,7 @@
             superseded=self._superseded,
             pending_reinstatement=self._pending_reinstatement,
             removed=removed,
+            said_leaving=said_leaving,
             withheld=self._withheld,
         )
 
@@ -186,6 +206,24 @@
             incarnation = self._merge_announcement(known, incarnation)
         self._resolve_address(incarnation)
 
+    def _record_leaving(self, name: str, started_at_ms: int) -> None:
+        self._said_leaving[name] = LeavingRun(started_at_ms, self._now)
+        known = self._endpoints.get(name)
+        if known is not None and self._has_said_leaving(known):
+            self._endpoints[name] = known._replace(leaving=True)
+
+    def _has_said_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether this run has said that it leaves.
+
+        The store may list it as ready all the while: announcements come later
+        than answers, are missing while the store is away, and may be restored
+        from a backup.
+        """
+        leaving = self._said_leaving.get(incarnation.name)
+        return (
+            leaving is not None and leaving.started_at_ms == incarnation.started_at_ms
+        )
+
     def _merge_announcement(
         self, known: Incarnation, newer: Incarnation
     ) -> Incarnation:
@@ -213,6 +251,8 @@
         The announcement of a crashed run stays listed for seconds next to
         that of its successor, and every request sent to it is refused.
         """
+        if self._has_said_leaving(run):
+            run = run._replace(leaving=True)
         others = [
             other
             for other in self._endpoints.values()
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -11,6 +11,7 @@
     ColdStartLimiter,
     Directory,
     EndpointReplaced,
+    EndpointSaidLeaving,
     EntryShare,
     GroupAvailability,
     GroupStepTimes,
@@ -352,6 +353,21 @@
             self._directory = apply_updates(self._directory, updates, 0.0, self.now())
             self._routing.forget(endpoint)
 
+    def record_said_leaving(self, endpoint: Incarnation) -> bool:
+        """Record an endpoint's answer that says that it is shutting down.
+
+        Returns:
+            Whether this entry didn't know it yet.
+        """
+        with self._lock:
+            leaving = self._directory.said_leaving.get(endpoint.name)
+            if leaving and leaving.started_at_ms == endpoint.started_at_ms:
+                return False
+            update = EndpointSaidLeaving(endpoint.name, endpoint.started_at_ms)
+            self._directory = apply_updates(self._directory, [update], 0.0, self.now())
+            self._log_directory(endpoint.name)
+        return True
+
     def drop_expired(self) -> None:
         """Apply changes from an outage or a restore whose grace has ended."""
         with self._lock:
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -318,7 +318,7 @@
             self._gateway.metrics.count("endpoint_asked_to_wait")
             details = fields(**names, status=head.status, seconds=head.retry_after)
             _log.info("Endpoint asked to wait %s.", details)
-        if head.is_leaving:
+        if head.is_leaving and self._gateway.record_said_leaving(endpoint):
             self._gateway.metrics.count("endpoint_said_leaving")
             details = fields(**names, status=head.status)
             _log.info("Endpoint said that it leaves %s.", details)
