Drop the single trial request after a requested wait

Cause: a trial held all other requests of an entry back until its answer came, 0.2 s and more for a stream, although its endpoint had mostly recovered. Change: after its wait an endpoint is chosen like any other, only not for a call's last attempt until it has answered once. Late calls may await the end of all waits as they await a group; which calls may is a decision (await_until), no longer the shell's.

--- a/benchmarks/lockstep.py
+++ b/benchmarks/lockstep.py
@@ -17,13 +17,15 @@
 from fakes.lockstep import (
     PRODUCT,
     CallerModel,
+    EngineModel,
     Outage,
     Policy,
+    RefusingEngines,
     Scenario,
     ScenarioResult,
     run_scenario,
 )
-from mintsaddle.decisions.direct import Incarnation
+from mintsaddle.decisions.direct import Incarnation, hold_until
 from mintsaddle.decisions.routing import RoutingState
 
 SEEDS = 8
@@ -44,6 +46,20 @@
         outages=(Outage(6.0, 8.5), Outage(22.0, 27.5)),
         callers=HIGH_LOAD_CALLERS,
     ),
+    "a third refuses for 8 s": Scenario(
+        duration=30.0, refusing=(RefusingEngines(6.0, 14.0, range(4), 3.0),)
+    ),
+    "all refuse for 1 s": Scenario(
+        duration=30.0, refusing=(RefusingEngines(6.0, 7.0, range(12), 3.0),)
+    ),
+    "all refuse for 4 s, briefly": Scenario(
+        duration=30.0, refusing=(RefusingEngines(6.0, 10.0, range(12), 0.5),)
+    ),
+    "overload with waits": Scenario(
+        duration=34.0,
+        burst=(8.0, 14.0, 2.6),
+        engines=EngineModel(queue=2, overload_wait=3.0),
+    ),
 }
 
 
@@ -69,7 +85,7 @@
     state: RoutingState, ranks: Sequence[Incarnation], now: float, rng: random.Random
 ) -> Incarnation:
     """Choose the less loaded of two endpoints drawn at random."""
-    drawn = rng.sample(list(ranks), 2)
+    drawn = rng.sample(list(ranks), min(2, len(ranks)))
     return min(drawn, key=lambda rank: state.view(rank.name).estimate_load(now))
 
 
@@ -91,6 +107,14 @@
         "mintsaddle": PRODUCT,
         "without urgency": without_urgency,
         "without waiting": PRODUCT._replace(holds_requests=False),
+        "waits ignored": PRODUCT._replace(keeps_waits=False, prefers_proven=False),
+        "waits, any endpoint last": PRODUCT._replace(prefers_proven=False),
+        "waits, held if on time": PRODUCT._replace(
+            await_until=lambda call, now: call.due_at
+        ),
+        "waits, held as for a group": PRODUCT._replace(
+            await_until=lambda call, now: hold_until(call)
+        ),
         "round robin": without_urgency._replace(choose=choose_in_turn),
         "least in flight": without_urgency._replace(choose=choose_least_in_flight),
         "two choices": without_urgency._replace(choose=choose_less_loaded_of_two),
--- a/fakes/lockstep/__init__.py
+++ b/fakes/lockstep/__init__.py
@@ -5,8 +5,19 @@
 """
 
 from fakes.lockstep._callers import CallerModel, CallerRequest
-from fakes.lockstep._day import Outage, Scenario, ScenarioResult, run_scenario
-from fakes.lockstep._entry import PRODUCT, ChooseRank, Policy, choose_as_product
+from fakes.lockstep._day import (
+    Outage,
+    RefusingEngines,
+    Scenario,
+    ScenarioResult,
+    run_scenario,
+)
+from fakes.lockstep._entry import (
+    PRODUCT,
+    ChooseRank,
+    Policy,
+    choose_as_product,
+)
 from fakes.lockstep._group import (
     EngineModel,
     EngineRequest,
@@ -25,6 +36,7 @@
     "Outage",
     "Policy",
     "RankGroup",
+    "RefusingEngines",
     "Scenario",
     "ScenarioResult",
     "choose_as_product",
--- a/fakes/lockstep/_day.py
+++ b/fakes/lockstep/_day.py
@@ -21,6 +21,16 @@
     until: float
 
 
+class RefusingEngines(NamedTuple):
+    """Engines that refuse all requests; times as for an outage."""
+
+    at: float
+    until: float
+    ranks: Sequence[int]
+    wait: float
+    """Seconds for which they ask each entry to wait."""
+
+
 class Scenario(NamedTuple):
     """The load, outages and expert-map changes of one run."""
 
@@ -28,6 +38,7 @@
     """Seconds during which requests arrive."""
 
     outages: Sequence[Outage] = ()
+    refusing: Sequence[RefusingEngines] = ()
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     """Start and end in seconds, and the factor applied to the arrival rate."""
 
@@ -81,6 +92,8 @@
     ]
     for outage in scenario.outages:
         _schedule_outage(world, group, entries, outage)
+    for refusing in scenario.refusing:
+        _schedule_refusals(world, group, refusing)
     requests: list[CallerRequest] = []
     _schedule_arrivals(world, scenario, entries, requests, rng)
     world.run_until(START + scenario.duration + 2 * scenario.callers.deadline)
@@ -114,6 +127,15 @@
     world.after(outage.until, lambda: group.restore_rank(notify_entries))
 
 
+def _schedule_refusals(
+    world: World, group: RankGroup, refusing: RefusingEngines
+) -> None:
+    world.after(
+        refusing.at, lambda: group.begin_refusing(refusing.ranks, refusing.wait)
+    )
+    world.after(refusing.until, group.end_refusing)
+
+
 def _schedule_arrivals(
     world: World,
     scenario: Scenario,
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -62,6 +62,7 @@
 )
 from mintsaddle.decisions.direct._requested_waits import (
     RequestedWaits,
+    await_until,
     prefer_proven,
 )
 from mintsaddle.decisions.direct._reuse import MAX_IDLE_CONNECTIONS, idle_limit_seconds
@@ -172,6 +173,7 @@
     "advise_retry",
     "apply_updates",
     "attempt_until",
+    "await_until",
     "choose_by_load",
     "choose_incarnation",
     "choose_service",
--- a/mintsaddle/decisions/direct/_requested_waits.py
+++ b/mintsaddle/decisions/direct/_requested_waits.py
@@ -6,8 +6,10 @@
 most requests of the service would go there.
 
 Load pattern: an overloaded endpoint asks all entries at the same moment. If
-all returned together, it would be overloaded again. So each entry adds a
-random part to its wait, and then tries the endpoint with a single request.
+all returned together, it would be overloaded again, so each entry adds a
+random part to its wait. An endpoint that refuses all requests asks again after
+each wait. So until it has answered one, it gets only requests that may be sent
+elsewhere afterwards.
 """
 
 import random
@@ -16,6 +18,8 @@
 
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
+from mintsaddle.decisions.direct._groups import hold_until
+from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
 
 MAX_WAIT_SECONDS = 600.0
@@ -25,20 +29,13 @@
 JITTER_SHARE = 0.2
 """Largest random part added to a wait, as a share of it."""
 
-TRIAL_SECONDS = 1.0
-"""Seconds for which a request on trial keeps others back if nothing tells how
-it ends."""
-
 
 class _Wait(NamedTuple):
     until: Instant
     """Until when the endpoint gets nothing."""
 
     proven_at: Instant
-    """When the endpoint counts as any other, even without a trial."""
-
-    trial_until: Instant = 0.0
-    """Until when the request on trial keeps others back."""
+    """When the endpoint counts as any other, even without an answer."""
 
 
 class RequestedWaits:
@@ -53,7 +50,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no endpoint is waiting or on trial."""
+        """Whether all endpoints have answered since they asked to wait."""
         return not self._waits
 
     def record_refusal(
@@ -74,24 +71,14 @@
             until = max(until, known.until)
         self._waits[endpoint] = _Wait(until, proven_at=until + seconds)
 
-    def record_sent(self, endpoint: str, now: Instant) -> None:
-        """Record a request; the first one after a wait is on trial."""
-        wait = self._waits.get(endpoint)
-        if wait is not None:
-            self._waits[endpoint] = wait._replace(trial_until=now + TRIAL_SECONDS)
-
-    def record_answer(self, endpoint: str, now: Instant) -> bool:
+    def record_answer(self, endpoint: str, now: Instant) -> None:
         """Record an answer that doesn't ask to wait.
 
-        Returns:
-            Whether it has proven the endpoint. An answer that overtakes or
-            follows a refusal doesn't shorten the wait.
+        One that overtakes or follows a refusal doesn't shorten the wait.
         """
         wait = self._waits.get(endpoint)
-        if wait is None or now < wait.until:
-            return False
-        del self._waits[endpoint]
-        return True
+        if wait is not None and now >= wait.until:
+            del self._waits[endpoint]
 
     def is_waiting(self, endpoint: str, now: Instant) -> bool:
         """Return whether an endpoint wants nothing at present."""
@@ -102,15 +89,8 @@
         wait = self._waits.get(endpoint)
         return wait.until if wait is not None else 0.0
 
-    def takes_work(self, endpoint: str, now: Instant) -> bool:
-        """Return whether an endpoint may get a request now."""
-        wait = self._waits.get(endpoint)
-        if wait is None or now >= wait.proven_at:
-            return True
-        return now >= wait.until and now >= wait.trial_until
-
     def is_proven(self, endpoint: str, now: Instant) -> bool:
-        """Return whether an endpoint has served since it asked to wait."""
+        """Return whether an endpoint has answered since it asked to wait."""
         wait = self._waits.get(endpoint)
         return wait is None or now >= wait.proven_at
 
@@ -133,17 +113,32 @@
     candidates: Sequence[Incarnation],
     is_proven: Callable[[str], bool],
 ) -> list[Incarnation]:
-    """Return the endpoints to choose from, without those on trial.
+    """Return the endpoints to choose from, proven ones for a last attempt.
 
-    A call on its last attempt would end if the endpoint refused it again, so
-    trials are left to calls that can go on elsewhere.
+    A call on its last attempt would end if an endpoint that has just asked to
+    wait refused it as well.
 
     Args:
         call: The call, including the endpoints that were tried already.
         candidates: Endpoints that accept work.
-        is_proven: Returns whether an endpoint isn't on trial.
+        is_proven: Returns whether an endpoint has answered since it asked to
+            wait.
     """
     if call.sends + 1 < call.route.max_attempts:
         return list(candidates)
     proven = [endpoint for endpoint in candidates if is_proven(endpoint.name)]
     return proven or list(candidates)
+
+
+def await_until(call: DirectCall, now: Instant) -> Instant:
+    """Return up to which end of their waits a call may await endpoints.
+
+    A call that can be on time doesn't wait until it is late: its caller is
+    told when to come back. A late one may wait, since its caller may have come
+    back already.
+
+    Args:
+        call: The call, while all endpoints of its service have asked to wait.
+        now: The present instant.
+    """
+    return hold_until(call) if is_late(call, now) else call.due_at
--- a/mintsaddle/direct/_choice.py
+++ b/mintsaddle/direct/_choice.py
@@ -8,6 +8,7 @@
     DirectCall,
     EngineLoad,
     Incarnation,
+    await_until,
     choose_by_load,
     filter_admissible,
     group_leaders_first,
@@ -249,7 +250,7 @@
         if gateway.reach.is_isolated:
             return Reason.ISOLATED
         wait_end = gateway.first_wait_end(call.service)
-        if wait_end is not None and wait_end > call.due_at:
+        if wait_end is not None and wait_end > await_until(call, gateway.now()):
             return Reason.ASKED_TO_WAIT
         permit_at = gateway.limits.next_permit_at(endpoint.name for endpoint in usable)
         if permit_at is not None and permit_at > call.due_at:
--- a/mintsaddle/direct/_endpoint_waits.py
+++ b/mintsaddle/direct/_endpoint_waits.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from mintsaddle.decisions.direct import (
     DirectCall,
@@ -21,7 +21,6 @@
         lock: threading.RLock,
         now: Clock,
         rng: random.Random,
-        on_change: Callable[[], None],
     ) -> None:
         """Start without any wait.
 
@@ -29,13 +28,11 @@
             lock: The lock that guards the entry's shared state.
             now: The clock.
             rng: Random number generator, used under the lock.
-            on_change: Called when endpoints may take work again.
         """
         self._waits = RequestedWaits()
         self._lock = lock
         self._now = now
         self._rng = rng
-        self._on_change = on_change
 
     def record_answer(self, endpoint: str, wait_seconds: float) -> None:
         """Record the head of an endpoint's answer.
@@ -49,27 +46,14 @@
             now = self._now()
             if wait_seconds > 0:
                 self._waits.record_refusal(endpoint, wait_seconds, now, self._rng)
-                has_changed = True
             else:
-                has_changed = self._waits.record_answer(endpoint, now)
-        if has_changed:
-            self._on_change()
-
-    def record_sent(self, endpoint: str) -> None:
-        """Record that a request is about to be sent."""
-        with self._lock:
-            self._waits.record_sent(endpoint, self._now())
-
-    def takes_work(self, endpoint: str) -> bool:
-        """Return whether an endpoint may be chosen now."""
-        # Fast path: this runs for each endpoint and request.
-        if self._waits.is_empty:
-            return True
-        with self._lock:
-            return self._waits.takes_work(endpoint, self._now())
+                self._waits.record_answer(endpoint, now)
 
     def is_waiting(self, endpoint: str) -> bool:
         """Return whether an endpoint wants nothing at present."""
+        # Fast path: this runs for each endpoint and request.
+        if self._waits.is_empty:
+            return False
         with self._lock:
             return self._waits.is_waiting(endpoint, self._now())
 
@@ -88,7 +72,7 @@
     def prefer_proven(
         self, call: DirectCall, candidates: Sequence[Incarnation]
     ) -> list[Incarnation]:
-        """Return the endpoints to choose from, without those on trial."""
+        """Return the endpoints that a call may be sent to."""
         with self._lock:
             now = self._now()
             return prefer_proven(
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -84,9 +84,7 @@
             settings.cold_factor, settings.cold_slack
         )
         self._limits = EndpointLimits(self._lock, self.now)
-        self._waits = EndpointWaits(
-            self._lock, self.now, self._rng, self._notify_waiting
-        )
+        self._waits = EndpointWaits(self._lock, self.now, self._rng)
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
@@ -384,7 +382,7 @@
             return False
         if self._reach.is_unreachable(endpoint.data_centre):
             return False
-        if not self._waits.takes_work(endpoint.name):
+        if self._waits.is_waiting(endpoint.name):
             return False
         if not self._limits.takes_work(endpoint.name):
             return False
@@ -433,7 +431,6 @@
     def record_chosen(self, endpoint: Incarnation) -> None:
         """Count a request that is about to be sent; requires the lock."""
         record_sent(self._routing, endpoint.name)
-        self._waits.record_sent(endpoint.name)
         self._cold_start_limiter.record_sent(endpoint, self.now())
 
     def next_permit_at(self, service: str) -> Instant | None:
