Keep the back-off of an endpoint whose refusal carries a load

Callers saw: refusals while other endpoints were free, also from endpoints that refuse without asking to wait. So the back-off never grew beyond 0.5 s, and the idle endpoint was the best choice again. Ruled out: a longer requested wait (none is sent there). Change: the load on a refusal is stored and resets nothing; a refusal backs off from 0.5 s to 4 s. The new test had 10 requests before, 5 are allowed.

--- a/fakes/lockstep/_entry.py
+++ b/fakes/lockstep/_entry.py
@@ -26,10 +26,10 @@
 )
 from mintsaddle.decisions.routing import (
     RoutingState,
-    record_failed,
     record_finished,
     record_load,
     record_sent,
+    record_turned_away,
 )
 from mintsaddle.values import Load
 
@@ -227,8 +227,8 @@
         now, rank = self._world.now, chosen.assignment
         running, waiting = self._group.load(rank.rank if rank else 0)
         load = Load(running, chosen.slots, waiting, leaving=False)
-        record_load(self._state, chosen.name, 0, load, now)
-        record_failed(self._state, chosen.name, now)
+        record_load(self._state, chosen.name, 0, load, now, is_refusal=True)
+        record_turned_away(self._state, chosen.name, now)
         if request.requested_wait > 0:
             self._waits.record_refusal(
                 chosen.name, request.requested_wait, now, self._world.rng
--- a/mintsaddle/decisions/routing/__init__.py
+++ b/mintsaddle/decisions/routing/__init__.py
@@ -8,6 +8,7 @@
     record_refused,
     record_request,
     record_sent,
+    record_turned_away,
     spend_retry,
 )
 from mintsaddle.decisions.routing._queries import (
@@ -38,5 +39,6 @@
     "record_refused",
     "record_request",
     "record_sent",
+    "record_turned_away",
     "spend_retry",
 ]
--- a/mintsaddle/decisions/routing/_commands.py
+++ b/mintsaddle/decisions/routing/_commands.py
@@ -8,6 +8,7 @@
 _MIN_BACKOFF_SECONDS = 0.5
 _MAX_BACKOFF_SECONDS = 30.0
 _REFUSED_BACKOFF_SECONDS = 1.0
+_MAX_TURNED_AWAY_BACKOFF_SECONDS = 4.0
 _UNAVAILABLE_REASONS = frozenset(
     {Reason.LEAVING, Reason.MARKED_OUT, Reason.ENGINE_DOWN}
 )
@@ -43,19 +44,30 @@
 
 
 def record_load(
-    state: RoutingState, endpoint: str, boot: Boot, load: Load, now: Instant
+    state: RoutingState,
+    endpoint: str,
+    boot: Boot,
+    load: Load,
+    now: Instant,
+    *,
+    is_refusal: bool = False,
 ) -> None:
-    """Store the load that an endpoint reported and reset its failures."""
+    """Store the load that an endpoint reported, and reset its failures.
+
+    The load on a refusal resets nothing: an endpoint that turns all requests
+    away has none and would look best of all.
+    """
     view = state.view(endpoint)
     view = view._replace(
         load=load,
         load_at=now,
         own_in_flight_at_report=view.own_in_flight,
         boot=boot,
-        failures=0,
     )
-    if not load.leaving:
-        view = view._replace(blocked_until=0.0)
+    if not is_refusal:
+        view = view._replace(failures=0)
+        if not load.leaving:
+            view = view._replace(blocked_until=0.0)
     state.replace_view(endpoint, view)
 
 
@@ -77,13 +89,25 @@
     The endpoint is eligible again after the backoff, so it is never excluded
     permanently.
     """
-    view = state.view(endpoint)
-    backoff = min(_MAX_BACKOFF_SECONDS, _MIN_BACKOFF_SECONDS * 2**view.failures)
+    _back_off(state, endpoint, now, _MAX_BACKOFF_SECONDS)
     # The daemon may restart with another boot number, so the known one is
     # cleared: a key issued for a run that has ended could only end in doubt.
-    view = view._replace(
-        failures=view.failures + 1, blocked_until=now + backoff, boot=None
-    )
+    state.replace_view(endpoint, state.view(endpoint)._replace(boot=None))
+
+
+def record_turned_away(state: RoutingState, endpoint: str, now: Instant) -> None:
+    """Back off from an endpoint that answered that it won't run a request.
+
+    It may serve the next one, and trying it costs little, so the backoff stays
+    shorter than after a failure.
+    """
+    _back_off(state, endpoint, now, _MAX_TURNED_AWAY_BACKOFF_SECONDS)
+
+
+def _back_off(state: RoutingState, endpoint: str, now: Instant, longest: float) -> None:
+    view = state.view(endpoint)
+    backoff = min(longest, _MIN_BACKOFF_SECONDS * 2**view.failures)
+    view = view._replace(failures=view.failures + 1, blocked_until=now + backoff)
     state.replace_view(endpoint, view)
 
 
--- a/mintsaddle/decisions/routing/tests/test_routing.py
+++ b/mintsaddle/decisions/routing/tests/test_routing.py
@@ -18,6 +18,7 @@
     record_load,
     record_request,
     record_sent,
+    record_turned_away,
     spend_retry,
 )
 from mintsaddle.fleet import NO_MARKS, Fleet, Marks, read_fleet
@@ -162,6 +163,33 @@
         assert state.view("e0").estimate_load(NOW) == 2
 
 
+class TestTurnedAway:
+    def test_the_load_on_a_refusal_does_not_end_the_backoff(self) -> None:
+        """Guards against refusing endpoints that look least loaded."""
+        state = make_state()
+        now = NOW
+        for _ in range(6):
+            idle = Load(0, 4, 0, False)
+            record_load(state, "e0", 1, idle, now, is_refusal=True)
+            record_turned_away(state, "e0", now)
+            now = state.view("e0").blocked_until
+        assert now - NOW >= 0.5 + 1.0 + 2.0 + 3 * 4.0
+
+    def test_the_backoff_stays_short(self) -> None:
+        """Guards against endpoints left out long after they have recovered."""
+        state = make_state()
+        for _ in range(20):
+            record_turned_away(state, "e0", NOW)
+        assert state.view("e0").blocked_until <= NOW + 4.0
+
+    def test_an_answer_ends_the_backoff(self) -> None:
+        state = make_state()
+        record_turned_away(state, "e0", NOW)
+        record_load(state, "e0", 1, Load(0, 4, 0, False), NOW)
+        assert state.view("e0").blocked_until <= NOW
+        assert state.view("e0").failures == 0
+
+
 class TestRetryBudget:
     def test_retries_are_a_share_of_requests(self) -> None:
         """Guards against retries that multiply failing endpoints' load."""
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -22,6 +22,7 @@
     record_failed,
     record_finished,
     record_load,
+    record_turned_away,
     spend_retry,
 )
 from mintsaddle.direct._answers import (
@@ -274,7 +275,9 @@
         self._call = record_attempt(self._call, endpoint.name, ending)
         now: Instant = gateway.now()
         with gateway.lock:
-            if ending not in (Ending.FAILED, Ending.GROUP_DOWN):
+            if ending is Ending.NOT_RUN:
+                record_turned_away(gateway.routing, endpoint.name, now)
+            elif ending not in (Ending.FAILED, Ending.GROUP_DOWN):
                 record_failed(gateway.routing, endpoint.name, now)
             has_budget = may_retry(gateway.routing)
             decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
@@ -308,6 +311,7 @@
                 _UNUSED_BOOT,
                 head.load,
                 gateway.now(),
+                is_refusal=head.not_executed,
             )
 
     def _record_notices(self, endpoint: Incarnation, head: ResponseHead) -> None:
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -15,6 +15,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -301,18 +302,21 @@
     handler.end_headers()
 
 
-def ask_to_wait(seconds: str) -> Responder:
-    """Return a responder that refuses as idle and sends a Retry-After."""
+def refuse_as_idle(
+    endpoint: Endpoint, handler: _Handler, retry_after: str | None = None
+) -> None:
+    handler.send_response(503)
+    handler.send_header("X-Mintsaddle-Not-Executed", "1")
+    handler.send_header("X-Mintsaddle-Server-Load", "0,0,6")
+    if retry_after is not None:
+        handler.send_header("Retry-After", retry_after)
+    handler.send_header("Content-Length", "0")
+    handler.end_headers()
 
-    def responder(endpoint: Endpoint, handler: _Handler) -> None:
-        handler.send_response(503)
-        handler.send_header("X-Mintsaddle-Not-Executed", "1")
-        handler.send_header("X-Mintsaddle-Server-Load", "0,0,6")
-        handler.send_header("Retry-After", seconds)
-        handler.send_header("Content-Length", "0")
-        handler.end_headers()
 
-    return responder
+def ask_to_wait(seconds: str) -> Responder:
+    """Return a responder that refuses as idle and sends a Retry-After."""
+    return partial(refuse_as_idle, retry_after=seconds)
 
 
 def respond_leaving(endpoint: Endpoint, handler: _Handler) -> None:
--- a/mintsaddle/platform/tests/test_endpoint_notices.py
+++ b/mintsaddle/platform/tests/test_endpoint_notices.py
@@ -133,6 +133,18 @@
         assert last - first > 0.2
 
 
+class TestRefusalsWithoutAWait:
+    def test_an_endpoint_that_refuses_all_is_tried_less_and_less(
+        self, site: Site
+    ) -> None:
+        """Guards against refusing endpoints that look least loaded."""
+        refusing, serving = site.endpoints
+        refusing.responders = [standins.refuse_as_idle] * ALWAYS
+        serving.load = BUSY_LOAD
+        call_until(site, "/order/1", time.monotonic() + 5.0)
+        assert 2 <= len(refusing.arrivals) <= 5
+
+
 class TestLeavingEndpoints:
     def test_an_endpoint_that_says_it_leaves_gets_nothing_more(
         self, site: Site
