Keep count of sends to cold endpoints when the settings change

Callers saw: nothing yet. Cause: the class of the incident, what is known of an endpoint is undone by something that doesn't concern it: the limiter was made anew with the settings and forgot what it had sent. Evidence: the test, which got a further request allowed before; found by reading each place where state about endpoints is dropped. Change: changed limits are applied to the same counts. Measured: the test failed before and passes.

--- a/mintsaddle/decisions/direct/_cold.py
+++ b/mintsaddle/decisions/direct/_cold.py
@@ -26,6 +26,11 @@
         self._slack = slack
         self._sent: dict[str, list[Instant]] = {}
 
+    def replace_limits(self, factor: float, slack: float) -> None:
+        """Apply limits from changed settings to what was sent already."""
+        self._factor = factor
+        self._slack = slack
+
     def allows(
         self, endpoint: Incarnation, service: DirectService, entries: int, now: Instant
     ) -> bool:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -470,7 +470,7 @@
         """Apply limits from a changed settings file."""
         with self._lock:
             self._settings = settings
-            self._cold_start_limiter = ColdStartLimiter(
+            self._cold_start_limiter.replace_limits(
                 settings.cold_factor, settings.cold_slack
             )
 
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -9,6 +9,7 @@
 from mintsaddle.decisions.routing import record_failed
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._relay import COMPRESSION_THRESHOLD_BYTES, ReplicaRelay
+from mintsaddle.platform.tests.standins import make_configuration
 from mintsaddle.settings import DirectSettings
 from mintsaddle.transport.proto import peer_pb2 as pb
 
@@ -101,6 +102,28 @@
         assert "i-1" in gateway.directory.lapsed
 
 
+class TestUnrelatedChanges:
+    """What is known of an endpoint outlasts changes that don't concern it."""
+
+    def test_a_settings_change_keeps_count_of_sends_to_cold_endpoints(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against a second share for cold endpoints after a reload."""
+        service = {"name": "desk", "cold_per_s": 2.0, "cold_start_s": 9.0}
+        configuration = make_configuration(services=[service])
+        cold = {**json.loads(ANNOUNCED), "cold_left_ms": 9000}
+        apply(
+            gateway,
+            PublishedItem("op/config", 6, json.dumps(configuration).encode()),
+            PublishedItem("servers/i-1", 7, json.dumps(cold).encode()),
+        )
+        endpoint = gateway.directory.endpoints["i-1"]
+        while gateway.takes_work(endpoint):
+            gateway.record_chosen(endpoint)
+        gateway.replace_settings(SETTINGS._replace(retry_slack=45.0))
+        assert not gateway.takes_work(endpoint)
+
+
 class TestOtherUsers:
     def test_items_of_others_are_not_kept(self, gateway: Gateway) -> None:
         """Guards against memory use by items that other systems write."""
