Keep an endpoint's rate limit while its announcement is missing

Callers saw: nothing yet. An endpoint in need whose announcement was away for a moment got requests without permits until its next answer, from all entries. Evidence: the test, which found no limit before. Change: limits of endpoints that aren't announced are kept for 60 s after their last answer. Measured: the test failed before and passes.

--- a/mintsaddle/decisions/direct/_rate_limits.py
+++ b/mintsaddle/decisions/direct/_rate_limits.py
@@ -12,7 +12,7 @@
 stay within the endpoint's limit.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct._membership import ALIVE_SECONDS
@@ -34,6 +34,10 @@
 """Permits that accumulate while none are requested; the largest burst beyond
 the rate."""
 
+GONE_SECONDS = 60.0
+"""Seconds after its last answer for which the limit of an endpoint without an
+announcement is kept."""
+
 MIN_GRANT_RATE = 0.25
 """Minimum requests per second that are granted. An endpoint lifts its limit
 only in a response, so it has to get a request now and then."""
@@ -97,10 +101,24 @@
         known = [self._denied_until.get(endpoint, now) for endpoint in endpoints]
         return min((until for until in known if until > now), default=None)
 
-    def forget(self, endpoint: str) -> None:
-        """Discard the limit of an endpoint that is gone."""
-        self._limits.pop(endpoint, None)
-        self._denied_until.pop(endpoint, None)
+    def discard_gone(self, known: Collection[str], now: Instant) -> None:
+        """Discard the limits of endpoints that have been gone for a while.
+
+        An announcement may be missing for a moment, while the endpoint goes on
+        and its limit holds.
+
+        Args:
+            known: Names of the endpoints that are announced.
+            now: The present instant.
+        """
+        gone = [
+            endpoint
+            for endpoint, limit in self._limits.items()
+            if endpoint not in known and now - limit.observed_at > GONE_SECONDS
+        ]
+        for endpoint in gone:
+            del self._limits[endpoint]
+            self._denied_until.pop(endpoint, None)
 
 
 class PermitDecision(NamedTuple):
--- a/mintsaddle/decisions/direct/tests/test_rate_limits.py
+++ b/mintsaddle/decisions/direct/tests/test_rate_limits.py
@@ -15,6 +15,7 @@
 
 from mintsaddle.decisions.direct import PermitGranter, RateLimits
 from mintsaddle.decisions.direct._rate_limits import (
+    GONE_SECONDS,
     GRANT_SHARE,
     MAX_BURST_PERMITS,
     MIN_GRANT_RATE,
@@ -53,6 +54,17 @@
         assert limits.takes_work(DESK, 11.0)
         assert limits.next_permit_at([DESK], 11.0) is None
 
+    def test_limits_of_endpoints_that_are_gone_are_forgotten(self) -> None:
+        """Guards against memory that grows with each endpoint."""
+        limits = RateLimits()
+        limits.record(DESK, 5.0, 10.0)
+        limits.discard_gone((), 10.0 + GONE_SECONDS)
+        assert limits.is_limited(DESK)
+        limits.discard_gone((DESK,), 11.0 + GONE_SECONDS)
+        assert limits.is_limited(DESK)
+        limits.discard_gone((), 11.0 + GONE_SECONDS)
+        assert not limits.is_limited(DESK)
+
     def test_an_endpoint_that_never_stated_a_rate_is_not_recorded(self) -> None:
         limits = RateLimits()
         assert not limits.record(DESK, None, 1.0)
--- a/mintsaddle/direct/_endpoint_limits.py
+++ b/mintsaddle/direct/_endpoint_limits.py
@@ -1,7 +1,7 @@
 """Rate limits of endpoints, shared by the entry's threads."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from mintsaddle.decisions.direct import RateLimit, RateLimits
 from mintsaddle.values import Clock, Instant
@@ -70,7 +70,7 @@
         with self._lock:
             self._limits.record_denied(endpoint, until)
 
-    def forget(self, endpoint: str) -> None:
-        """Remove the limit of an endpoint that no longer exists."""
+    def discard_gone(self, known: Collection[str]) -> None:
+        """Discard the limits of endpoints that have been gone for a while."""
         with self._lock:
-            self._limits.forget(endpoint)
+            self._limits.discard_gone(known, self._now())
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -573,7 +573,7 @@
             self._deadlines.keep_only(routes)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
-            self._limits.forget(name)
+        self._limits.discard_gone(after.endpoints.keys())
         self._waits.discard_ended(after.endpoints.keys())
         self._log_directory(source)
 
--- a/mintsaddle/platform/tests/test_taking_items.py
+++ b/mintsaddle/platform/tests/test_taking_items.py
@@ -123,6 +123,13 @@
         gateway.replace_settings(SETTINGS._replace(retry_slack=45.0))
         assert not gateway.takes_work(endpoint)
 
+    def test_a_rate_limit_outlasts_the_announcement(self, gateway: Gateway) -> None:
+        """Guards against a limit that is lost with an announcement."""
+        gateway.record_rate_limit("i-1", 4.0, gateway.now())
+        apply(gateway, PublishedItem("servers/i-1", 6, None))
+        apply(gateway, PublishedItem("servers/i-1", 7, ANNOUNCED))
+        assert gateway.limits.limit_of("i-1").rate == 4.0
+
 
 class TestOtherUsers:
     def test_items_of_others_are_not_kept(self, gateway: Gateway) -> None:
