Begin with few retries until an entry knows its peers

Cause: an entry shared the retry budget, and what a cold endpoint bears, with the entries that it knew, 8 at least, and began with a full share. 43 entries that restart together began with five times the budget in all, beside what their runs before had spent in the same window. Evidence: the tests: 43 entries made 774 retries where 416 are allowed, and sent 172 requests to a cold endpoint that bears 44. Change: a new entry assumes 100 entries until it has had time to learn of the others, begins with one retry, and keeps that one free of its share; counts of few peers from before that time are not used. Ruled out: no retries at first (a lone request of a new entry was not repeated: four tests failed). Measured: both tests failed before and pass.

--- a/mintsaddle/decisions/routing/_state.py
+++ b/mintsaddle/decisions/routing/_state.py
@@ -59,13 +59,23 @@
         data_centre: str,
         budget_cap: float = BUDGET_CAP,
         retry_share: float = RETRY_SHARE,
+        budget: float | None = None,
     ) -> None:
+        """Create the state of an entry that has just started.
+
+        Args:
+            vm: Name of the entry.
+            data_centre: Its data centre.
+            budget_cap: Maximum retries that can accumulate.
+            retry_share: Retries credited for each new request.
+            budget: Retries available at first; the maximum by default.
+        """
         self._vm = vm
         self._data_centre = data_centre
         self._views: dict[str, EndpointView] = {}
         self._budget_cap = budget_cap
         self._retry_share = retry_share
-        self._budget = budget_cap
+        self._budget = budget_cap if budget is None else budget
 
     @property
     def vm(self) -> str:
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -37,8 +37,16 @@
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
 
-_ASSUMED_ENTRIES = 8
-"""Number of entries assumed to share limits until peers report more."""
+_MIN_ENTRIES = 8
+"""Minimum number of entries assumed to share limits."""
+
+_ASSUMED_ENTRIES = 100
+"""Number of entries assumed while a new entry doesn't know its peers yet. If
+all entries restart together, each of them is new."""
+
+_FIRST_RETRIES = 1.0
+"""Retries that an entry may make before its requests have earned any. Each
+entry keeps them free of its share, which its run before may have spent."""
 
 PLATFORM_SOURCE = "platform"
 """Source of updates from the platform; all other sources are VMs."""
@@ -51,6 +59,12 @@
     return fields(position=position.revision, era=position.era)
 
 
+def _retry_stock(settings: DirectSettings, entries: int) -> float:
+    """Return how many retries one of some entries may accumulate."""
+    share = settings.retry_slack / entries
+    return max(_FIRST_RETRIES, share - _FIRST_RETRIES)
+
+
 def map_duty(group: str) -> str:
     """Return the name of the duty of managing a group's expert map."""
     return f"maps {group}"
@@ -66,8 +80,9 @@
         self._routing = RoutingState(
             settings.vm,
             settings.data_centre,
-            budget_cap=settings.retry_slack / _ASSUMED_ENTRIES,
+            budget_cap=_retry_stock(settings, _ASSUMED_ENTRIES),
             retry_share=settings.retry_share,
+            budget=_FIRST_RETRIES,
         )
         self._replica = Replica(PUBLISHED_PREFIX)
         self._directory = Directory()
@@ -256,11 +271,11 @@
         }
 
     def set_entry_count(self, number: int) -> None:
-        """Set how many entries share limits; at least the assumed number."""
+        """Set how many entries share limits; at least a minimum is assumed."""
         with self._lock:
-            share = self._settings.retry_slack / max(number, _ASSUMED_ENTRIES)
-            self._routing.replace_budget_cap(share)
-            self._entry_count = max(number, _ASSUMED_ENTRIES)
+            self._entry_count = max(number, _MIN_ENTRIES)
+            stock = _retry_stock(self._settings, self._entry_count)
+            self._routing.replace_budget_cap(stock)
 
     def keep_references(self, *objects: object) -> None:
         """Keep objects in use from being garbage-collected."""
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -137,8 +137,10 @@
                 now, self._gateway.rng, duties, is_searching=is_searching
             )
             await asyncio.gather(*(self._exchange_with(address) for address in peers))
-            self._gateway.set_entry_count(self._membership.count(now))
-            is_fast = is_searching or not self._membership.is_settled(now)
+            is_settled = self._membership.is_settled(now)
+            if is_settled:
+                self._gateway.set_entry_count(self._membership.count(now))
+            is_fast = is_searching or not is_settled
             pause = (
                 FAST_EXCHANGE_INTERVAL_SECONDS if is_fast else EXCHANGE_INTERVAL_SECONDS
             )
