--- a/mintsaddle/decisions/direct/_rate_limits.py
+++ b/mintsaddle/decisions/direct/_rate_limits.py
@@ -104,8 +104,8 @@
     def discard_gone(self, known: Collection[str], now: Instant) -> None:
         """Discard the limits of endpoints that have been gone for a while.
 
-        An announcement may be missing for a moment, while the endpoint goes on
-        and its limit holds.
+        An announcement may be missing for a moment, while the endpoint runs
+        and its limit applies.
 
         Args:
             known: Names of the endpoints that are announced.
--- a/mintsaddle/decisions/direct/_requested_waits.py
+++ b/mintsaddle/decisions/direct/_requested_waits.py
@@ -133,8 +133,8 @@
 def await_until(call: DirectCall, now: Instant) -> Instant:
     """Return up to which end of their waits a call may await endpoints.
 
-    A call that can be on time doesn't wait until it is late: its caller is
-    told when to come back. A late one may wait, since its caller may have come
+    A call that can be on time doesn't wait until it is late: its caller gets a
+    Retry-After instead. A late one may wait, since its caller may have come
     back already.
 
     Args:
--- a/mintsaddle/platform/tests/test_endpoint_notices.py
+++ b/mintsaddle/platform/tests/test_endpoint_notices.py
@@ -55,6 +55,20 @@
     return statuses
 
 
+def announce_again(site: Site, sequence: int, born: int = BORN) -> None:
+    """Remove and publish the announcement of the first endpoint."""
+    site.store.delete("servers/e-1")
+    wait_for(lambda: "endpoints=1" in site.entry.log(), "removal")
+    announcement = standins.make_announcement(
+        site.endpoints[0], "desk", sequence=sequence, born=born
+    )
+    site.store.put("servers/e-1", announcement)
+    wait_for(
+        lambda: "endpoints=2" in site.entry.log().rpartition("endpoints=1")[2],
+        "return",
+    )
+
+
 def most_arrivals_in_a_wait(endpoint: Endpoint) -> int:
     """Return the most requests that reached it while it had asked to wait."""
     return max(
@@ -94,15 +108,7 @@
         )
         refusing.responders = []
         refused_at = refusing.arrivals[-1]
-        site.store.delete("servers/e-1")
-        wait_for(lambda: "endpoints=1" in site.entry.log(), "removal")
-        site.store.put(
-            "servers/e-1", standins.make_announcement(refusing, "desk", sequence=2)
-        )
-        wait_for(
-            lambda: "endpoints=2" in site.entry.log().rpartition("endpoints=1")[2],
-            "return",
-        )
+        announce_again(site, sequence=2)
         call_until(site, "/lookup/1", refused_at + WAIT_SECONDS - 0.1)
         assert most_arrivals_in_a_wait(refusing) <= MAX_ARRIVALS
 
@@ -162,7 +168,7 @@
         count = len(leaving.arrivals)
         call_until(site, "/lookup/1", time.monotonic() + 0.5)
         assert len(leaving.arrivals) == count
-        self.announce_again(site, sequence=2)
+        announce_again(site, sequence=2)
         call_until(site, "/lookup/1", time.monotonic() + 0.5)
         assert len(leaving.arrivals) == count
 
@@ -178,7 +184,7 @@
             ),
             "answer that says it leaves",
         )
-        self.announce_again(site, sequence=1, born=BORN + 9_000)
+        announce_again(site, sequence=1, born=BORN + 9_000)
         count = len(restarted.arrivals)
         wait_for(
             lambda: (
@@ -187,16 +193,3 @@
             ),
             "request to the new run",
         )
-
-    def announce_again(self, site: Site, sequence: int, born: int = BORN) -> None:
-        """Remove and publish the announcement of the first endpoint."""
-        site.store.delete("servers/e-1")
-        wait_for(lambda: "endpoints=1" in site.entry.log(), "removal")
-        announcement = standins.make_announcement(
-            site.endpoints[0], "desk", sequence=sequence, born=born
-        )
-        site.store.put("servers/e-1", announcement)
-        wait_for(
-            lambda: "endpoints=2" in site.entry.log().rpartition("endpoints=1")[2],
-            "return",
-        )
