--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -1,5 +1,14 @@
 """Direct delivery: entries call endpoints themselves. Free of I/O."""
 
+from mintsaddle.decisions.direct._admission import (
+    FRESH_LIMITS,
+    LATE_LIMITS,
+    AdmissionLimits,
+    are_busy,
+    filter_admissible,
+    with_slot,
+    within_ramp,
+)
 from mintsaddle.decisions.direct._calls import (
     NEVER_RAN,
     DirectCall,
@@ -33,9 +42,9 @@
     Membership,
 )
 from mintsaddle.decisions.direct._pace import (
+    SOLE_ENTRY_SHARE,
     EngineLoad,
     GroupStepTimes,
-    filter_admissible,
     may_wait_for_slot,
     prefer_quick_groups,
 )
@@ -114,8 +123,10 @@
     "ALIVE_SECONDS",
     "CALL_INTERVAL_FRACTION",
     "ENDPOINTS_PER_CHECK",
+    "FRESH_LIMITS",
     "HIGHEST_URGENCY",
     "LAPSE_GRACE_SECONDS",
+    "LATE_LIMITS",
     "LATE_URGENCY",
     "MAX_GOSSIP_ENTRIES",
     "MAX_IDLE_CONNECTIONS",
@@ -124,8 +135,10 @@
     "PROBES_PER_ROUND",
     "RETRY_INTERVAL_FRACTION",
     "SETTLE_SECONDS",
+    "SOLE_ENTRY_SHARE",
     "STALE_AFTER_FRACTION",
     "WATCH_WAIT_FRACTION",
+    "AdmissionLimits",
     "CallerLimits",
     "ColdStartLimiter",
     "DataCentreEvacuated",
@@ -172,6 +185,7 @@
     "UpstreamSelector",
     "advise_retry",
     "apply_updates",
+    "are_busy",
     "attempt_until",
     "await_until",
     "choose_by_load",
@@ -197,4 +211,6 @@
     "record_attempt",
     "shortest_allowed_pause",
     "usable_endpoints",
+    "with_slot",
+    "within_ramp",
 ]
--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -85,6 +85,9 @@
     response_started: bool = False
     """Whether the caller has received the head of the answer."""
 
+    workspace_priority: int | None = None
+    """Priority that its workspace publishes; None if it publishes none."""
+
 
 class TryAgain(NamedTuple):
     """Send the request to another endpoint."""
--- a/mintsaddle/decisions/direct/_pace.py
+++ b/mintsaddle/decisions/direct/_pace.py
@@ -13,21 +13,14 @@
 and full.
 """
 
-import random
 from collections import deque
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct._calls import DirectCall
 from mintsaddle.decisions.direct._directory import Incarnation
-from mintsaddle.decisions.direct._first_map import (
-    EntryShare,
-    estimate_skew,
-    sustainable_requests,
-)
+from mintsaddle.decisions.direct._first_map import EntryShare
 from mintsaddle.decisions.direct._groups import hold_until
-from mintsaddle.decisions.direct._placement import DEFAULT_SLOTS
-from mintsaddle.decisions.direct._table import StepModel
 from mintsaddle.decisions.direct._urgency import is_late
 from mintsaddle.values import Instant
 
@@ -56,19 +49,6 @@
 """The same for streams that are late already; they get only the capacity that
 fresh streams leave."""
 
-LATE_SLOT_SHARE = 0.6
-"""Share of an engine's slots that late streams may fill. The others are kept
-for streams that can still be on time, which would queue behind late ones."""
-
-MIN_BUSY_SHARE = 2 / 3
-"""Share of the slots that must be taken before streams are refused for long
-steps. An outdated expert map makes the steps of a group long even while it
-has free slots."""
-
-MAX_QUEUED_PER_SLOT = 0.2
-"""Requests that may queue at an engine per slot. A stream behind more than
-one or two others gets its first event too late."""
-
 
 def may_wait_for_slot(
     call: DirectCall, loads: Mapping[str, "EngineLoad"], now: Instant
@@ -237,72 +217,24 @@
             time, in seconds; 0 if the route sets none.
         late: Whether the stream is late already.
     """
-    if longest_pause <= 0:
-        return 1.0
-    all_below, none_above = LATE_STREAM_RAMP if late else FRESH_STREAM_RAMP
-    share = step_seconds / longest_pause
-    return min(1.0, max(0.0, (none_above - share) / (none_above - all_below)))
-
+    ramp = LATE_STREAM_RAMP if late else FRESH_STREAM_RAMP
+    return ramp_share(step_seconds, longest_pause, ramp)
 
-def filter_admissible(
-    call: DirectCall,
-    candidates: list[Incarnation],
-    loads: Mapping[str, EngineLoad],
-    step_times: GroupStepTimes,
-    now: Instant,
-    rng: random.Random,
-    steps: StepModel | None = None,
-    share: EntryShare = SOLE_ENTRY_SHARE,
-) -> list[Incarnation]:
-    """Return the probed engines that a stream may be sent to.
 
-    If no engine answered its probe, or the response has started already, all
-    candidates are returned.
+def ramp_share(
+    step_seconds: float, longest_pause: float, ramp: tuple[float, float]
+) -> float:
+    """Return the share of streams that a ramp of step times admits.
 
     Args:
-        call: The stream.
-        candidates: Engines that accept work, the best one first.
-        loads: Loads that the probed engines reported, by name.
-        step_times: Step times of their groups.
-        now: The present instant.
-        rng: The random number generator.
-        steps: The published model of their step times, if there is one.
-        share: This entry's share of the service's capacity.
+        step_seconds: The group's step time; 0 if unknown.
+        longest_pause: Longest time between two events of a stream that is on
+            time, in seconds; 0 if the route sets none.
+        ramp: Shares of the longest pause up to which all streams are admitted
+            and from which none is.
     """
-    probed = [engine for engine in candidates if engine.name in loads]
-    if not probed or call.response_started:
-        return candidates
-    late = is_late(call, now)
-    late_share = LATE_SLOT_SHARE if late else 1.0
-    requests = [load.requests for load in loads.values()]
-
-    def has_slot(engine: Incarnation) -> bool:
-        slots: float = max(DEFAULT_SLOTS, engine.slots)
-        load = loads[engine.name]
-        if load.has_first_map and steps is not None and engine.assignment is not None:
-            seconds = step_times.step_seconds(engine.assignment.group, now)
-            skew = estimate_skew(steps, seconds, requests)
-            pause = call.route.longest_pause
-            slots = late_share * sustainable_requests(steps, skew, pause, int(slots))
-            if share.is_exhausted(slots, late=late):
-                return False
-        elif late:
-            slots *= late_share
-        else:
-            slots *= 1.0 + MAX_QUEUED_PER_SLOT
-        return load.requests < max(1.0, slots)
-
-    probed = [engine for engine in probed if has_slot(engine)]
-    slots = sum(max(DEFAULT_SLOTS, engine.slots) for engine in probed)
-    taken = sum(loads[engine.name].requests for engine in probed)
-    if taken < slots * MIN_BUSY_SHARE:
-        return probed
-    draw = rng.random()
-
-    def is_admitted(engine: Incarnation) -> bool:
-        if engine.assignment is None:
-            return False
-        step_seconds = step_times.step_seconds(engine.assignment.group, now)
-        return draw < admission_share(step_seconds, call.route.longest_pause, late=late)
-
-    return [engine for engine in probed if is_admitted(engine)]
+    if longest_pause <= 0:
+        return 1.0
+    all_below, none_above = ramp
+    share = step_seconds / longest_pause
+    return min(1.0, max(0.0, (none_above - share) / (none_above - all_below)))
--- a/mintsaddle/direct/_calls.py
+++ b/mintsaddle/direct/_calls.py
@@ -55,4 +55,5 @@
         due_at=due_at,
         priority=route.priority if holder.priority is None else holder.priority,
         last_event=head.last_event,
+        workspace_priority=holder.priority,
     )
