--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -10,14 +10,32 @@
     capacity_expected_at,
     wait_deadline,
 )
+from mintsaddle.decisions.overload._capacity import (
+    filter_by_level,
+    has_minimum_share,
+    max_slot_share,
+)
+from mintsaddle.decisions.overload._levels import (
+    MAX_LEVELS,
+    CallPriority,
+    PriorityLevels,
+    find_priority_levels,
+)
 
 __all__ = [
     "FIRST_EVENT_SECONDS",
     "MAX_CONCURRENT_ATTEMPTS",
     "MAX_EXPECTED_SECONDS",
+    "MAX_LEVELS",
     "USUAL_SLOT_SECONDS",
+    "CallPriority",
     "CallQueue",
     "PlacementRate",
+    "PriorityLevels",
     "capacity_expected_at",
+    "filter_by_level",
+    "find_priority_levels",
+    "has_minimum_share",
+    "max_slot_share",
     "wait_deadline",
 ]
