Compute fair shares of workspaces under overload

Cause: while capacity is insufficient, callers are admitted in proportion to what they ask for, so one workspace can displace all others. Each entry sees only a part of a workspace's calls.

Change: entries account admitted work by workspace, report their 16 largest uses in the hellos that they exchange anyway, and only under overload, and compute max-min fair shares of the known use. A call's work follows its usage header; without a valid one it is 1. Peers that weren't heard from are assumed to have the median of the reported uses, so that workspaces that call few entries aren't overestimated.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -72,6 +72,9 @@
     priority: int = 0
     """Priority of its workspace, or else of its route; 0 is the highest."""
 
+    work: float = 1.0
+    """Expected work: tokens of input, plus those of output by their weight."""
+
     tried: frozenset[str] = frozenset()
     """Endpoints that it was sent to."""
 
--- a/mintsaddle/direct/_calls.py
+++ b/mintsaddle/direct/_calls.py
@@ -7,6 +7,7 @@
     RoutingTable,
     choose_service,
 )
+from mintsaddle.decisions.overload import call_work
 from mintsaddle.platform import RequestHead
 from mintsaddle.values import Instant
 
@@ -54,5 +55,6 @@
         deadline=arrived_at + seconds,
         due_at=due_at,
         priority=route.priority if holder.priority is None else holder.priority,
+        work=call_work(head.tokens),
         last_event=head.last_event,
     )
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -25,6 +25,7 @@
     must_poll,
     usable_endpoints,
 )
+from mintsaddle.decisions.overload import WorkspaceUse
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_sent
 from mintsaddle.direct._endpoint_limits import EndpointLimits
 from mintsaddle.direct._endpoint_waits import EndpointWaits
@@ -94,6 +95,7 @@
         )
         self._reach.on_change(self._notify_waiting)
         self._deadlines = RouteDeadlines()
+        self._workspace_use = WorkspaceUse()
         self._entry_count = _ASSUMED_ENTRIES
         self._cold_start_limiter = ColdStartLimiter(
             settings.cold_factor, settings.cold_slack
@@ -150,6 +152,11 @@
         """Step times of rank groups; requires the lock."""
         return self._step_times
 
+    @property
+    def workspace_use(self) -> WorkspaceUse:
+        """Use of the capacity by workspace; requires the lock."""
+        return self._workspace_use
+
     @property
     def limits(self) -> EndpointLimits:
         """Request rate limits of endpoints, and permits for them."""
@@ -274,6 +281,7 @@
         """Set how many entries share limits; at least a minimum is assumed."""
         with self._lock:
             self._entry_count = max(number, _MIN_ENTRIES)
+            self._workspace_use.set_entry_count(number)
             stock = _retry_stock(self._settings, self._entry_count)
             self._routing.replace_budget_cap(stock)
 
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -7,6 +7,7 @@
 from grpclib.server import Server, Stream
 
 from mintsaddle.decisions.direct import KnownEntry, Membership, UpstreamSelector
+from mintsaddle.decisions.overload import MAX_REPORTED_USES
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._permits import PermitExchange
 from mintsaddle.direct._relay import (
@@ -249,14 +250,22 @@
         return is_behind or now - replica.confirmed_at > STALE_REPLICA_SECONDS
 
     def _make_brief_hello(self) -> pb.EntryHello:
-        """Return this entry's identity, without the entries it knows."""
-        return pb.EntryHello(
+        """Return this entry's identity, without the entries it knows.
+
+        Includes the largest uses by workspace while this entry is overloaded.
+        """
+        hello = pb.EntryHello(
             vm=self._membership.vm,
             address=self._membership.address,
             leaving=self._gateway.leaving,
             data_centre=self._gateway.settings.data_centre,
             cut=self._gateway.reach.unreachable,
         )
+        with self._gateway.lock:
+            uses = self._gateway.workspace_use.make_report(self._gateway.now())
+        for name, rate in uses:
+            hello.uses.add(name=name, rate=rate)
+        return hello
 
     def _make_hello(self) -> pb.EntryHello:
         """Return a gossip message with the position of the replica."""
@@ -285,6 +294,9 @@
             self._membership.record_entry(
                 KnownEntry(hello.vm, hello.address, now, hello.data_centre)
             )
+        with self._gateway.lock:
+            uses = [(use.name, use.rate) for use in hello.uses[:MAX_REPORTED_USES]]
+            self._gateway.workspace_use.record_peer(hello.vm, uses, now)
         if hello.data_centre == self._gateway.settings.data_centre:
             # What a local peer can't reach may be unreachable from here too.
             for name in hello.cut:
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_messages.py
@@ -22,6 +22,7 @@
 _SIGNATURE = "X-Mintsaddle-Response-Stamp"
 _DEADLINE = "X-Mintsaddle-Deadline-Ms"
 _EXPECTED_ENDPOINT = "X-Mintsaddle-Expect-Instance"
+_TOKEN_USAGE = "X-Mintsaddle-Token-Usage"
 _WORKSPACE = "X-Mintsaddle-Tenant"
 _URGENCY = "X-Mintsaddle-Request-Urgency"
 _NOT_EXECUTED = "X-Mintsaddle-Not-Executed"
@@ -84,6 +85,9 @@
     last_event: int | None
     """Id of the last event that the caller received of a resumed stream."""
 
+    tokens: tuple[float, float] | None
+    """Tokens of input and maximum tokens of output; None if not stated."""
+
 
 class ResponseHead(NamedTuple):
     """Decoded status and headers of an endpoint's response."""
@@ -126,6 +130,7 @@
         key=_request_header(environ, _API_KEY),
         seconds_left=_read_seconds(_request_header(environ, _DEADLINE)),
         last_event=_read_event_id(_request_header(environ, _LAST_EVENT_ID)),
+        tokens=_read_tokens(_request_header(environ, _TOKEN_USAGE)),
     )
 
 
@@ -303,6 +308,14 @@
     return int(text) if text.isdecimal() else None
 
 
+def _read_tokens(text: str) -> tuple[float, float] | None:
+    """Return the tokens from ``PROMPT,MAX_OUTPUT``."""
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 2 or not all(part.isdecimal() for part in parts):
+        return None
+    return float(parts[0]), float(parts[1])
+
+
 def _read_load(text: str, slots: int) -> Load | None:
     """Return the load from ``RUNNING,QUEUED[,SLOTS]``."""
     parts = [part.strip() for part in text.split(",")]
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import math
 import re
 from pathlib import Path
 from types import SimpleNamespace
@@ -157,6 +158,30 @@
         head = read_request_head({})
         assert (head.request_id, head.key) == ("", "")
         assert (head.seconds_left, head.last_event) == (None, None)
+        assert head.tokens is None
+
+    @pytest.mark.parametrize(
+        ("text", "tokens"),
+        [
+            ("120,40", (120.0, 40.0)),
+            (" 120 , 40 ", (120.0, 40.0)),
+            ("0,0", (0.0, 0.0)),
+            ("9" * 5000 + ",1", (math.inf, 1.0)),
+            ("120", None),
+            ("120,", None),
+            ("1,2,3", None),
+            ("-1,40", None),
+            ("nan,inf", None),
+            ("1e3,1.5", None),
+            ("many,few", None),
+        ],
+    )
+    def test_token_usage_is_optional(
+        self, text: str, tokens: tuple[float, float] | None
+    ) -> None:
+        """Guards against a request that fails by an invalid usage header."""
+        head = read_request_head({"HTTP_X_MINTSADDLE_TOKEN_USAGE": text})
+        assert head.tokens == tokens
 
     @pytest.mark.parametrize(
         ("outcome", "reason", "status"),
