--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -10,28 +10,39 @@
     capacity_expected_at,
     wait_deadline,
 )
+from mintsaddle.decisions.overload._call_work import MAX_CALL_WORK, call_work
 from mintsaddle.decisions.overload._capacity import (
     filter_by_level,
     has_minimum_share,
     max_slot_share,
 )
+from mintsaddle.decisions.overload._fair_share import OVER_SHARE
 from mintsaddle.decisions.overload._levels import (
     MAX_LEVELS,
     CallPriority,
     PriorityLevels,
     find_priority_levels,
 )
+from mintsaddle.decisions.overload._workspace_use import (
+    MAX_REPORTED_USES,
+    WorkspaceUse,
+)
 
 __all__ = [
     "FIRST_EVENT_SECONDS",
+    "MAX_CALL_WORK",
     "MAX_CONCURRENT_ATTEMPTS",
     "MAX_EXPECTED_SECONDS",
     "MAX_LEVELS",
+    "MAX_REPORTED_USES",
+    "OVER_SHARE",
     "USUAL_SLOT_SECONDS",
     "CallPriority",
     "CallQueue",
     "PlacementRate",
     "PriorityLevels",
+    "WorkspaceUse",
+    "call_work",
     "capacity_expected_at",
     "filter_by_level",
     "find_priority_levels",
