Admit streams by priority level, through one queue for each service

Cause: under overload the entry admitted streams by lateness only. A workspace's priority hid those of its routes, and a burst of the least urgent route made the others late. Change: streams of services with priority levels wait in a bounded queue, attempt placement in order and are admitted by level; the own data centre is probed first. Choosing an endpoint is split into waiting, probing and reserving. Services without levels are served as before.

--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -23,6 +23,7 @@
     PriorityLevels,
     find_priority_levels,
 )
+from mintsaddle.decisions.overload._locality import with_local_capacity
 from mintsaddle.decisions.overload._workspace_use import (
     MAX_REPORTED_USES,
     WorkspaceUse,
@@ -49,4 +50,5 @@
     "has_minimum_share",
     "max_slot_share",
     "wait_deadline",
+    "with_local_capacity",
 ]
--- a/mintsaddle/decisions/overload/_call_queue.py
+++ b/mintsaddle/decisions/overload/_call_queue.py
@@ -137,6 +137,10 @@
         del self._order[bisect_left(self._order, position)]
         self._forget(request_id)
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a call waits; displaced ones don't."""
+        return request_id in self._positions
+
     def may_attempt(self, request_id: str, now: Instant) -> bool:
         """Return whether a waiting call may attempt placement now."""
         self._refresh(now)
@@ -212,7 +216,9 @@
         now: The present instant.
     """
     latest = hold_until(call)
-    if call.response_started or is_late(call, now):
+    # A caller that returns is late from its arrival on.
+    is_returning = call.due_at <= call.arrived_at
+    if call.response_started or is_returning or is_late(call, now):
         return latest
     return min(call.due_at - FIRST_EVENT_SECONDS, latest)
 
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -14,8 +14,8 @@
 )
 from mintsaddle.decisions.routing import record_request
 from mintsaddle.direct._answers import BufferedAnswer, CallerRequest, StreamAnswer
+from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._calls import find_key_holder, make_call
-from mintsaddle.direct._choice import CallerDisconnectedError
 from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._runner import CallRunner
@@ -183,7 +183,7 @@
     ) -> Iterable[bytes]:
         self._log_end(call, f"{outcome.value}:{reason.value}", 0)
         left = call.deadline - self._gateway.now()
-        retry_after = self._retry_after(left, reason, call.service)
+        retry_after = self._retry_after(left, reason, call.service, call)
         status, headers = make_refusal(outcome, reason, call.request_id, retry_after)
         start_response(status, [*headers, ("Content-Length", "0")])
         return ()
@@ -225,10 +225,19 @@
         return ()
 
     def _retry_after(
-        self, seconds_left: float, reason: Reason, service: str = ""
+        self,
+        seconds_left: float,
+        reason: Reason,
+        service: str = "",
+        call: DirectCall | None = None,
     ) -> float:
         gateway = self._gateway
         preferred = _RETRY_SECONDS.get(reason, _USUAL_RETRY_SECONDS)
+        if call is not None and reason is Reason.FULL:
+            with gateway.lock:
+                now = gateway.now()
+                expected_at = gateway.overload.expected_at(call, now)
+            preferred = expected_at - now if expected_at is not None else preferred
         opens_at = gateway.first_wait_end(service)
         if reason is Reason.RATE_LIMITED:
             opens_at = opens_at or gateway.next_permit_at(service)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -30,6 +30,7 @@
 from mintsaddle.direct._endpoint_limits import EndpointLimits
 from mintsaddle.direct._endpoint_waits import EndpointWaits
 from mintsaddle.direct._metrics import Metrics
+from mintsaddle.direct._overload import OverloadControl
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.direct._probe import LoadProbe
 from mintsaddle.direct._reach import Reachability
@@ -102,6 +103,7 @@
         )
         self._limits = EndpointLimits(self._lock, self.now)
         self._waits = EndpointWaits(self._lock, self.now, self._rng)
+        self._overload = OverloadControl(self._workspace_use)
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
@@ -167,6 +169,11 @@
         """Waits that endpoints have asked this entry for."""
         return self._waits
 
+    @property
+    def overload(self) -> OverloadControl:
+        """Admission control by priority level; requires the lock."""
+        return self._overload
+
     @property
     def reach(self) -> Reachability:
         """Which data centres this entry can reach."""
@@ -428,6 +435,10 @@
         with self._groups_changed:
             self._groups_changed.notify_all()
 
+    def has_available(self, service: str) -> bool:
+        """Return whether an endpoint takes work; requires the lock."""
+        return any(map(self.takes_work, usable_endpoints(self._directory, service)))
+
     def _is_unserved(self, service: str) -> bool:
         usable = usable_endpoints(self._directory, service)
         return bool(usable) and not any(map(self.takes_work, usable))
@@ -594,6 +605,7 @@
                 for route in host_routes
             }
             self._deadlines.keep_only(routes)
+            self._overload.replace_table(after.table)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
         self._limits.discard_gone(after.endpoints.keys())
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -15,6 +15,7 @@
     decide_next,
     give_up,
     idle_limit_seconds,
+    is_late,
     record_attempt,
 )
 from mintsaddle.decisions.routing import (
@@ -31,7 +32,8 @@
     CallerRequest,
     StreamAnswer,
 )
-from mintsaddle.direct._choice import CallerDisconnectedError, choose_endpoint
+from mintsaddle.direct._availability import CallerDisconnectedError
+from mintsaddle.direct._choice import choose_endpoint
 from mintsaddle.direct._exchange import (
     Exchange,
     StreamCutError,
@@ -201,7 +203,12 @@
         service = table.services.get(self._call.service) if table else None
         if service is None or not service.is_engine:
             return None
-        return choose_urgency(self._call, self._gateway.now())
+        now = self._gateway.now()
+        levels = self._gateway.overload.levels_of(self._call)
+        if levels is None:
+            return choose_urgency(self._call, now)
+        late = is_late(self._call, now)
+        return levels.urgency_of(levels.level_of(self._call), late=late)
 
     def _read_answer(self, attempt: _Attempt) -> BufferedAnswer | GiveUp | None:
         """Read a complete answer; None if another endpoint may be tried."""
