Poll ranks in other data centres less often

Coordinators read the reports of all ranks every 0.1 s, and any entry could coordinate a group, so most replies crossed between data centres.

Counts are now read from local ranks first, and reports of remote ranks every 0.5 s, spread over the polls. The last report of a remote rank counts until the next one, so a group that is busy only there isn't idle. A group's duty goes to an entry of the data centre with most of its serving ranks; the second successor is of another data centre. Progress is read from local ranks first, so that it comes from one rank.

Duties are now a mapping to the preferred data centre, so the test of a silent holder passes {"maps g": ""} instead of ["maps g"].

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -16,6 +16,7 @@
     Directory,
     Incarnation,
     RankAssignment,
+    preferred_data_centres,
     usable_endpoints,
 )
 from mintsaddle.decisions.direct._first_map import EntryShare
@@ -31,6 +32,7 @@
     SETTLE_SECONDS,
     KnownEntry,
     Membership,
+    rank_successors,
 )
 from mintsaddle.decisions.direct._pace import (
     EngineLoad,
@@ -193,7 +195,9 @@
     "place_at",
     "prefer_proven",
     "prefer_quick_groups",
+    "preferred_data_centres",
     "rank_incarnations",
+    "rank_successors",
     "record_attempt",
     "shortest_allowed_pause",
     "usable_endpoints",
--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -4,6 +4,7 @@
 lock.
 """
 
+from collections import Counter
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -110,6 +111,24 @@
     """Removed endpoints that a restored store lists again, by name."""
 
 
+def preferred_data_centres(directory: Directory) -> dict[str, str]:
+    """Return the data centre with most serving ranks of each rank group.
+
+    Ties go to the first name, so that all entries agree. Evacuated data
+    centres don't count; a group without any other has the empty name.
+    """
+    ranks: dict[str, Counter[str]] = {}
+    for endpoint in directory.endpoints.values():
+        if endpoint.assignment is not None:
+            counts = ranks.setdefault(endpoint.assignment.group, Counter())
+            if endpoint.data_centre not in directory.evacuated:
+                counts[endpoint.data_centre] += 1
+    return {
+        group: min(counts, key=lambda name: (-counts[name], name), default="")
+        for group, counts in ranks.items()
+    }
+
+
 def usable_endpoints(directory: Directory, service: str) -> tuple[Incarnation, ...]:
     """Return the endpoints of a service that may get new requests."""
     return tuple(
--- a/mintsaddle/decisions/direct/_membership.py
+++ b/mintsaddle/decisions/direct/_membership.py
@@ -5,11 +5,13 @@
 others per second, so the messages of one entry don't grow with their number.
 
 A duty is a task that one entry, its holder, manages for all. Entries choose
-the holder independently, by ranking the entries they believe to be alive.
+the holder independently, by ranking the entries they believe to be alive. A
+duty may prefer a data centre, whose entries then go first.
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from mintsaddle.values import Instant, rank_by_score
@@ -63,6 +65,27 @@
     data_centre: str = ""
 
 
+def rank_successors(
+    duty: str, preferred: str, data_centres: Mapping[str, str]
+) -> list[str]:
+    """Return the entries in the order in which they take up a duty.
+
+    Entries of the preferred data centre go first, but the second successor is
+    of another one, since a cut data centre takes all of its entries at once.
+
+    Args:
+        duty: The name of the duty.
+        preferred: The duty's preferred data centre; '' for none.
+        data_centres: The data centre of each live entry, by VM.
+    """
+    ranked = rank_by_score(duty, data_centres)
+    if not preferred:
+        return list(ranked)
+    near = [vm for vm in ranked if data_centres[vm] == preferred]
+    far = [vm for vm in ranked if data_centres[vm] != preferred]
+    return [*near[:2], *far[:1], *near[2:], *far[1:]]
+
+
 class Membership:
     """One entry's view of the other entries."""
 
@@ -72,6 +95,7 @@
         address: str,
         seeds: Iterable[str],
         started_at: Instant = _NEVER,
+        data_centre: str = "",
     ) -> None:
         self._vm = vm
         self._address = address
@@ -80,6 +104,7 @@
         self._left_at: dict[str, Instant] = {}
         self._suspects: set[str] = set()
         self._settles_at = started_at + SETTLE_SECONDS
+        self._data_centre = data_centre
 
     @property
     def vm(self) -> str:
@@ -166,7 +191,7 @@
         self,
         now: Instant,
         rng: random.Random,
-        duties: Iterable[str] = (),
+        duties: Mapping[str, str] = MappingProxyType({}),
         *,
         is_searching: bool,
     ) -> tuple[str, ...]:
@@ -187,36 +212,62 @@
             chosen.add(rng.choice(unknown_seeds))
         return tuple(chosen)
 
-    def holders_to_watch(self, duties: Iterable[str], now: Instant) -> list[str]:
-        """Return the addresses of holders that this entry may succeed."""
-        addresses = {entry.vm: entry.address for entry in self.alive(now)}
+    def holders_to_watch(self, duties: Mapping[str, str], now: Instant) -> list[str]:
+        """Return the addresses of holders that this entry may succeed.
+
+        Args:
+            duties: The preferred data centre of each duty; '' for none.
+            now: The current time.
+        """
+        alive = self.alive(now)
+        addresses = {entry.vm: entry.address for entry in alive}
         addresses[self._vm] = self._address
+        data_centres = self._data_centres(alive)
         watched = []
-        for duty in duties:
-            first, *others = rank_by_score(duty, addresses)
+        for duty, preferred in duties.items():
+            first, *others = rank_successors(duty, preferred, data_centres)
             if self._vm in others[:MAX_WATCHERS]:
                 watched.append(addresses[first])
         return watched
 
-    def is_holder(self, duty: str, now: Instant) -> bool:
+    def is_holder(self, duty: str, now: Instant, data_centre: str = "") -> bool:
         """Return whether this entry is the holder of a duty.
 
         Entries with different views may both be: a duty has to tolerate
         that.
         """
-        return self.succession_index(duty, now) == 0
+        return self.succession_index(duty, now, data_centre) == 0
 
-    def succession_index(self, duty: str, now: Instant) -> int | None:
+    def succession_index(
+        self, duty: str, now: Instant, data_centre: str = ""
+    ) -> int | None:
         """Return the index of this entry in the succession for a duty.
 
+        Until the views of entries agree on who is alive and which data
+        centre is preferred, a duty may have two holders or none. Two
+        coordinators of a group draw different versions and begin no switch
+        while a step is held; without one, successors release a held step.
+
+        Args:
+            duty: The name of the duty.
+            now: The current time.
+            data_centre: The duty's preferred data centre; '' for none.
+
         Returns:
             0 for the holder; None if this entry started too recently to know
             the others.
         """
         if not self.is_settled(now):
             return None
-        names = [self._vm]
-        for entry in self.reachable(now):
-            if now - entry.last_seen_at <= DUTY_TIMEOUT_SECONDS:
-                names.append(entry.vm)
-        return rank_by_score(duty, names).index(self._vm)
+        recent = (
+            entry
+            for entry in self.reachable(now)
+            if now - entry.last_seen_at <= DUTY_TIMEOUT_SECONDS
+        )
+        data_centres = self._data_centres(recent)
+        return rank_successors(duty, data_centre, data_centres).index(self._vm)
+
+    def _data_centres(self, entries: Iterable[KnownEntry]) -> dict[str, str]:
+        """Return the data centres of this entry and of others, by VM."""
+        others = {entry.vm: entry.data_centre for entry in entries}
+        return {**others, self._vm: self._data_centre}
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -408,7 +408,7 @@
         others = [members[name] for name in names if name != holder]
         rng = random.Random(1)
         for member in others:
-            chosen = member.choose_peers(1.0, rng, ["maps g"], is_searching=False)
+            chosen = member.choose_peers(1.0, rng, {"maps g": ""}, is_searching=False)
             assert holder in chosen
             member.record_timeout(holder)
         assert [member.is_holder("maps g", 1.5) for member in others].count(True) == 1
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -39,6 +39,13 @@
     plan_from_scratch,
     plan_moves,
 )
+from mintsaddle.decisions.expert_maps._polling import (
+    MIN_LOCAL_RANKS,
+    REMOTE_POLL_SECONDS,
+    LastReports,
+    choose_counted_ranks,
+    choose_polled_ranks,
+)
 from mintsaddle.decisions.expert_maps._popularity import PopularityCounts
 from mintsaddle.decisions.expert_maps._ranks import (
     OrderDecision,
@@ -68,11 +75,14 @@
 __all__ = [
     "FIRST_VERSION",
     "HORIZON_INTERVALS",
+    "MIN_LOCAL_RANKS",
+    "REMOTE_POLL_SECONDS",
     "TERMINAL_STAGES",
     "ArmedSwitch",
     "ExpertMap",
     "GroupAct",
     "GroupOrder",
+    "LastReports",
     "MapOrder",
     "MapWatch",
     "OrderAct",
@@ -92,7 +102,9 @@
     "SwitchStage",
     "begin_switch",
     "check_order",
+    "choose_counted_ranks",
     "choose_limits",
+    "choose_polled_ranks",
     "choose_sampled_ranks",
     "choose_step",
     "count_moved",
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -23,6 +23,7 @@
     apply_updates,
     drop_expired,
     must_poll,
+    preferred_data_centres,
     usable_endpoints,
 )
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_sent
@@ -259,16 +260,14 @@
             self._is_platform_lost = False
             self._replica.expect_lapses(self.now() + LAPSE_GRACE_SECONDS)
 
-    def duties(self) -> set[str]:
-        """Return the names of the duties to divide among entries."""
-        assignments = (
-            endpoint.assignment for endpoint in self._directory.endpoints.values()
-        )
-        return {
-            map_duty(assignment.group)
-            for assignment in assignments
-            if assignment is not None
-        }
+    def duties(self) -> dict[str, str]:
+        """Return the duties to divide among entries.
+
+        Returns:
+            The preferred data centre of each duty, by its name; '' for none.
+        """
+        preferred = preferred_data_centres(self._directory)
+        return {map_duty(group): name for group, name in preferred.items()}
 
     def set_entry_count(self, number: int) -> None:
         """Set how many entries share limits; at least a minimum is assumed."""
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -12,14 +12,14 @@
     SwitchStage,
     begin_switch,
     choose_limits,
-    choose_sampled_ranks,
     draw_version,
     make_first_map,
     roll_back_held_switch,
     watchdog_timeout,
 )
 from mintsaddle.direct._gateway import Gateway, map_duty
-from mintsaddle.direct._rank_calls import GroupPoll, RankCalls
+from mintsaddle.direct._group_polls import GroupPoller
+from mintsaddle.direct._rank_calls import RankCalls
 from mintsaddle.direct._rank_groups import RankGroup, find_rank_groups
 from mintsaddle.direct._switches import REPORT_WAIT_SECONDS, SwitchRunner
 from mintsaddle.observe import fields, make_logger
@@ -34,30 +34,9 @@
 """Seconds between two polls through agents, which cost little more than their
 datagrams."""
 
-SAMPLE_RANKS = 2
-"""Ranks whose counts are read in a poll over the network. Requests are spread
-evenly over the ranks, so two of twelve show the hot experts; each reading
-costs a pause."""
-
-MIN_REACHABLE_SHARE = 0.5
-"""Share of the serving ranks whose agents must be reachable for polls through
-agents. The other ranks are left out, since all ranks run in step."""
-
-MAX_AGENT_COUNTS = 16_000
-"""Most expert counts read in a poll through agents. Bounds the coordinator's
-use of a link and of a core regardless of the group's size."""
-
-SLOWNESS_RANKS = 3
-"""Ranks whose slowness is read in a poll over the network; covers twelve ranks
-within 2 s."""
-
 WATCHDOGS = 2
 """Successors of the coordinator that check whether the group has stalled."""
 
-WATCHDOG_RANKS = 3
-"""Ranks that each of them polls; several, since some may have no requests
-while the group is busy."""
-
 ROLLBACK_ATTEMPTS = 8
 """Attempts to roll back a failed switch of this coordinator that has left a
 step held. At one per REPORT_WAIT_SECONDS they take 2.4 s; the group stops
@@ -75,11 +54,13 @@
         self._rank_calls = RankCalls(
             gateway.settings, gateway.now, gateway.metrics.count
         )
+        self._poller = GroupPoller(
+            self._rank_calls, gateway.settings.data_centre, gateway.now
+        )
         self._runner = SwitchRunner(self._rank_calls, gateway.now)
         self._watches: dict[str, MapWatch] = {}
         self._last_versions: dict[str, int] = {}
         self._stall_detectors: dict[str, StallDetector] = {}
-        self._poll_count = 0
         self._has_reachable_group = False
         self._known_maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
@@ -95,29 +76,33 @@
             if self._gateway.leaving:
                 return
             self._has_reachable_group = False
+            duties = self._gateway.duties()
             for group in find_rank_groups(self._gateway.directory):
-                self._manage_safely(group)
-                self._has_reachable_group |= self._is_reachable(group)
+                self._manage_safely(group, duties.get(map_duty(group.name), ""))
+                self._has_reachable_group |= self._poller.is_reachable(group)
 
-    def _manage_safely(self, group: RankGroup) -> None:
+    def _manage_safely(self, group: RankGroup, data_centre: str) -> None:
         """Manage a group; log any exception and go on.
 
         If the thread ended, groups with a held step would stay held.
         """
         try:
-            self._manage(group)
+            self._manage(group, data_centre)
         except Exception:
             _log.exception("Poll failed %s.", fields(group=group.name))
 
-    def _manage(self, group: RankGroup) -> None:
+    def _manage(self, group: RankGroup, data_centre: str) -> None:
         index = self._membership.succession_index(
-            map_duty(group.name), self._gateway.now()
+            map_duty(group.name), self._gateway.now(), data_centre
         )
         if index == 0:
             self._poll_group(group)
             return
         self._watches.pop(group.name, None)
-        if index is not None and index <= WATCHDOGS and self._is_reachable(group):
+        self._poller.forget(group)
+        if index is None or index > WATCHDOGS:
+            return
+        if self._poller.is_reachable(group):
             self._watch_for_stall(group, index)
 
     def _watch_for_stall(self, group: RankGroup, index: int) -> None:
@@ -130,10 +115,8 @@
             group: The group.
             index: This entry's index in the succession.
         """
-        reachable = self._rank_calls.reachable_ranks(group)
-        polled_ranks = choose_sampled_ranks(sorted(reachable), WATCHDOG_RANKS)
-        poll = self._rank_calls.poll(group, polled_ranks)
-        report = poll.first_report(polled_ranks)
+        poll = self._poller.poll_sample(group)
+        report = self._poller.progress_report(group, poll)
         detector = self._stall_detectors.setdefault(group.name, StallDetector())
         now = self._gateway.now()
         if report is None or not report.is_open:
@@ -145,8 +128,8 @@
 
     def _poll_group(self, group: RankGroup) -> None:
         gateway = self._gateway
-        poll = self._poll(group)
-        report = poll.first_report(group.serving)
+        poll = self._poller.poll(group)
+        report = self._poller.progress_report(group, poll)
         if report is None or not report.is_open:
             self._watches.pop(group.name, None)
             return
@@ -176,11 +159,6 @@
         if planned is not None:
             self._switch(group, watch, current, planned)
 
-    def _is_reachable(self, group: RankGroup) -> bool:
-        """Return whether the agents of enough serving ranks are reachable."""
-        reachable = self._rank_calls.reachable_ranks(group).intersection(group.serving)
-        return len(reachable) >= len(group.serving) * MIN_REACHABLE_SHARE
-
     def _begin_watch(self, group: RankGroup, epoch: int) -> MapWatch:
         table = self._gateway.directory.table
         pause = shortest_allowed_pause(table, group.service) if table else 0.0
@@ -189,25 +167,6 @@
         self._watches[group.name] = watch
         return watch
 
-    def _poll(self, group: RankGroup) -> GroupPoll:
-        """Poll the ranks; over the network only a few, which vary by poll."""
-        ranks = len(group.ranks)
-        if self._is_reachable(group):
-            reachable = self._rank_calls.reachable_ranks(group)
-            counts_per_rank = group.layout.layers * group.layout.experts
-            serving = [rank for rank in group.serving if rank in reachable]
-            counted_ranks = choose_sampled_ranks(
-                serving, max(1, MAX_AGENT_COUNTS // counts_per_rank)
-            )
-            return self._rank_calls.poll(group, reachable, counted_ranks)
-        self._poll_count += 1
-        first = self._poll_count * SLOWNESS_RANKS
-        polled_ranks = {(first + offset) % ranks for offset in range(SLOWNESS_RANKS)}
-        counted_ranks = choose_sampled_ranks(group.serving, SAMPLE_RANKS)
-        return self._rank_calls.poll(
-            group, polled_ranks | {group.serving[0], *counted_ranks}, counted_ranks
-        )
-
     def _current_map(self, group: RankGroup, report: RankReport) -> ExpertMap | None:
         """Return the active map, as known here or as read from the ranks."""
         if report.version == 0:
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from types import MappingProxyType
 from typing import NamedTuple
 
 from returns.result import Failure, Success
@@ -54,14 +55,18 @@
     counts: Mapping[int, Popularity]
     """How often each expert was chosen since the rank started, by rank."""
 
+    earlier: Mapping[int, RankReport] = MappingProxyType({})
+    """Last reports of ranks that were left out of this poll, by rank."""
+
     @property
     def running(self) -> int:
-        """Requests that the polled ranks are generating output for.
+        """Requests that the ranks are generating output for.
 
-        Adds up all polled ranks: in a group with few requests per rank, a
+        Adds up all known reports: in a group with few requests per rank, a
         single rank may have none while the group is busy.
         """
-        return sum(report.running for report in self.reports.values())
+        known = {**self.earlier, **self.reports}
+        return sum(report.running for report in known.values())
 
     def first_report(self, ranks: Iterable[int]) -> RankReport | None:
         """Return the report of the first of these ranks that has one."""
@@ -123,28 +128,28 @@
     def poll(
         self, group: RankGroup, ranks: Iterable[int], counted_ranks: Iterable[int] = ()
     ) -> GroupPoll:
-        """Poll ranks for their reports.
+        """Poll ranks for their reports and counts.
 
         Args:
             group: The group.
-            ranks: The ranks to poll.
-            counted_ranks: Those whose expert counts are read as well.
+            ranks: The ranks whose reports are read.
+            counted_ranks: The ranks whose expert counts are read.
         """
-        with_counts = frozenset(counted_ranks)
-        calls = {
-            rank: [report_call(), *([counts_call()] if rank in with_counts else [])]
-            for rank in ranks
-        }
+        with_report, with_counts = frozenset(ranks), frozenset(counted_ranks)
+        calls = {rank: [report_call()] for rank in with_report}
+        for rank in with_counts:
+            calls.setdefault(rank, []).append(counts_call())
         reports: dict[int, RankReport] = {}
         counts: dict[int, Popularity] = {}
         for rank, result in self._call_ranks(group, calls).items():
-            match decode_rank_report(result.responses[0], rank):
-                case Success(report):
-                    reports[rank] = report._replace(is_fresh=result.is_fresh)
-                case Failure(problem):
-                    self._log_missing_answer(group, rank, problem)
+            if rank in with_report:
+                match decode_rank_report(result.responses[0], rank):
+                    case Success(report):
+                        reports[rank] = report._replace(is_fresh=result.is_fresh)
+                    case Failure(problem):
+                        self._log_missing_answer(group, rank, problem)
             if rank in with_counts:
-                self._record_counts(group, rank, result.responses[1], counts)
+                self._record_counts(group, rank, result.responses[-1], counts)
         return GroupPoll(reports, counts)
 
     def read_reports(self, group: RankGroup) -> list[RankReport] | None:
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -68,7 +68,11 @@
     watchdog.start()
     start_store_polling(gateway)
     membership = Membership(
-        settings.vm, settings.control, settings.peers, gateway.now()
+        settings.vm,
+        settings.control,
+        settings.peers,
+        gateway.now(),
+        settings.data_centre,
     )
     start_peer_exchange(gateway, membership)
     MapCoordinator(gateway, membership).start()
