--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -25,6 +25,7 @@
     Directory,
     Incarnation,
     RankAssignment,
+    preferred_data_centres,
     usable_endpoints,
 )
 from mintsaddle.decisions.direct._first_map import EntryShare
@@ -40,6 +41,7 @@
     SETTLE_SECONDS,
     KnownEntry,
     Membership,
+    rank_successors,
 )
 from mintsaddle.decisions.direct._pace import (
     SOLE_ENTRY_SHARE,
@@ -207,7 +209,9 @@
     "place_at",
     "prefer_proven",
     "prefer_quick_groups",
+    "preferred_data_centres",
     "rank_incarnations",
+    "rank_successors",
     "record_attempt",
     "shortest_allowed_pause",
     "usable_endpoints",
