Prefer a data centre for a group's duty only with a majority of its ranks

Cause: with equal numbers of ranks in three data centres, one endpoint that leaves moved the duty, and a new coordinator starts without knowledge. Change: a preference needs more than half of the serving ranks; the test's tie row, written for the earlier rule, now expects no preference.

--- a/mintsaddle/decisions/direct/_directory.py
+++ b/mintsaddle/decisions/direct/_directory.py
@@ -112,10 +112,11 @@
 
 
 def preferred_data_centres(directory: Directory) -> dict[str, str]:
-    """Return the data centre with most serving ranks of each rank group.
+    """Return the data centre with the majority of each group's serving ranks.
 
-    Ties go to the first name, so that all entries agree. Evacuated data
-    centres don't count; a group without any other has the empty name.
+    Evacuated data centres don't count. A group without a majority in one data
+    centre has the empty name: the largest one would change whenever an
+    endpoint leaves.
     """
     ranks: dict[str, Counter[str]] = {}
     for endpoint in directory.endpoints.values():
@@ -123,10 +124,12 @@
             counts = ranks.setdefault(endpoint.assignment.group, Counter())
             if endpoint.data_centre not in directory.evacuated:
                 counts[endpoint.data_centre] += 1
-    return {
-        group: min(counts, key=lambda name: (-counts[name], name), default="")
-        for group, counts in ranks.items()
-    }
+
+    def find_majority(counts: Counter[str]) -> str:
+        names = (name for name in counts if 2 * counts[name] > counts.total())
+        return next(names, "")
+
+    return {group: find_majority(counts) for group, counts in ranks.items()}
 
 
 def usable_endpoints(directory: Directory, service: str) -> tuple[Incarnation, ...]:
