Mend what the review of the overload parts found

Cause, by reading: protected calls never reached the head of the queue; without answers to probes the best local endpoints weren't chosen; each finished call woke threads that wait for groups; calls near their due time were refused though slots were free; refusals named the delay of a lost group; work was counted per attempt; local ranks that are idle showed no popularity.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -52,6 +52,7 @@
 )
 from mintsaddle.decisions.direct._paths import ENDPOINTS_PER_CHECK, ReachabilityTracker
 from mintsaddle.decisions.direct._placement import (
+    DEFAULT_SLOTS,
     MAX_PROBES,
     PROBES_PER_ROUND,
     choose_by_load,
@@ -124,6 +125,7 @@
 __all__ = [
     "ALIVE_SECONDS",
     "CALL_INTERVAL_FRACTION",
+    "DEFAULT_SLOTS",
     "ENDPOINTS_PER_CHECK",
     "FRESH_LIMITS",
     "HIGHEST_URGENCY",
--- a/mintsaddle/decisions/expert_maps/__init__.py
+++ b/mintsaddle/decisions/expert_maps/__init__.py
@@ -45,6 +45,7 @@
     LastReports,
     choose_counted_ranks,
     choose_polled_ranks,
+    have_even_load,
 )
 from mintsaddle.decisions.expert_maps._popularity import PopularityCounts
 from mintsaddle.decisions.expert_maps._ranks import (
@@ -105,6 +106,7 @@
     "choose_counted_ranks",
     "choose_limits",
     "choose_polled_ranks",
+    "have_even_load",
     "choose_sampled_ranks",
     "choose_step",
     "count_moved",
--- a/mintsaddle/decisions/expert_maps/_polling.py
+++ b/mintsaddle/decisions/expert_maps/_polling.py
@@ -19,6 +19,10 @@
 """Polls over which the reports of remote ranks are spread: as many as begin
 within the interval."""
 
+MIN_LOCAL_LOAD_SHARE = 0.5
+"""Share of their even part of the requests that local ranks must have for
+their counts to show the popularity."""
+
 MIN_LOCAL_RANKS = 3
 """Serving ranks of the own data centre that must answer before remote ranks
 are polled less often. With fewer, all may be idle while the group is busy."""
@@ -40,6 +44,26 @@
     return sorted(chosen + _spread_evenly(remote, count - len(chosen)))
 
 
+def have_even_load(
+    serving: Collection[int], local: Collection[int], running: Mapping[int, int]
+) -> bool:
+    """Return whether local ranks have their part of a group's requests.
+
+    Where callers use engines of their own data centre, the ranks of another
+    one may be nearly idle and show no popularity.
+
+    Args:
+        serving: Ranks that receive work.
+        local: Ranks in the coordinator's data centre.
+        running: Requests that each rank reported last.
+    """
+    nearby = [rank for rank in serving if rank in local]
+    total = sum(running.get(rank, 0) for rank in serving)
+    at_local = sum(running.get(rank, 0) for rank in nearby)
+    even_part = total * len(nearby) / max(1, len(serving))
+    return at_local >= even_part * MIN_LOCAL_LOAD_SHARE
+
+
 def choose_polled_ranks(
     ranks: Iterable[int],
     local: Collection[int],
@@ -72,6 +96,11 @@
         self._reports: dict[int, RankReport] = {}
         self._due_at: dict[int, Instant] = {}
 
+    @property
+    def running(self) -> dict[int, int]:
+        """Requests that each rank reported last."""
+        return {rank: report.running for rank, report in self._reports.items()}
+
     def choose_ranks(
         self,
         ranks: Collection[int],
--- a/mintsaddle/decisions/expert_maps/tests/test_polling.py
+++ b/mintsaddle/decisions/expert_maps/tests/test_polling.py
@@ -12,6 +12,7 @@
     RankReport,
     choose_counted_ranks,
     choose_polled_ranks,
+    have_even_load,
 )
 
 POLL_SECONDS = 0.1
@@ -220,3 +221,20 @@
         for number in range(1, 7):
             poller.poll(number, number * 0.105)
         assert poller.known_running == 0
+
+
+class TestEvenLoad:
+    @pytest.mark.parametrize(
+        ("running", "expected"),
+        [
+            ({0: 3, 1: 3, 2: 3, 3: 3}, True),
+            ({0: 1, 1: 1, 2: 3, 3: 3}, True),
+            ({0: 0, 1: 0, 2: 3, 3: 3}, False),
+            ({}, True),
+        ],
+    )
+    def test_idle_local_ranks_show_no_popularity(
+        self, running: dict[int, int], *, expected: bool
+    ) -> None:
+        """Guards against maps never planned because local ranks idle."""
+        assert have_even_load([0, 1, 2, 3], {0, 1}, running) is expected
--- a/mintsaddle/decisions/overload/_locality.py
+++ b/mintsaddle/decisions/overload/_locality.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping, Sequence
 
 from mintsaddle.decisions.direct import (
+    DEFAULT_SLOTS,
     DirectCall,
     EngineLoad,
     GroupStepTimes,
@@ -50,7 +51,8 @@
         load = loads.get(endpoint.name)
         if load is None or endpoint.data_centre != data_centre:
             return False
-        if load.requests >= endpoint.slots * OVERFLOW_SHARE:
+        slots = max(DEFAULT_SLOTS, endpoint.slots)
+        if load.requests >= slots * OVERFLOW_SHARE:
             return False
         if endpoint.assignment is None or longest_step <= 0:
             return True
--- a/mintsaddle/decisions/overload/_workspace_use.py
+++ b/mintsaddle/decisions/overload/_workspace_use.py
@@ -46,7 +46,7 @@
 """Workspaces in one report; the others of an entry use little."""
 
 MAX_NAME_LENGTH = 128
-"""Characters in the name of a reported workspace; longer ones are ignored."""
+"""Characters in the name of a peer or workspace; longer ones are ignored."""
 
 MAX_REPORTED_RATE = 1e9
 """Largest rate that a report is taken to state, in work per second."""
@@ -155,6 +155,8 @@
         known = self._reports.get(vm)
         if known is not None and now < known.received_at:
             return
+        if len(vm) > MAX_NAME_LENGTH:
+            return
         rates = {
             name: min(rate, MAX_REPORTED_RATE)
             for name, rate in list(uses)[:MAX_REPORTED_USES]
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -89,9 +89,11 @@
         )
         self._replica = Replica(PUBLISHED_PREFIX)
         self._directory = Directory()
+        self._duties: tuple[Directory | None, dict[str, str]] = (None, {})
         self._groups = GroupAvailability()
         self._step_times = GroupStepTimes()
         self._groups_changed = threading.Condition(self._lock)
+        self._queue_changed = threading.Condition(self._lock)
         self._reach = Reachability(
             settings.data_centre, self._lock, self.now, self._data_centres
         )
@@ -185,6 +187,11 @@
         """Condition on the lock; notified when availability changes."""
         return self._groups_changed
 
+    @property
+    def queue_changed(self) -> threading.Condition:
+        """Condition on the lock; notified when a call leaves a queue."""
+        return self._queue_changed
+
     @property
     def metrics(self) -> Metrics:
         """Counters and histograms of this entry."""
@@ -280,8 +287,13 @@
         Returns:
             The preferred data centre of each duty, by its name; '' for none.
         """
-        preferred = preferred_data_centres(self._directory)
-        return {map_duty(group): name for group, name in preferred.items()}
+        directory, duties = self._duties
+        if directory is not self._directory:
+            directory = self._directory
+            preferred = preferred_data_centres(directory)
+            duties = {map_duty(group): name for group, name in preferred.items()}
+            self._duties = (directory, duties)
+        return duties
 
     def set_entry_count(self, number: int) -> None:
         """Set how many entries share limits; at least a minimum is assumed."""
--- a/mintsaddle/direct/_group_polls.py
+++ b/mintsaddle/direct/_group_polls.py
@@ -7,6 +7,7 @@
     RankReport,
     choose_counted_ranks,
     choose_sampled_ranks,
+    have_even_load,
 )
 from mintsaddle.direct._rank_calls import GroupPoll, RankCalls
 from mintsaddle.direct._rank_groups import RankGroup
@@ -79,10 +80,13 @@
         serving = [rank for rank in group.serving if rank in reachable]
         local = self._local_ranks(group)
         nearby = [rank for rank in serving if rank in local]
-        candidates = nearby if len(nearby) >= WATCHDOG_RANKS else serving
-        return self._rank_calls.poll(
-            group, choose_sampled_ranks(candidates, WATCHDOG_RANKS)
-        )
+        if len(nearby) < WATCHDOG_RANKS:
+            sampled = choose_sampled_ranks(serving, WATCHDOG_RANKS)
+            return self._rank_calls.poll(group, sampled)
+        # Requests may all be at ranks of another data centre.
+        remote = [rank for rank in serving if rank not in local]
+        sampled = choose_sampled_ranks(nearby, WATCHDOG_RANKS)
+        return self._rank_calls.poll(group, [*sampled, *remote[:1]])
 
     def progress_report(self, group: RankGroup, poll: GroupPoll) -> RankReport | None:
         """Return the report to take the group's progress from."""
@@ -98,8 +102,9 @@
         serving = [rank for rank in group.serving if rank in reachable]
         counts_per_rank = group.layout.layers * group.layout.experts
         count = max(1, MAX_AGENT_COUNTS // counts_per_rank)
-        counted_ranks = choose_counted_ranks(serving, local, count)
         last_reports = self._last_reports.setdefault(group.name, LastReports())
+        is_even = have_even_load(serving, local, last_reports.running)
+        counted_ranks = choose_counted_ranks(serving, local if is_even else (), count)
         now = self._now()
         polled_ranks = last_reports.choose_ranks(reachable, local, serving, now)
         poll = self._rank_calls.poll(group, polled_ranks, counted_ranks)
--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -1,6 +1,7 @@
 """State of one entry's admission control by priority level."""
 
 import itertools
+import secrets
 
 from mintsaddle.decisions.direct import DirectCall, RoutingTable
 from mintsaddle.decisions.overload import (
@@ -11,7 +12,7 @@
     capacity_expected_at,
     find_priority_levels,
 )
-from mintsaddle.values import Instant
+from mintsaddle.values import Instant, stable_hash
 
 MAX_WAITING_CALLS = 64
 """Calls of one service that may wait at one entry; more than an entry of the
@@ -27,6 +28,7 @@
         self._rates: dict[str, PlacementRate] = {}
         self._workspace_use = workspace_use
         self._tickets = itertools.count(1)
+        self._salt = secrets.token_hex(8)
 
     @property
     def workspace_use(self) -> WorkspaceUse:
@@ -67,8 +69,14 @@
         """Return an id for a call's place in a queue."""
         return str(next(self._tickets))
 
+    def draw(self, call: DirectCall) -> float:
+        """Return a number from 0 to 1, the same for all its attempts."""
+        return stable_hash(f"{self._salt} {call.request_id}") / 2**64
+
     def record_placed(self, call: DirectCall, now: Instant) -> None:
-        """Record that a call was placed at an endpoint."""
+        """Record that a call was placed; further attempts don't count."""
+        if call.tried:
+            return
         self._rates.setdefault(call.service, PlacementRate()).record(now)
         self._workspace_use.record(call.workspace, call.work, now)
 
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -294,9 +294,10 @@
             self._membership.record_entry(
                 KnownEntry(hello.vm, hello.address, now, hello.data_centre)
             )
-        with self._gateway.lock:
-            uses = [(use.name, use.rate) for use in hello.uses[:MAX_REPORTED_USES]]
-            self._gateway.workspace_use.record_peer(hello.vm, uses, now)
+        if hello.vm != self._membership.vm:
+            with self._gateway.lock:
+                uses = [(use.name, use.rate) for use in hello.uses[:MAX_REPORTED_USES]]
+                self._gateway.workspace_use.record_peer(hello.vm, uses, now)
         if hello.data_centre == self._gateway.settings.data_centre:
             # What a local peer can't reach may be unreachable from here too.
             for name in hello.cut:
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -14,6 +14,7 @@
     EngineLoad,
     Incarnation,
     group_leaders_first,
+    hold_until,
     is_late,
     prefer_quick_groups,
 )
@@ -28,7 +29,6 @@
     DISCONNECT_POLL_SECONDS,
     CallerDisconnectedError,
     await_ranked,
-    unavailable_reason,
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._probing import probe_loads
@@ -40,6 +40,13 @@
 """Seconds between two attempts to place a waiting call; each attempt costs a
 few probes."""
 
+FIRST_TURN_SECONDS = 0.1
+"""Seconds for which each call may wait for its first attempt, even if it can't
+be on time any more: when a group returns, slots may be free for all."""
+
+MAX_LOCAL_PROBES = 8
+"""Endpoints of the own data centre that are probed before those of others."""
+
 _log = make_logger("calls")
 
 
@@ -57,6 +64,11 @@
     ticket: str
     """Its id in the queue. Callers choose request ids, which may repeat."""
 
+    def queue_level(self, now: Instant) -> int:
+        """Return the level at which it waits in the queue."""
+        has_first_level = self.is_protected and not is_late(self.call, now)
+        return 0 if has_first_level else self.level
+
 
 class _Probed(NamedTuple):
     """Endpoints that a call may be sent to, and the loads that were read."""
@@ -85,15 +97,15 @@
     levelled: _LevelledCall | None = None
     has_failed = False
     with gateway.lock:
-        draw = gateway.rng.random()
         ticket = gateway.overload.next_ticket()
     try:
         while True:
-            _leave_queue_if_unavailable(gateway, call, ticket)
+            if _leave_queue_if_unavailable(gateway, call, ticket):
+                levelled = None
             ranked = await_ranked(gateway, call, is_disconnected)
             if isinstance(ranked, Reason):
                 return ranked
-            levelled = levelled or _begin(gateway, call, levels, draw, ticket)
+            levelled = levelled or _begin(gateway, call, levels, ticket)
             if not _await_turn(gateway, levelled, is_disconnected):
                 if not has_failed:
                     _record_not_admitted(gateway, call)
@@ -107,6 +119,9 @@
             if endpoint is not None:
                 _record_placed(gateway, levelled, endpoint)
                 return endpoint
+            if probed.admitted and gateway.now() < levelled.wait_until:
+                # The endpoint left, or its last permit went to another call.
+                continue
             if not has_failed:
                 has_failed = True
                 _record_not_admitted(gateway, call)
@@ -114,35 +129,42 @@
                 return _refuse(gateway, levelled, probed.loads)
             _wait(gateway, levelled, is_disconnected)
     finally:
-        with gateway.groups_changed:
-            gateway.overload.queue(call.service).remove(ticket)
-            gateway.groups_changed.notify_all()
+        _leave_queue(gateway, call, ticket)
 
 
 def _begin(
-    gateway: Gateway,
-    call: DirectCall,
-    levels: PriorityLevels,
-    draw: float,
-    ticket: str,
+    gateway: Gateway, call: DirectCall, levels: PriorityLevels, ticket: str
 ) -> _LevelledCall:
     with gateway.lock:
         now = gateway.now()
         judged, level = gateway.overload.judge(call, levels, now)
+        draw = gateway.overload.draw(call)
     if (judged, level) != (call, levels.level_of(call)):
         gateway.metrics.count("over_share")
     is_protected = has_minimum_share(levels, level, draw)
-    wait_until = wait_deadline(judged, now)
+    first_turn_until = min(now + FIRST_TURN_SECONDS, hold_until(call))
+    wait_until = max(wait_deadline(judged, now), first_turn_until)
     return _LevelledCall(judged, levels, level, is_protected, wait_until, ticket)
 
 
+def _leave_queue(gateway: Gateway, call: DirectCall, ticket: str) -> None:
+    with gateway.queue_changed:
+        queue = gateway.overload.queue(call.service)
+        if queue.is_waiting(ticket):
+            gateway.queue_changed.notify_all()
+        queue.remove(ticket)
+
+
 def _leave_queue_if_unavailable(
     gateway: Gateway, call: DirectCall, ticket: str
-) -> None:
+) -> bool:
     """Let others go first while the call waits for an endpoint."""
-    with gateway.groups_changed:
-        if not gateway.has_available(call.service):
-            gateway.overload.queue(call.service).remove(ticket)
+    with gateway.queue_changed:
+        queue = gateway.overload.queue(call.service)
+        if not queue.is_waiting(ticket) or gateway.has_available(call.service):
+            return False
+        _leave_queue(gateway, call, ticket)
+        return True
 
 
 def _await_turn(
@@ -151,13 +173,13 @@
     """Return whether the call may attempt placement in time."""
     ticket = levelled.ticket
     call = levelled.call._replace(request_id=ticket)
-    queue = gateway.overload.queue(call.service)
     has_waited = False
-    with gateway.groups_changed:
+    with gateway.queue_changed:
+        queue = gateway.overload.queue(call.service)
         while not queue.is_displaced(ticket):
             now = gateway.now()
             if not queue.is_waiting(ticket) and not queue.enqueue(
-                call, levelled.level, now
+                call, levelled.queue_level(now), now
             ):
                 return False
             if queue.may_attempt(ticket, now):
@@ -168,7 +190,7 @@
             if not has_waited:
                 has_waited = True
                 gateway.metrics.count("waited_for_turn")
-            gateway.groups_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
+            gateway.queue_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
             if is_disconnected():
                 raise CallerDisconnectedError
     gateway.metrics.count("displaced")
@@ -181,9 +203,9 @@
     """Wait until the next attempt; the call keeps its place in the queue."""
     gateway.metrics.count("waited_for_slot")
     next_attempt_at = gateway.now() + ATTEMPT_INTERVAL_SECONDS
-    with gateway.groups_changed:
+    with gateway.queue_changed:
         while (left := min(next_attempt_at, levelled.wait_until) - gateway.now()) > 0:
-            gateway.groups_changed.wait(left)
+            gateway.queue_changed.wait(left)
     if is_disconnected():
         raise CallerDisconnectedError
 
@@ -198,10 +220,10 @@
             levelled.call, ranked, gateway.step_times, gateway.now()
         )
     local = [endpoint for endpoint in quick if endpoint.data_centre == data_centre]
+    local = local[:MAX_LOCAL_PROBES]
     loads: dict[str, EngineLoad] = {}
-    if local:
-        local = local[:PROBES_PER_ROUND]
-        loads = probe_loads(gateway, local, slow)
+    for first in range(0, len(local), PROBES_PER_ROUND):
+        loads |= probe_loads(gateway, local[first : first + PROBES_PER_ROUND], [])
         probed = _admit(gateway, levelled, local, ranked, loads)
         with gateway.lock:
             near = with_local_capacity(
@@ -214,11 +236,13 @@
             )
         if near:
             return _Probed(near, loads)
+        if not loads:
+            break
     others = group_leaders_first(
         [endpoint for endpoint in quick if endpoint not in local]
     )
-    loads |= probe_loads(gateway, others, [] if local else slow)
-    candidates = [*others[:MAX_PROBES], *local]
+    loads |= probe_loads(gateway, others, slow)
+    candidates = [*local, *others[:MAX_PROBES]]
     return _admit(gateway, levelled, candidates, ranked, loads)
 
 
@@ -289,4 +313,4 @@
             expected=expected_at - now,
         ),
     )
-    return unavailable_reason(gateway)
+    return Reason.FULL
