Show overload to operators: metrics, log lines, trace and docs

Cause: operators could not see who waits, who is displaced, which workspace is over its share or since when a service is overloaded; the line of a refusal named neither its service and priority nor the age of its inputs.

Change: /metrics lists levels, waiting calls, placements, overload, fair share and the 8 workspaces of largest use, for services with priority levels only. New log lines tell that a request waits, is displaced or counts as less urgent, and once each that an overload began or ended. `mintsaddle trace` adds a summary of the admission. New counters: waited{level} and refused_at_once. Admission decisions are unchanged.

Not tested: the call in the maintenance loop that logs an overload's end.

--- a/mintsaddle/cli/_trace.py
+++ b/mintsaddle/cli/_trace.py
@@ -8,6 +8,10 @@
 
 from returns.result import Failure, Result, Success
 
+from mintsaddle.cli._admission_story import (
+    describe_admission,
+    is_refused_by_level,
+)
 from mintsaddle.cli._output import Output, Table
 
 STANDARD_INPUT = "-"
@@ -46,6 +50,15 @@
     "denied:no-route": "It was denied: the table has no route for its path.",
 }
 
+_REFUSED_BY_LEVEL = (
+    "It was refused: no capacity was left for its priority level in time."
+)
+
+_LEVEL_ENDINGS = frozenset({"not-run:full", "not-run:group-down"})
+"""How requests end that aren't admitted by their level."""
+
+_OVERLOAD_PATTERN = re.compile(r"\[calls\] Overload (began|ended) ")
+
 
 class LogLine(NamedTuple):
     """A log line of a mintsaddle process."""
@@ -112,8 +125,11 @@
 
 def find_cause(lines: Iterable[LogLine]) -> str:
     """Return a sentence on how a request ended, and why."""
-    for line in reversed(list(lines)):
+    known = list(lines)
+    for line in reversed(known):
         key = _ending_key(line)
+        if key in _LEVEL_ENDINGS and is_refused_by_level(other.text for other in known):
+            return _REFUSED_BY_LEVEL
         if key:
             return _CAUSES.get(key, f"It ended {key}.") + _format_timing(line)
     return "Its end is not in these logs: it may still run, or its entry terminated."
@@ -155,13 +171,17 @@
         if not line.request
         and line.source in sources
         and first <= line.time <= last
-        and line.component != "calls"
+        and (line.component != "calls" or _OVERLOAD_PATTERN.match(line.text))
     ]
     timeline = sorted([*request_lines, *state_changes], key=lambda line: line.time)
     rows = tuple((line.time[11:], line.source, line.text) for line in timeline)
+    story = describe_admission(
+        line.text for line in timeline if line.request == request
+    )
     summary = (
         ("request", request),
         ("cause", find_cause(request_lines)),
+        *((("admission", story),) if story else ()),
         ("entries", ", ".join(sorted(sources))),
         ("clocks", "the clocks of different entries may differ"),
         ("lines of another form", str(skipped)),
--- a/mintsaddle/cli/tests/test_trace.py
+++ b/mintsaddle/cli/tests/test_trace.py
@@ -22,6 +22,22 @@
 2026-05-01 10:00:0
 """
 
+WAITS = "Request waits request={} service=llm level=2 late=False position=3 waiting=5 \
+until=0.700."
+OVER_SHARE = 'Request over share request={} service=llm workspace="a b" own_level={} \
+level=2 late={} share=40.0 shares_age=0.200.'
+DISPLACED = "Request displaced request={} service=llm level=2 late=False waiting=64 \
+waited=0.327."
+REFUSED = (
+    "Request not admitted request={} part=levels service=llm priority=0/2 level=2 \
+over_share=True late={} probed={} requests=12 slots=6 waited=0.701 waiting=5 \
+expected=0.884 loads_age=None shares_age=0.862 version=1 age=2.001."
+)
+FULL = "Ended request={} ending=not-run:full status=0."
+STEPS_REFUSED = (
+    "Request not admitted request={} probed=2 requests=9 slots=6 late=False."
+)
+
 
 @pytest.fixture
 def log(tmp_path: Path) -> str:
@@ -82,3 +98,91 @@
         path.write_text(f"  1.25 entry-7 {LOG.splitlines()[4]}\n")
         assert main(["trace", "r-1", str(path)]) == 0
         assert "entry-7" in capsys.readouterr().out
+
+
+class TestAdmission:
+    @pytest.mark.parametrize(
+        ("messages", "cause", "told"),
+        [
+            (
+                [WAITS, REFUSED.format("{}", False, 2), FULL],
+                "no capacity was left for its priority level",
+                [
+                    "place 3 of 5 in the queue, for at most 0.700 s.",
+                    "at level 2: the engines probed (2) had 12 requests for 6 slots",
+                    "expected after 0.884 s.",
+                ],
+            ),
+            (
+                [WAITS, DISPLACED, REFUSED.format("{}", False, 0), FULL],
+                "no capacity was left for its priority level",
+                ["place 3 of 5", "After 0.327 s it was displaced", "no probed engine"],
+            ),
+            (
+                [
+                    OVER_SHARE.format("{}", 1, False),
+                    REFUSED.format("{}", False, 2),
+                    FULL.replace("full", "group-down"),
+                ],
+                "no capacity was left for its priority level",
+                ['Workspace "a b" was over', "of level 1 was treated like level 2."],
+            ),
+            (
+                [
+                    OVER_SHARE.format("{}", 2, True),
+                    REFUSED.format("{}", True, 2),
+                    FULL,
+                ],
+                "no capacity was left for its priority level",
+                ["of level 2 was treated as late.", "at level 2 (late)"],
+            ),
+            (
+                [
+                    WAITS,
+                    "Ended request={} ending=streamed first=0.9 longest_pause=0.1.",
+                ],
+                "Its stream ended normally.",
+                ["place 3 of 5"],
+            ),
+            ([STEPS_REFUSED, FULL], "all endpoints that were tried were full", []),
+        ],
+    )
+    def test_each_step_is_told_in_order(
+        self,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+        messages: list[str],
+        cause: str,
+        told: list[str],
+    ) -> None:
+        """Guards against a refusal whose cause the operator has to guess."""
+        path = tmp_path / "entry-1.log"
+        path.write_text(
+            "".join(
+                f"2026-05-01 10:00:0{second},000 INFO [calls] {text.format('r-1')}\n"
+                for second, text in enumerate(messages)
+            )
+        )
+        assert main(["trace", "r-1", str(path), "--json"]) == 0
+        summary = json.loads(capsys.readouterr().out)["summary"]
+        shown = {row["what"]: row["is"] for row in summary}
+        assert cause in shown["cause"]
+        admission = shown.get("admission", "")
+        places = [admission.find(part) for part in told]
+        assert -1 not in places
+        assert places == sorted(places)
+        assert bool(admission) is bool(told)
+
+    def test_the_overload_of_the_entry_is_part_of_the_story(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / "entry-1.log"
+        messages = [WAITS, "Overload began service=llm waiting=5.", FULL]
+        path.write_text(
+            "".join(
+                f"2026-05-01 10:00:0{second},000 INFO [calls] {text.format('r-1')}\n"
+                for second, text in enumerate(messages)
+            )
+        )
+        assert main(["trace", "r-1", str(path)]) == 0
+        assert "Overload began service=llm" in capsys.readouterr().out
--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -24,6 +24,10 @@
     find_priority_levels,
 )
 from mintsaddle.decisions.overload._locality import with_local_capacity
+from mintsaddle.decisions.overload._overload_periods import (
+    OverloadPeriod,
+    OverloadPeriods,
+)
 from mintsaddle.decisions.overload._workspace_use import (
     MAX_REPORTED_USES,
     WorkspaceUse,
@@ -40,6 +44,8 @@
     "USUAL_SLOT_SECONDS",
     "CallPriority",
     "CallQueue",
+    "OverloadPeriod",
+    "OverloadPeriods",
     "PlacementRate",
     "PriorityLevels",
     "WorkspaceUse",
--- a/mintsaddle/decisions/overload/_call_queue.py
+++ b/mintsaddle/decisions/overload/_call_queue.py
@@ -141,6 +141,15 @@
         """Return whether a call waits; displaced ones don't."""
         return request_id in self._positions
 
+    def position(self, request_id: str) -> int | None:
+        """Return a waiting call's place in the queue; 1 goes first.
+
+        Returns:
+            None if the call doesn't wait.
+        """
+        position = self._positions.get(request_id)
+        return None if position is None else bisect_left(self._order, position) + 1
+
     def may_attempt(self, request_id: str, now: Instant) -> bool:
         """Return whether a waiting call may attempt placement now."""
         self._refresh(now)
--- a/mintsaddle/decisions/overload/_workspace_use.py
+++ b/mintsaddle/decisions/overload/_workspace_use.py
@@ -105,6 +105,12 @@
         """
         return self._fair_use.share
 
+    @property
+    def shares_updated_at(self) -> Instant | None:
+        """When the shares were computed last; None if they never were."""
+        updated_at = self._update_at - SHARE_UPDATE_SECONDS
+        return None if updated_at == _NEVER else updated_at
+
     def set_entry_count(self, number: int) -> None:
         """Set how many entries there are, including this one."""
         self._entry_count = number
@@ -179,6 +185,19 @@
         rates = self._own_rates(now).items()
         return heapq.nlargest(limit, rates, key=lambda item: item[1])
 
+    def largest(self, now: Instant, limit: int) -> list[tuple[str, float, bool]]:
+        """Return the workspaces that use most of all entries under overload.
+
+        Returns:
+            Names, estimated work per second, the largest first, and whether
+            each was over its share when the shares were computed last.
+        """
+        if not self.is_overloaded(now):
+            return []
+        rates = self._known_rates(now).items()
+        largest = heapq.nlargest(limit, rates, key=lambda item: item[1])
+        return [(name, rate, name in self._over_share) for name, rate in largest]
+
     def make_report(self, now: Instant) -> list[tuple[str, float]]:
         """Return the uses to send to peers; none without overload."""
         if not self.is_overloaded(now):
--- a/mintsaddle/decisions/overload/tests/test_call_queue.py
+++ b/mintsaddle/decisions/overload/tests/test_call_queue.py
@@ -36,6 +36,17 @@
     return queue
 
 
+class TestPosition:
+    def test_it_follows_the_order_as_calls_become_late(self) -> None:
+        """Guards against a logged place that isn't the one in the order."""
+        calls = [(make_call("a", 0.0), 1), (make_call("b", 0.3), 1)]
+        queue = make_queue([*calls, (make_call("c", 0.3), 0)], 0.3)
+        ids = ("c", "a", "b", "unknown")
+        assert [queue.position(key) for key in ids] == [1, 2, 3, None]
+        queue.may_attempt("a", 0.5)
+        assert [queue.position(key) for key in ids] == [1, 3, 2, None]
+
+
 class TestOrder:
     @pytest.mark.parametrize(
         ("first", "second", "now"),
--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -5,18 +5,22 @@
 from mintsaddle.decisions.direct import DirectCall, RoutingTable
 from mintsaddle.decisions.overload import (
     CallQueue,
+    OverloadPeriods,
     PlacementRate,
     PriorityLevels,
     WorkspaceUse,
     capacity_expected_at,
     find_priority_levels,
 )
+from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import Instant
 
 MAX_WAITING_CALLS = 64
 """Calls of one service that may wait at one entry; more than an entry of the
 largest fleet receives within the longest wait."""
 
+_log = make_logger("calls")
+
 
 class OverloadControl:
     """Levels, queues and placement rates by service; requires the lock."""
@@ -25,6 +29,7 @@
         self._levels: dict[str, PriorityLevels] = {}
         self._queues: dict[str, CallQueue] = {}
         self._rates: dict[str, PlacementRate] = {}
+        self._overloads = OverloadPeriods()
         self._workspace_use = workspace_use
         self._tickets = itertools.count(1)
 
@@ -72,17 +77,49 @@
         self._rates.setdefault(call.service, PlacementRate()).record(now)
         self._workspace_use.record(call.workspace, call.work, now)
 
+    def record_not_admitted(self, call: DirectCall, now: Instant) -> None:
+        """Record that a call wasn't admitted at once for lack of capacity."""
+        self.end_overloads(now)
+        self._workspace_use.record_not_admitted(now, call.workspace)
+        if self._overloads.record_not_admitted(call.service, now):
+            waiting = self.queue(call.service).size
+            _log.info(
+                "Overload began %s.", fields(service=call.service, waiting=waiting)
+            )
+
+    def end_overloads(self, now: Instant) -> None:
+        """Log the services that are no longer overloaded."""
+        for period in self._overloads.remove_ended(now):
+            _log.info(
+                "Overload ended %s.",
+                fields(
+                    service=period.service,
+                    seconds=period.last_at - period.since,
+                    calls=period.calls,
+                ),
+            )
+
+    def overloaded_since(self, service: str, now: Instant) -> Instant | None:
+        """Return when a service's overload began; None if it has none."""
+        return self._overloads.since(service, now)
+
+    def placements_per_second(self, service: str, now: Instant) -> float:
+        """Return the recent rate of placements; 0 if unknown."""
+        rate = self._rates.get(service)
+        return rate.rate(now) if rate else 0.0
+
     def expected_at(self, call: DirectCall, now: Instant) -> Instant | None:
         """Return when a refused call could be placed; None without levels."""
         levels = self.levels_of(call)
         if levels is None:
             return None
-        rate = self._rates.get(call.service)
         # The caller will be late when it returns.
         ahead = self.queue(call.service).calls_ahead(
             levels.level_of(call), late=True, now=now
         )
-        return capacity_expected_at(ahead, rate.rate(now) if rate else 0.0, now)
+        return capacity_expected_at(
+            ahead, self.placements_per_second(call.service, now), now
+        )
 
     def judge(
         self, call: DirectCall, levels: PriorityLevels, now: Instant
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -14,7 +14,6 @@
     EngineLoad,
     Incarnation,
     group_leaders_first,
-    is_late,
     prefer_quick_groups,
 )
 from mintsaddle.decisions.overload import (
@@ -24,6 +23,12 @@
     wait_deadline,
     with_local_capacity,
 )
+from mintsaddle.direct._admission_logs import (
+    log_displaced,
+    log_not_admitted,
+    log_over_share,
+    log_waiting,
+)
 from mintsaddle.direct._availability import (
     DISCONNECT_POLL_SECONDS,
     CallerDisconnectedError,
@@ -31,32 +36,15 @@
     unavailable_reason,
 )
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._levelled_call import LevelledCall, WaitState
 from mintsaddle.direct._probing import probe_loads
 from mintsaddle.direct._reservation import reserve_endpoint
-from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import Instant, Reason
 
 ATTEMPT_INTERVAL_SECONDS = 0.1
 """Seconds between two attempts to place a waiting call; each attempt costs a
 few probes."""
 
-_log = make_logger("calls")
-
-
-class _LevelledCall(NamedTuple):
-    """A call as it is admitted: a workspace over its share changes both."""
-
-    call: DirectCall
-    levels: PriorityLevels
-    level: int
-    is_protected: bool
-    """Whether it belongs to the minimum share of its level."""
-
-    wait_until: Instant
-
-    ticket: str
-    """Its id in the queue. Callers choose request ids, which may repeat."""
-
 
 class _Probed(NamedTuple):
     """Endpoints that a call may be sent to, and the loads that were read."""
@@ -82,7 +70,7 @@
     Raises:
         CallerDisconnectedError: The caller disconnected while it waited.
     """
-    levelled: _LevelledCall | None = None
+    levelled: LevelledCall | None = None
     has_failed = False
     with gateway.lock:
         draw = gateway.rng.random()
@@ -97,7 +85,8 @@
             if not _await_turn(gateway, levelled, is_disconnected):
                 if not has_failed:
                     _record_not_admitted(gateway, call)
-                return _refuse(gateway, levelled, {})
+                return _refuse(gateway, levelled, {}, None)
+            probed_at = gateway.now()
             probed = _probe(gateway, levelled, ranked)
             endpoint = None
             if probed.admitted:
@@ -111,7 +100,7 @@
                 has_failed = True
                 _record_not_admitted(gateway, call)
             if gateway.now() >= levelled.wait_until:
-                return _refuse(gateway, levelled, probed.loads)
+                return _refuse(gateway, levelled, probed.loads, probed_at)
             _wait(gateway, levelled, is_disconnected)
     finally:
         with gateway.groups_changed:
@@ -125,15 +114,27 @@
     levels: PriorityLevels,
     draw: float,
     ticket: str,
-) -> _LevelledCall:
+) -> LevelledCall:
     with gateway.lock:
         now = gateway.now()
         judged, level = gateway.overload.judge(call, levels, now)
-    if (judged, level) != (call, levels.level_of(call)):
-        gateway.metrics.count("over_share")
+    is_over_share = (judged, level) != (call, levels.level_of(call))
     is_protected = has_minimum_share(levels, level, draw)
     wait_until = wait_deadline(judged, now)
-    return _LevelledCall(judged, levels, level, is_protected, wait_until, ticket)
+    levelled = LevelledCall(
+        judged,
+        levels,
+        level,
+        is_over_share,
+        is_protected,
+        wait_until,
+        ticket,
+        WaitState(),
+    )
+    if is_over_share:
+        gateway.metrics.count("over_share")
+        log_over_share(gateway, levelled)
+    return levelled
 
 
 def _leave_queue_if_unavailable(
@@ -146,7 +147,7 @@
 
 
 def _await_turn(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
+    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
 ) -> bool:
     """Return whether the call may attempt placement in time."""
     ticket = levelled.ticket
@@ -168,18 +169,21 @@
             if not has_waited:
                 has_waited = True
                 gateway.metrics.count("waited_for_turn")
+                log_waiting(gateway, levelled)
             gateway.groups_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
             if is_disconnected():
                 raise CallerDisconnectedError
     gateway.metrics.count("displaced")
+    log_displaced(gateway, levelled)
     return False
 
 
 def _wait(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
+    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
 ) -> None:
     """Wait until the next attempt; the call keeps its place in the queue."""
     gateway.metrics.count("waited_for_slot")
+    log_waiting(gateway, levelled)
     next_attempt_at = gateway.now() + ATTEMPT_INTERVAL_SECONDS
     with gateway.groups_changed:
         while (left := min(next_attempt_at, levelled.wait_until) - gateway.now()) > 0:
@@ -189,7 +193,7 @@
 
 
 def _probe(
-    gateway: Gateway, levelled: _LevelledCall, ranked: Sequence[Incarnation]
+    gateway: Gateway, levelled: LevelledCall, ranked: Sequence[Incarnation]
 ) -> _Probed:
     """Probe endpoints of the own data centre, and others while it is full."""
     data_centre = gateway.settings.data_centre
@@ -224,7 +228,7 @@
 
 def _admit(
     gateway: Gateway,
-    levelled: _LevelledCall,
+    levelled: LevelledCall,
     candidates: list[Incarnation],
     available: Sequence[Incarnation],
     loads: Mapping[str, EngineLoad],
@@ -250,7 +254,7 @@
 
 
 def _record_placed(
-    gateway: Gateway, levelled: _LevelledCall, endpoint: Incarnation
+    gateway: Gateway, levelled: LevelledCall, endpoint: Incarnation
 ) -> None:
     with gateway.lock:
         gateway.overload.record_placed(levelled.call, gateway.now())
@@ -261,32 +265,18 @@
 
 def _record_not_admitted(gateway: Gateway, call: DirectCall) -> None:
     with gateway.lock:
-        use = gateway.overload.workspace_use
-        use.record_not_admitted(gateway.now(), call.workspace)
+        gateway.overload.record_not_admitted(call, gateway.now())
 
 
 def _refuse(
-    gateway: Gateway, levelled: _LevelledCall, loads: Mapping[str, EngineLoad]
+    gateway: Gateway,
+    levelled: LevelledCall,
+    loads: Mapping[str, EngineLoad],
+    probed_at: Instant | None,
 ) -> Reason:
-    call = levelled.call
-    with gateway.lock:
-        now = gateway.now()
-        expected_at = gateway.overload.expected_at(call, now) or now
-        waiting = gateway.overload.queue(call.service).size
     gateway.metrics.count("not_admitted")
     gateway.metrics.count(f'refused{{level="{levelled.level}"}}')
-    _log.info(
-        "Request not admitted %s.",
-        fields(
-            request=call.request_id,
-            part="levels",
-            level=levelled.level,
-            late=is_late(call, now),
-            probed=len(loads),
-            requests=sum(load.requests for load in loads.values()),
-            waited=now - call.arrived_at,
-            waiting=waiting,
-            expected=expected_at - now,
-        ),
-    )
+    if not levelled.wait_state.has_begun:
+        gateway.metrics.count("refused_at_once")
+    log_not_admitted(gateway, levelled, loads, probed_at)
     return unavailable_reason(gateway)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -12,6 +12,7 @@
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_group_checks
 from mintsaddle.direct._maps import MapCoordinator
+from mintsaddle.direct._overload_metrics import render_overload
 from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peers import start_peer_exchange
 from mintsaddle.direct._server import CallerServer, max_callers, serve_pages
@@ -155,6 +156,8 @@
 
 def _render_metrics(gateway: Gateway, app: DirectApp) -> tuple[str, str]:
     lines = gateway.metrics.lines()
+    with gateway.lock:
+        lines += render_overload(gateway.overload, gateway.now())
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
     return "200 OK", "\n".join(sorted(lines)) + "\n"
 
@@ -168,5 +171,7 @@
             server.set_limits(applied_limits)
         if gateway.is_cut_off():
             server.close_idle()
+        with gateway.lock:
+            gateway.overload.end_overloads(gateway.now())
         gateway.pool.sweep(gateway.directory.endpoints.keys())
         time.sleep(_MAINTENANCE_INTERVAL_SECONDS)
