--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -15,7 +15,6 @@
     Incarnation,
     group_leaders_first,
     hold_until,
-    is_late,
     prefer_quick_groups,
 )
 from mintsaddle.decisions.overload import (
@@ -25,15 +24,21 @@
     wait_deadline,
     with_local_capacity,
 )
+from mintsaddle.direct._admission_logs import (
+    log_displaced,
+    log_not_admitted,
+    log_over_share,
+    log_waiting,
+)
 from mintsaddle.direct._availability import (
     DISCONNECT_POLL_SECONDS,
     CallerDisconnectedError,
     await_ranked,
 )
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._levelled_call import LevelledCall, WaitState
 from mintsaddle.direct._probing import probe_loads
 from mintsaddle.direct._reservation import reserve_endpoint
-from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import Instant, Reason
 
 ATTEMPT_INTERVAL_SECONDS = 0.1
@@ -47,28 +52,6 @@
 MAX_LOCAL_PROBES = 8
 """Endpoints of the own data centre that are probed before those of others."""
 
-_log = make_logger("calls")
-
-
-class _LevelledCall(NamedTuple):
-    """A call as it is admitted: a workspace over its share changes both."""
-
-    call: DirectCall
-    levels: PriorityLevels
-    level: int
-    is_protected: bool
-    """Whether it belongs to the minimum share of its level."""
-
-    wait_until: Instant
-
-    ticket: str
-    """Its id in the queue. Callers choose request ids, which may repeat."""
-
-    def queue_level(self, now: Instant) -> int:
-        """Return the level at which it waits in the queue."""
-        has_first_level = self.is_protected and not is_late(self.call, now)
-        return 0 if has_first_level else self.level
-
 
 class _Probed(NamedTuple):
     """Endpoints that a call may be sent to, and the loads that were read."""
@@ -94,7 +77,7 @@
     Raises:
         CallerDisconnectedError: The caller disconnected while it waited.
     """
-    levelled: _LevelledCall | None = None
+    levelled: LevelledCall | None = None
     has_failed = False
     with gateway.lock:
         ticket = gateway.overload.next_ticket()
@@ -109,7 +92,8 @@
             if not _await_turn(gateway, levelled, is_disconnected):
                 if not has_failed:
                     _record_not_admitted(gateway, call)
-                return _refuse(gateway, levelled, {})
+                return _refuse(gateway, levelled, {}, None)
+            probed_at = gateway.now()
             probed = _probe(gateway, levelled, ranked)
             endpoint = None
             if probed.admitted:
@@ -126,7 +110,7 @@
                 has_failed = True
                 _record_not_admitted(gateway, call)
             if gateway.now() >= levelled.wait_until:
-                return _refuse(gateway, levelled, probed.loads)
+                return _refuse(gateway, levelled, probed.loads, probed_at)
             _wait(gateway, levelled, is_disconnected)
     finally:
         _leave_queue(gateway, call, ticket)
@@ -134,17 +118,29 @@
 
 def _begin(
     gateway: Gateway, call: DirectCall, levels: PriorityLevels, ticket: str
-) -> _LevelledCall:
+) -> LevelledCall:
     with gateway.lock:
         now = gateway.now()
         judged, level = gateway.overload.judge(call, levels, now)
         draw = gateway.overload.draw(call)
-    if (judged, level) != (call, levels.level_of(call)):
-        gateway.metrics.count("over_share")
+    is_over_share = (judged, level) != (call, levels.level_of(call))
     is_protected = has_minimum_share(levels, level, draw)
     first_turn_until = min(now + FIRST_TURN_SECONDS, hold_until(call))
     wait_until = max(wait_deadline(judged, now), first_turn_until)
-    return _LevelledCall(judged, levels, level, is_protected, wait_until, ticket)
+    levelled = LevelledCall(
+        judged,
+        levels,
+        level,
+        is_over_share,
+        is_protected,
+        wait_until,
+        ticket,
+        WaitState(),
+    )
+    if is_over_share:
+        gateway.metrics.count("over_share")
+        log_over_share(gateway, levelled)
+    return levelled
 
 
 def _leave_queue(gateway: Gateway, call: DirectCall, ticket: str) -> None:
@@ -168,7 +164,7 @@
 
 
 def _await_turn(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
+    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
 ) -> bool:
     """Return whether the call may attempt placement in time."""
     ticket = levelled.ticket
@@ -190,18 +186,21 @@
             if not has_waited:
                 has_waited = True
                 gateway.metrics.count("waited_for_turn")
+                log_waiting(gateway, levelled)
             gateway.queue_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
             if is_disconnected():
                 raise CallerDisconnectedError
     gateway.metrics.count("displaced")
+    log_displaced(gateway, levelled)
     return False
 
 
 def _wait(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
+    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
 ) -> None:
     """Wait until the next attempt; the call keeps its place in the queue."""
     gateway.metrics.count("waited_for_slot")
+    log_waiting(gateway, levelled)
     next_attempt_at = gateway.now() + ATTEMPT_INTERVAL_SECONDS
     with gateway.queue_changed:
         while (left := min(next_attempt_at, levelled.wait_until) - gateway.now()) > 0:
@@ -211,7 +210,7 @@
 
 
 def _probe(
-    gateway: Gateway, levelled: _LevelledCall, ranked: Sequence[Incarnation]
+    gateway: Gateway, levelled: LevelledCall, ranked: Sequence[Incarnation]
 ) -> _Probed:
     """Probe endpoints of the own data centre, and others while it is full."""
     data_centre = gateway.settings.data_centre
@@ -248,7 +247,7 @@
 
 def _admit(
     gateway: Gateway,
-    levelled: _LevelledCall,
+    levelled: LevelledCall,
     candidates: list[Incarnation],
     available: Sequence[Incarnation],
     loads: Mapping[str, EngineLoad],
@@ -274,7 +273,7 @@
 
 
 def _record_placed(
-    gateway: Gateway, levelled: _LevelledCall, endpoint: Incarnation
+    gateway: Gateway, levelled: LevelledCall, endpoint: Incarnation
 ) -> None:
     with gateway.lock:
         gateway.overload.record_placed(levelled.call, gateway.now())
@@ -285,32 +284,18 @@
 
 def _record_not_admitted(gateway: Gateway, call: DirectCall) -> None:
     with gateway.lock:
-        use = gateway.overload.workspace_use
-        use.record_not_admitted(gateway.now(), call.workspace)
+        gateway.overload.record_not_admitted(call, gateway.now())
 
 
 def _refuse(
-    gateway: Gateway, levelled: _LevelledCall, loads: Mapping[str, EngineLoad]
+    gateway: Gateway,
+    levelled: LevelledCall,
+    loads: Mapping[str, EngineLoad],
+    probed_at: Instant | None,
 ) -> Reason:
-    call = levelled.call
-    with gateway.lock:
-        now = gateway.now()
-        expected_at = gateway.overload.expected_at(call, now) or now
-        waiting = gateway.overload.queue(call.service).size
     gateway.metrics.count("not_admitted")
     gateway.metrics.count(f'refused{{level="{levelled.level}"}}')
-    _log.info(
-        "Request not admitted %s.",
-        fields(
-            request=call.request_id,
-            part="levels",
-            level=levelled.level,
-            late=is_late(call, now),
-            probed=len(loads),
-            requests=sum(load.requests for load in loads.values()),
-            waited=now - call.arrived_at,
-            waiting=waiting,
-            expected=expected_at - now,
-        ),
-    )
+    if not levelled.wait_state.has_begun:
+        gateway.metrics.count("refused_at_once")
+    log_not_admitted(gateway, levelled, loads, probed_at)
     return Reason.FULL
