Predict a bound on a group's requests, and keep turns in order

Cause: with engines nearly full, one step after a change of popularity passes the longest pause and makes all streams of the group late (119 streams by one step of 0.123 s); and a call that comes up next overtook one that waited for its next attempt. Change: entries remember the largest skew of each group's steps, seen as pauses of two of their streams, and bound requests by the published model at that skew; a placement lets waiting calls attempt again, and calls that return together only join the queue first.

--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -28,6 +28,7 @@
     OverloadPeriod,
     OverloadPeriods,
 )
+from mintsaddle.decisions.overload._step_bound import StepSkews, bound_requests
 from mintsaddle.decisions.overload._workspace_use import (
     MAX_REPORTED_USES,
     WorkspaceUse,
@@ -48,7 +49,9 @@
     "OverloadPeriods",
     "PlacementRate",
     "PriorityLevels",
+    "StepSkews",
     "WorkspaceUse",
+    "bound_requests",
     "call_work",
     "capacity_expected_at",
     "filter_by_level",
--- a/mintsaddle/decisions/overload/_capacity.py
+++ b/mintsaddle/decisions/overload/_capacity.py
@@ -6,9 +6,11 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 
 from mintsaddle.decisions.direct import (
+    DEFAULT_SLOTS,
     FRESH_LIMITS,
     LATE_LIMITS,
     SOLE_ENTRY_SHARE,
@@ -25,6 +27,7 @@
     within_ramp,
 )
 from mintsaddle.decisions.overload._levels import PriorityLevels
+from mintsaddle.decisions.overload._step_bound import bound_requests
 from mintsaddle.values import Instant
 
 FRESH_SLOT_SHARES = (FRESH_LIMITS.slot_share, 0.8)
@@ -80,6 +83,40 @@
     return levels.clamp(level) > 0 and draw < MINIMUM_SHARE
 
 
+def within_bound(
+    call: DirectCall,
+    engines: Sequence[Incarnation],
+    loads: Mapping[str, EngineLoad],
+    steps: StepModel,
+    skews: Mapping[str, float],
+    share: float,
+    draw: float,
+) -> list[Incarnation]:
+    """Return the engines that hold fewer requests than their predicted bound.
+
+    Args:
+        call: The stream.
+        engines: Engines that have a slot for it.
+        loads: Loads that the probed engines reported, by name.
+        steps: The published model of their step times.
+        skews: The largest recent skew of each group, if known.
+        share: Share of the bound that the stream's level may fill.
+        draw: A random number from 0 to 1. A bound between two numbers of
+            requests admits a part of the streams at the lower one.
+    """
+
+    def is_within(engine: Incarnation) -> bool:
+        slots: float = max(DEFAULT_SLOTS, engine.slots)
+        group = engine.assignment.group if engine.assignment else ""
+        skew = skews.get(group, 0.0)
+        bound = bound_requests(steps, skew, call.route.longest_pause, slots)
+        if bound >= slots:
+            return True
+        return loads[engine.name].requests + draw < max(1.0, bound * share)
+
+    return [engine for engine in engines if is_within(engine)]
+
+
 def filter_by_level(
     call: DirectCall,
     candidates: list[Incarnation],
@@ -93,6 +130,7 @@
     share: EntryShare = SOLE_ENTRY_SHARE,
     *,
     is_protected: bool = False,
+    skews: Mapping[str, float] = MappingProxyType({}),
 ) -> list[Incarnation]:
     """Return the probed engines that a stream of a level may be sent to.
 
@@ -112,6 +150,7 @@
         share: This entry's share of the service's capacity.
         is_protected: Whether the stream belongs to the minimum share. It has
             no effect once the stream is late.
+        skews: The largest recent skew of each group, if known.
 
     Returns:
         All candidates if no engine answered its probe or the response has
@@ -133,6 +172,11 @@
         late,
     )
     admitted = find_with_slot(limits)
+    if steps is not None:
+        bound_share = min(1.0, limits.slot_share)
+        admitted = within_bound(
+            call, admitted, loads, steps, skews, bound_share, rng.random()
+        )
     # Engines are busy for all levels or for none. The engines left to a lower
     # level have few requests and would never count as busy.
     if not are_busy(find_with_slot(FRESH_LIMITS), loads):
--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -2,13 +2,17 @@
 
 import itertools
 import secrets
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from statistics import mean
 
-from mintsaddle.decisions.direct import DirectCall, RoutingTable
+from mintsaddle.decisions.direct import DirectCall, RoutingTable, StepModel
 from mintsaddle.decisions.overload import (
     CallQueue,
     OverloadPeriods,
     PlacementRate,
     PriorityLevels,
+    StepSkews,
     WorkspaceUse,
     capacity_expected_at,
     find_priority_levels,
@@ -28,9 +32,13 @@
 
     def __init__(self, workspace_use: WorkspaceUse) -> None:
         self._levels: dict[str, PriorityLevels] = {}
+        self._steps: dict[str, StepModel | None] = {}
         self._queues: dict[str, CallQueue] = {}
         self._rates: dict[str, PlacementRate] = {}
+        self._placed_calls: Counter[str] = Counter()
         self._overloads = OverloadPeriods()
+        self._step_skews = StepSkews()
+        self._loads: dict[str, float] = {}
         self._workspace_use = workspace_use
         self._tickets = itertools.count(1)
         self._salt = secrets.token_hex(8)
@@ -54,6 +62,7 @@
         """Derive the levels of all services from a new routing table."""
         found = {name: find_priority_levels(table, name) for name in table.services}
         self._levels = {name: levels for name, levels in found.items() if levels}
+        self._steps = {name: table.services[name].steps for name in self._levels}
 
     def levels_of(self, call: DirectCall) -> PriorityLevels | None:
         """Return the levels by which a call is admitted.
@@ -79,7 +88,8 @@
         return stable_hash(f"{self._salt} {call.request_id}") / 2**64
 
     def record_placed(self, call: DirectCall, now: Instant) -> None:
-        """Record that a call was placed; further attempts don't count."""
+        """Record that a call was placed; later attempts add no work."""
+        self._placed_calls[call.service] += 1
         if call.tried:
             return
         self._rates.setdefault(call.service, PlacementRate()).record(now)
@@ -116,6 +126,38 @@
         rate = self._rates.get(service)
         return rate.rate(now) if rate else 0.0
 
+    def record_loads(self, loads: Mapping[str, Sequence[int]]) -> None:
+        """Record how many requests probed engines of each group have."""
+        self._loads.update(
+            {group: mean(requests) for group, requests in loads.items() if requests}
+        )
+
+    def record_pause(
+        self, call: DirectCall, group: str, seconds: float, now: Instant
+    ) -> None:
+        """Record the pause between two events of a stream with levels.
+
+        Args:
+            call: The stream.
+            group: The group that generates it.
+            seconds: The pause.
+            now: When it ended.
+        """
+        steps = self._steps.get(call.service)
+        requests = self._loads.get(group)
+        if steps is None or requests is None:
+            return
+        expected = steps.step_seconds(round(requests))
+        self._step_skews.record_pause(group, call.request_id, seconds, expected, now)
+
+    def skews(self, groups: Iterable[str], now: Instant) -> dict[str, float]:
+        """Return the largest recent skew of each group; 0 if unknown."""
+        return {group: self._step_skews.largest_skew(group, now) for group in groups}
+
+    def placed_calls(self, service: str) -> int:
+        """Return the number of a service's calls placed so far."""
+        return self._placed_calls[service]
+
     def expected_at(self, call: DirectCall, now: Instant) -> Instant | None:
         """Return when a refused call could be placed; None without levels."""
         levels = self.levels_of(call)
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -25,26 +25,25 @@
     with_local_capacity,
 )
 from mintsaddle.direct._admission_logs import (
-    log_displaced,
     log_not_admitted,
     log_over_share,
-    log_waiting,
 )
 from mintsaddle.direct._availability import (
-    DISCONNECT_POLL_SECONDS,
-    CallerDisconnectedError,
     await_ranked,
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._levelled_call import LevelledCall, WaitState
 from mintsaddle.direct._probing import probe_loads
 from mintsaddle.direct._reservation import reserve_endpoint
+from mintsaddle.direct._turns import (
+    await_next_attempt,
+    await_turn,
+    join_returning_calls,
+    leave_queue,
+    leave_queue_if_unavailable,
+)
 from mintsaddle.values import Instant, Reason
 
-ATTEMPT_INTERVAL_SECONDS = 0.1
-"""Seconds between two attempts to place a waiting call; each attempt costs a
-few probes."""
-
 FIRST_TURN_SECONDS = 0.1
 """Seconds for which each call may wait for its first attempt, even if it can't
 be on time any more: when a group returns, slots may be free for all."""
@@ -83,13 +82,15 @@
         ticket = gateway.overload.next_ticket()
     try:
         while True:
-            if _leave_queue_if_unavailable(gateway, call, ticket):
-                levelled = None
+            was_unavailable = leave_queue_if_unavailable(gateway, call, ticket)
             ranked = await_ranked(gateway, call, is_disconnected)
             if isinstance(ranked, Reason):
                 return ranked
-            levelled = levelled or _begin(gateway, call, levels, ticket)
-            if not _await_turn(gateway, levelled, is_disconnected):
+            if levelled is None or was_unavailable:
+                levelled = _begin(gateway, call, levels, ticket)
+            if was_unavailable:
+                join_returning_calls(gateway, levelled)
+            if not await_turn(gateway, levelled, is_disconnected):
                 if not has_failed:
                     _record_not_admitted(gateway, call)
                 return _refuse(gateway, levelled, {}, None)
@@ -111,9 +112,9 @@
                 _record_not_admitted(gateway, call)
             if gateway.now() >= levelled.wait_until:
                 return _refuse(gateway, levelled, probed.loads, probed_at)
-            _wait(gateway, levelled, is_disconnected)
+            await_next_attempt(gateway, levelled, is_disconnected)
     finally:
-        _leave_queue(gateway, call, ticket)
+        leave_queue(gateway, call, ticket)
 
 
 def _begin(
@@ -143,72 +144,6 @@
     return levelled
 
 
-def _leave_queue(gateway: Gateway, call: DirectCall, ticket: str) -> None:
-    with gateway.queue_changed:
-        queue = gateway.overload.queue(call.service)
-        if queue.is_waiting(ticket):
-            gateway.queue_changed.notify_all()
-        queue.remove(ticket)
-
-
-def _leave_queue_if_unavailable(
-    gateway: Gateway, call: DirectCall, ticket: str
-) -> bool:
-    """Let others go first while the call waits for an endpoint."""
-    with gateway.queue_changed:
-        queue = gateway.overload.queue(call.service)
-        if not queue.is_waiting(ticket) or gateway.has_available(call.service):
-            return False
-        _leave_queue(gateway, call, ticket)
-        return True
-
-
-def _await_turn(
-    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
-) -> bool:
-    """Return whether the call may attempt placement in time."""
-    ticket = levelled.ticket
-    call = levelled.call._replace(request_id=ticket)
-    has_waited = False
-    with gateway.queue_changed:
-        queue = gateway.overload.queue(call.service)
-        while not queue.is_displaced(ticket):
-            now = gateway.now()
-            if not queue.is_waiting(ticket) and not queue.enqueue(
-                call, levelled.queue_level(now), now
-            ):
-                return False
-            if queue.may_attempt(ticket, now):
-                return True
-            left = levelled.wait_until - now
-            if left <= 0:
-                return False
-            if not has_waited:
-                has_waited = True
-                gateway.metrics.count("waited_for_turn")
-                log_waiting(gateway, levelled)
-            gateway.queue_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
-            if is_disconnected():
-                raise CallerDisconnectedError
-    gateway.metrics.count("displaced")
-    log_displaced(gateway, levelled)
-    return False
-
-
-def _wait(
-    gateway: Gateway, levelled: LevelledCall, is_disconnected: Callable[[], bool]
-) -> None:
-    """Wait until the next attempt; the call keeps its place in the queue."""
-    gateway.metrics.count("waited_for_slot")
-    log_waiting(gateway, levelled)
-    next_attempt_at = gateway.now() + ATTEMPT_INTERVAL_SECONDS
-    with gateway.queue_changed:
-        while (left := min(next_attempt_at, levelled.wait_until) - gateway.now()) > 0:
-            gateway.queue_changed.wait(left)
-    if is_disconnected():
-        raise CallerDisconnectedError
-
-
 def _probe(
     gateway: Gateway, levelled: LevelledCall, ranked: Sequence[Incarnation]
 ) -> _Probed:
@@ -255,7 +190,13 @@
     call = levelled.call
     table = gateway.directory.table
     service = table.services.get(call.service) if table else None
+    requests: dict[str, list[int]] = {}
+    for engine in candidates:
+        if engine.assignment is not None and engine.name in loads:
+            reported = loads[engine.name].requests
+            requests.setdefault(engine.assignment.group, []).append(reported)
     with gateway.lock:
+        gateway.overload.record_loads(requests)
         admitted = filter_by_level(
             call,
             candidates,
@@ -268,6 +209,7 @@
             service.steps if service else None,
             gateway.entry_share(available),
             is_protected=levelled.is_protected,
+            skews=gateway.overload.skews(requests, gateway.now()),
         )
     return _Probed(admitted, loads)
 
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -41,6 +41,7 @@
     read_events,
 )
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._pauses import make_pause_recorder
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
@@ -258,11 +259,15 @@
     def _relay_attempt(self, attempt: _Attempt) -> Generator[bytes, None, bool]:
         """Relay events of one endpoint; return whether it sent all of them."""
         is_complete = False
+        record_event = make_pause_recorder(
+            self._gateway, self._call, attempt.endpoint.assignment
+        )
         try:
             for event in read_events(attempt.response):
                 number = event.read_id()
                 if number is not None:
                     self._call = self._call._replace(last_event=number)
+                record_event()
                 yield event.data
             is_complete = True
         except (OSError, http.client.HTTPException, StreamCutError) as error:
