--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -229,7 +229,7 @@
 class Endpoint:
     """An endpoint that uses its queued responders, then responds with 200."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, host: str = "127.0.0.1") -> None:
         self.name = name
         self.responders: list[Responder] = []
         self.requests: list[dict[str, str]] = []
@@ -248,12 +248,13 @@
             def do_POST(self) -> None:
                 endpoint.handle(self)
 
-        self._server = _Server(("127.0.0.1", 0), Handler)
+        self._server = _Server((host, 0), Handler)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self._server.server_address[1]}"
+        host, port = self._server.server_address[:2]
+        return f"{host!s}:{port}"
 
     def handle(self, handler: _Handler) -> None:
         length = int(handler.headers.get("Content-Length") or 0)
@@ -345,8 +346,10 @@
     handler.close_connection = True
 
 
-def stream_events(first: int, last: int, *, is_complete: bool = True) -> Responder:
-    """Return a responder that streams events.
+def stream_events(
+    first: int, last: int, *, is_complete: bool = True, pause: float = 0.0
+) -> Responder:
+    """Return a responder that streams events, with a pause before each.
 
     Unless `is_complete`, the connection closes in the middle of an event.
     """
@@ -360,6 +363,7 @@
             Transfer_Encoding="chunked",
         )
         for number in range(first, last + 1):
+            time.sleep(pause)
             _send_chunk(handler, b"id: %d\ndata: piece\n\n" % number)
         if is_complete:
             handler.wfile.write(b"0\r\n\r\n")
@@ -461,7 +465,12 @@
     """An entry that runs as a process."""
 
     def __init__(
-        self, folder: Path, name: str, store: str, seeds: list[str] | None = None
+        self,
+        folder: Path,
+        name: str,
+        store: str,
+        seeds: list[str] | None = None,
+        agent_port: int | None = None,
     ) -> None:
         front, ready, control, metrics = free_ports(4)
         self.front, self.ready, self.metrics = front, ready, metrics
@@ -475,6 +484,7 @@
                 ready=ready,
                 control=control,
                 metrics=metrics,
+                agents=agent_port or metrics,
                 store=store,
                 seeds=json.dumps(seeds or []),
             )
@@ -553,7 +563,7 @@
 node_name = "{name}"
 zone = "a"
 ip = "127.0.0.1"
-port_range = [{metrics},{metrics}]
+port_range = [{metrics},{agents}]
 seeds = {seeds}
 bootstrap = true
 [listen]
