Keep the order of waiting calls when slots become free in a row

Cause: a call that comes up next attempts placement immediately, while the first one waits up to 0.1 s for its next attempt and is overtaken; and calls that wake up first at a group's return attempt placement before more urgent ones are queued. Change: a placement lets waiting calls attempt again, and returning calls only join the queue for 20 ms. The turns move to their own module.

--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -1,6 +1,7 @@
 """State of one entry's admission control by priority level."""
 
 import itertools
+from collections import Counter
 
 from mintsaddle.decisions.direct import DirectCall, RoutingTable
 from mintsaddle.decisions.overload import (
@@ -25,6 +26,7 @@
         self._levels: dict[str, PriorityLevels] = {}
         self._queues: dict[str, CallQueue] = {}
         self._rates: dict[str, PlacementRate] = {}
+        self._placed_calls: Counter[str] = Counter()
         self._workspace_use = workspace_use
         self._tickets = itertools.count(1)
 
@@ -69,9 +71,14 @@
 
     def record_placed(self, call: DirectCall, now: Instant) -> None:
         """Record that a call was placed at an endpoint."""
+        self._placed_calls[call.service] += 1
         self._rates.setdefault(call.service, PlacementRate()).record(now)
         self._workspace_use.record(call.workspace, call.work, now)
 
+    def placed_calls(self, service: str) -> int:
+        """Return the number of a service's calls placed so far."""
+        return self._placed_calls[service]
+
     def expected_at(self, call: DirectCall, now: Instant) -> Instant | None:
         """Return when a refused call could be placed; None without levels."""
         levels = self.levels_of(call)
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -24,40 +24,23 @@
     wait_deadline,
     with_local_capacity,
 )
-from mintsaddle.direct._availability import (
-    DISCONNECT_POLL_SECONDS,
-    CallerDisconnectedError,
-    await_ranked,
-    unavailable_reason,
-)
+from mintsaddle.direct._availability import await_ranked, unavailable_reason
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._probing import probe_loads
 from mintsaddle.direct._reservation import reserve_endpoint
+from mintsaddle.direct._turns import (
+    LevelledCall,
+    await_next_attempt,
+    await_turn,
+    join_returning_calls,
+    leave_queue_if_unavailable,
+)
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.values import Instant, Reason
-
-ATTEMPT_INTERVAL_SECONDS = 0.1
-"""Seconds between two attempts to place a waiting call; each attempt costs a
-few probes."""
+from mintsaddle.values import Reason
 
 _log = make_logger("calls")
 
 
-class _LevelledCall(NamedTuple):
-    """A call as it is admitted: a workspace over its share changes both."""
-
-    call: DirectCall
-    levels: PriorityLevels
-    level: int
-    is_protected: bool
-    """Whether it belongs to the minimum share of its level."""
-
-    wait_until: Instant
-
-    ticket: str
-    """Its id in the queue. Callers choose request ids, which may repeat."""
-
-
 class _Probed(NamedTuple):
     """Endpoints that a call may be sent to, and the loads that were read."""
 
@@ -82,19 +65,21 @@
     Raises:
         CallerDisconnectedError: The caller disconnected while it waited.
     """
-    levelled: _LevelledCall | None = None
+    levelled: LevelledCall | None = None
     has_failed = False
     with gateway.lock:
         draw = gateway.rng.random()
         ticket = gateway.overload.next_ticket()
     try:
         while True:
-            _leave_queue_if_unavailable(gateway, call, ticket)
+            was_unavailable = leave_queue_if_unavailable(gateway, call, ticket)
             ranked = await_ranked(gateway, call, is_disconnected)
             if isinstance(ranked, Reason):
                 return ranked
             levelled = levelled or _begin(gateway, call, levels, draw, ticket)
-            if not _await_turn(gateway, levelled, is_disconnected):
+            if was_unavailable:
+                join_returning_calls(gateway, levelled)
+            if not await_turn(gateway, levelled, is_disconnected):
                 if not has_failed:
                     _record_not_admitted(gateway, call)
                 return _refuse(gateway, levelled, {})
@@ -112,7 +97,7 @@
                 _record_not_admitted(gateway, call)
             if gateway.now() >= levelled.wait_until:
                 return _refuse(gateway, levelled, probed.loads)
-            _wait(gateway, levelled, is_disconnected)
+            await_next_attempt(gateway, levelled, is_disconnected)
     finally:
         with gateway.groups_changed:
             gateway.overload.queue(call.service).remove(ticket)
@@ -125,7 +110,7 @@
     levels: PriorityLevels,
     draw: float,
     ticket: str,
-) -> _LevelledCall:
+) -> LevelledCall:
     with gateway.lock:
         now = gateway.now()
         judged, level = gateway.overload.judge(call, levels, now)
@@ -133,63 +118,11 @@
         gateway.metrics.count("over_share")
     is_protected = has_minimum_share(levels, level, draw)
     wait_until = wait_deadline(judged, now)
-    return _LevelledCall(judged, levels, level, is_protected, wait_until, ticket)
-
-
-def _leave_queue_if_unavailable(
-    gateway: Gateway, call: DirectCall, ticket: str
-) -> None:
-    """Let others go first while the call waits for an endpoint."""
-    with gateway.groups_changed:
-        if not gateway.has_available(call.service):
-            gateway.overload.queue(call.service).remove(ticket)
-
-
-def _await_turn(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
-) -> bool:
-    """Return whether the call may attempt placement in time."""
-    ticket = levelled.ticket
-    call = levelled.call._replace(request_id=ticket)
-    queue = gateway.overload.queue(call.service)
-    has_waited = False
-    with gateway.groups_changed:
-        while not queue.is_displaced(ticket):
-            now = gateway.now()
-            if not queue.is_waiting(ticket) and not queue.enqueue(
-                call, levelled.level, now
-            ):
-                return False
-            if queue.may_attempt(ticket, now):
-                return True
-            left = levelled.wait_until - now
-            if left <= 0:
-                return False
-            if not has_waited:
-                has_waited = True
-                gateway.metrics.count("waited_for_turn")
-            gateway.groups_changed.wait(min(left, DISCONNECT_POLL_SECONDS))
-            if is_disconnected():
-                raise CallerDisconnectedError
-    gateway.metrics.count("displaced")
-    return False
-
-
-def _wait(
-    gateway: Gateway, levelled: _LevelledCall, is_disconnected: Callable[[], bool]
-) -> None:
-    """Wait until the next attempt; the call keeps its place in the queue."""
-    gateway.metrics.count("waited_for_slot")
-    next_attempt_at = gateway.now() + ATTEMPT_INTERVAL_SECONDS
-    with gateway.groups_changed:
-        while (left := min(next_attempt_at, levelled.wait_until) - gateway.now()) > 0:
-            gateway.groups_changed.wait(left)
-    if is_disconnected():
-        raise CallerDisconnectedError
+    return LevelledCall(judged, levels, level, is_protected, wait_until, ticket)
 
 
 def _probe(
-    gateway: Gateway, levelled: _LevelledCall, ranked: Sequence[Incarnation]
+    gateway: Gateway, levelled: LevelledCall, ranked: Sequence[Incarnation]
 ) -> _Probed:
     """Probe endpoints of the own data centre, and others while it is full."""
     data_centre = gateway.settings.data_centre
@@ -224,7 +157,7 @@
 
 def _admit(
     gateway: Gateway,
-    levelled: _LevelledCall,
+    levelled: LevelledCall,
     candidates: list[Incarnation],
     available: Sequence[Incarnation],
     loads: Mapping[str, EngineLoad],
@@ -250,7 +183,7 @@
 
 
 def _record_placed(
-    gateway: Gateway, levelled: _LevelledCall, endpoint: Incarnation
+    gateway: Gateway, levelled: LevelledCall, endpoint: Incarnation
 ) -> None:
     with gateway.lock:
         gateway.overload.record_placed(levelled.call, gateway.now())
@@ -266,7 +199,7 @@
 
 
 def _refuse(
-    gateway: Gateway, levelled: _LevelledCall, loads: Mapping[str, EngineLoad]
+    gateway: Gateway, levelled: LevelledCall, loads: Mapping[str, EngineLoad]
 ) -> Reason:
     call = levelled.call
     with gateway.lock:
