--- a/mintsaddle/direct/tests/desk.py
+++ b/mintsaddle/direct/tests/desk.py
@@ -40,6 +40,7 @@
     def __init__(self, gateway: Gateway, monkeypatch: pytest.MonkeyPatch) -> None:
         self.requests = 0
         self.epoch = 1
+        self.probe_seconds = PROBE_SECONDS
         self.placed: list[str] = []
         """Names of the callers that got an endpoint, in order."""
 
@@ -59,7 +60,7 @@
         monkeypatch.setattr(gateway, "record_chosen", count_chosen)
 
     def _read_loads(self, endpoints: Sequence[Incarnation]) -> dict[str, EngineLoad]:
-        time.sleep(PROBE_SECONDS)
+        time.sleep(self.probe_seconds)
         step = int(self._gateway.now() * STEPS_PER_SECOND)
         return {
             endpoint.name: EngineLoad(self.requests, self.epoch, step)
--- a/mintsaddle/direct/tests/test_priority_choice.py
+++ b/mintsaddle/direct/tests/test_priority_choice.py
@@ -253,6 +253,8 @@
         self, desk: Desk
     ) -> None:
         """Guards against the first calls to wake up taking all slots."""
+        # Calls that wake up first would all be placed before the others.
+        desk.engines.probe_seconds = 0.0
         desk.gateway.record_group_refusal(GROUP, 1, "i-9")
         callers = [desk.start(priority) for priority in (2, 2, 2, 2, 0, 0, 0, 0)]
         time.sleep(0.1)
@@ -265,5 +267,5 @@
         urgent = [caller.name for caller in callers[4:]]
         last_urgent = max(desk.engines.placed.index(name) for name in urgent)
         before = set(desk.engines.placed[:last_urgent]) - set(urgent)
-        # Those that attempt placement while the others wake up have no order.
-        assert len(before) <= MAX_CONCURRENT_ATTEMPTS
+        # Others attempt placement only beside the last urgent call.
+        assert len(before) < MAX_CONCURRENT_ATTEMPTS
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -41,6 +41,7 @@
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
 
     def log_message(self, *_: object) -> None:
         """Log nothing, so that test output stays readable."""
--- a/mintsaddle/platform/tests/test_overload_process.py
+++ b/mintsaddle/platform/tests/test_overload_process.py
@@ -9,7 +9,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -35,7 +35,7 @@
 TIMEOUT = DEADLINE + 1.0
 """Longest wait of a caller; the margin is for a busy test process."""
 
-KILLED, FROZEN, CUT_OFF = 0, 1, 2
+KILLED, FROZEN, CUT_OFF, SPARE = 0, 1, 2, 3
 FROZEN_SECONDS = 1.5
 
 
@@ -44,7 +44,6 @@
 
     request_id: str
     priority: int
-    entry: int
     kind: str
     """One of served, refused, failed and lost."""
 
@@ -61,6 +60,9 @@
         self.stores = [Store(), Store()]
         self.entries: list[Entry] = []
         self.answers: list[Answer] = []
+        self.lost: list[int] = []
+        """Entries at which callers lost their connection."""
+
         routes = [
             {
                 "name": f"route-{priority}",
@@ -94,46 +96,57 @@
             engine.stop()
 
     def call(self, number: int, entry: int) -> None:
-        """Send one stream and record its answer."""
+        """Send a stream and record its answer.
+
+        If the connection is lost, another entry is called with another id, as
+        the first stream may have run.
+        """
         request_id, priority = f"request-{number}", PRIORITIES[number % 3]
         started_at = time.monotonic()
-        first_seconds = 0.0
-        kind = "lost"
+        kind, first_seconds = self.send(request_id, priority, entry, started_at)
+        if kind == "lost":
+            self.lost.append(entry)
+            request_id, entry = f"{request_id}-again", SPARE
+            kind, first_seconds = self.send(request_id, priority, entry, started_at)
+        seconds = time.monotonic() - started_at
+        answer = Answer(request_id, priority, kind, seconds, first_seconds)
+        self.answers.append(answer)
+
+    def send(
+        self, request_id: str, priority: int, entry: int, started_at: float
+    ) -> tuple[str, float]:
+        """Return the kind of the answer, and seconds until its first event."""
         try:
-            connection = self.entries[entry].open(
-                "POST",
-                f"/{priority}/x",
-                X_Mintsaddle_Attempt_Id=request_id,
-                X_Mintsaddle_Deadline_Ms=str(int(DEADLINE * 1000)),
+            response = (
+                self.entries[entry]
+                .open(
+                    "POST",
+                    f"/{priority}/x",
+                    X_Mintsaddle_Attempt_Id=request_id,
+                    X_Mintsaddle_Deadline_Ms=str(int(DEADLINE * 1000)),
+                )
+                .getresponse()
             )
-            response = connection.getresponse()
-            if response.status == 200:
-                body = response.readline()
-                first_seconds = time.monotonic() - started_at
-                body += response.read()
-                is_whole = body.count(b"id: ") == EVENTS
-                kind = "served" if is_whole else "failed"
-            else:
-                response.read()
-                kind = "refused" if response.status == 503 else "failed"
+            body = response.readline()
+            first_seconds = time.monotonic() - started_at
+            body += response.read()
         except (OSError, http.client.HTTPException):
-            pass  # The connection was lost, which the kind says.
-        seconds = time.monotonic() - started_at
-        self.answers.append(
-            Answer(request_id, priority, entry, kind, seconds, first_seconds)
-        )
+            return "lost", 0.0
+        if response.status == 503:
+            return "refused", 0.0
+        is_whole = response.status == 200 and body.count(b"id: ") == EVENTS
+        return "served" if is_whole else "failed", first_seconds
 
     def run(self) -> None:
         """Send streams to the entries, some of which fail meanwhile."""
         started_at = time.monotonic()
         callers: list[threading.Thread] = []
-        faults = [
+        faults: list[tuple[float, Callable[[], None]]] = [
             (2.0, lambda: self.entries[KILLED].stop()),
             (3.0, lambda: self.signal(FROZEN, signal.SIGSTOP)),
-            (3.0 + FROZEN_SECONDS, lambda: self.signal(FROZEN, signal.SIGCONT)),
             (4.0, self.cut_off),
+            (3.0 + FROZEN_SECONDS, lambda: self.signal(FROZEN, signal.SIGCONT)),
         ]
-        faults.sort(key=lambda fault: fault[0])
         for number in range(round(SECONDS * RATE)):
             at = started_at + number / RATE
             time.sleep(max(0.0, at - time.monotonic()))
@@ -156,7 +169,10 @@
 
     def executions(self) -> Counter[str]:
         """Return how often each request began to run."""
-        return sum((engine.executions for engine in self.engines), Counter())
+        total: Counter[str] = Counter()
+        for engine in self.engines:
+            total.update(engine.executions)
+        return total
 
 
 @pytest.fixture
@@ -185,24 +201,15 @@
         """Guards against lost or untrue answers and a wrong order."""
         site.run()
         answers, executions = site.answers, site.executions()
-        print(Counter((a.priority, a.kind) for a in answers))
-        print([on_time_share(answers, p) for p in PRIORITIES])
-        print(max(a.seconds for a in answers))
         assert len(answers) == round(SECONDS * RATE)
         assert max(answer.seconds for answer in answers) <= TIMEOUT
         for answer in answers:
-            ran = executions[answer.request_id]
-            if answer.kind == "served":
-                assert ran == 1
-            elif answer.kind == "refused":
-                assert ran == 0
-            else:
-                # Only the killed entry may leave a caller without an answer.
-                assert (answer.kind, answer.entry) == ("lost", KILLED)
-        assert sum(a.kind == "refused" for a in answers) > 0
-        # Callers of entries that failed were not treated alike.
-        compared = [a for a in answers if a.entry not in (KILLED, FROZEN)]
-        first, *_, last = (on_time_share(compared, p) for p in PRIORITIES)
+            assert answer.kind in ("served", "refused")
+            assert executions[answer.request_id] == (answer.kind == "served")
+        # Only the killed entry leaves callers without an answer.
+        assert set(site.lost) == {KILLED}
+        assert any(answer.kind == "refused" for answer in answers)
+        first, *_, last = (on_time_share(answers, p) for p in PRIORITIES)
         assert first >= last
-        served = [a for a in answers if (a.kind, a.priority) == ("served", 2)]
-        assert served
+        served = [answer.priority for answer in answers if answer.kind == "served"]
+        assert PRIORITIES[-1] in served
