Wait until all calls have left the queue of a group that is down

Cause: the test went on when two of six calls had left the queue. Change: it waits until the queue is empty before the group returns.

--- a/mintsaddle/direct/tests/test_priority_choice.py
+++ b/mintsaddle/direct/tests/test_priority_choice.py
@@ -28,7 +28,6 @@
     Desk,
     assert_placed,
 )
-from mintsaddle.platform.tests.standins import wait_for
 from mintsaddle.values import Reason
 
 MakeDesk = Callable[..., Desk]
@@ -238,7 +237,7 @@
         desk.engines.fill()
         callers = desk.start_waiting(2, 2, 1, 1, 0, 0)
         desk.gateway.record_group_refusal(GROUP, 1, "i-9")
-        wait_for(lambda: desk.waiting <= 4, "calls that left the queue")
+        desk.wait_for_waiting(0)
         desk.engines.epoch = 2
         desk.gateway.record_group(GROUP, 2, is_open=True)
         desk.wait_for_waiting(6)
