--- a/mintsaddle/decisions/overload/tests/test_step_bound.py
+++ b/mintsaddle/decisions/overload/tests/test_step_bound.py
@@ -67,7 +67,7 @@
 
 
 class Simulation:
-    """A group under more streams than it can serve, with changing popularity."""
+    """A group under overload whose popularity changes."""
 
     ENGINES = 32
     STEPS_OF_STREAM = 23
@@ -126,7 +126,7 @@
 
 class TestChangesOfPopularityUnderOverload:
     def test_streams_stay_on_time(self) -> None:
-        """Guards against full engines whose streams are all late at a shift."""
+        """Guards against full engines whose streams are late at a shift."""
         bounded = simulate(is_bounded=True)
         assert bounded.late <= 0.05 * (bounded.late + bounded.on_time)
 
