--- a/mintsaddle/decisions/overload/_step_bound.py
+++ b/mintsaddle/decisions/overload/_step_bound.py
@@ -14,7 +14,7 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct import StepModel
@@ -92,7 +92,7 @@
             skews.popleft()
         return skews[0].skew if skews else 0.0
 
-    def keep_only(self, groups: Mapping[str, object]) -> None:
+    def keep_only(self, groups: Collection[str]) -> None:
         """Discard groups that no longer exist."""
         self._pauses = {k: v for k, v in self._pauses.items() if k in groups}
         self._skews = {k: v for k, v in self._skews.items() if k in groups}
--- a/mintsaddle/decisions/overload/tests/test_step_bound.py
+++ b/mintsaddle/decisions/overload/tests/test_step_bound.py
@@ -62,7 +62,7 @@
         skews = StepSkews()
         for stream in ("a", "b"):
             skews.record_pause("g", stream, 0.1, 0.05, 0.0)
-        skews.keep_only({})
+        skews.keep_only(())
         assert skews.largest_skew("g", 0.0) == 0.0
 
 
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -619,6 +619,7 @@
             self._overload.replace_table(after.table)
         for name in before.endpoints.keys() - after.endpoints.keys():
             self._routing.forget(name)
+        self._overload.keep_groups(set(preferred_data_centres(after)))
         self._limits.discard_gone(after.endpoints.keys())
         self._waits.discard_ended(after.endpoints.keys())
         self._log_directory(source)
--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -3,7 +3,7 @@
 import itertools
 import secrets
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from statistics import mean
 
 from mintsaddle.decisions.direct import DirectCall, RoutingTable, StepModel
@@ -126,6 +126,16 @@
         rate = self._rates.get(service)
         return rate.rate(now) if rate else 0.0
 
+    @property
+    def group_loads(self) -> Mapping[str, float]:
+        """Mean requests of the engines of each group that were probed last."""
+        return self._loads
+
+    def keep_groups(self, groups: Collection[str]) -> None:
+        """Discard what is known of groups that no longer exist."""
+        self._loads = {k: v for k, v in self._loads.items() if k in groups}
+        self._step_skews.keep_only(groups)
+
     def record_loads(self, loads: Mapping[str, Sequence[int]]) -> None:
         """Record how many requests probed engines of each group have."""
         self._loads.update(
--- a/mintsaddle/direct/_overload_metrics.py
+++ b/mintsaddle/direct/_overload_metrics.py
@@ -35,9 +35,21 @@
             _line("overloaded", int(since is not None), service=service),
             _line("overloaded_seconds", f"{seconds:.1f}", service=service),
         ]
+    lines += _render_groups(control, now)
     return lines + _render_uses(control, now) if is_overloaded else lines
 
 
+def _render_groups(control: OverloadControl, now: Instant) -> list[str]:
+    lines = []
+    for group, requests in control.group_loads.items():
+        skew = control.skews([group], now)[group]
+        lines += [
+            _line("requests_per_engine", f"{requests:.2f}", group=group),
+            _line("largest_step_skew", f"{skew:.2f}", group=group),
+        ]
+    return lines
+
+
 def _render_uses(control: OverloadControl, now: Instant) -> list[str]:
     use = control.workspace_use
     lines = []
