Leave a waiting call the time that its first event takes now

Cause: calls of routes with an objective of 1 s waited until 0.2 s before they were due, but under load the first event takes twice as long, so they were late. Change: the wait ends earlier by the present step time over the idle one.

--- a/mintsaddle/decisions/overload/__init__.py
+++ b/mintsaddle/decisions/overload/__init__.py
@@ -8,6 +8,7 @@
     CallQueue,
     PlacementRate,
     capacity_expected_at,
+    first_event_seconds,
     wait_deadline,
 )
 from mintsaddle.decisions.overload._call_work import MAX_CALL_WORK, call_work
@@ -56,6 +57,7 @@
     "capacity_expected_at",
     "filter_by_level",
     "find_priority_levels",
+    "first_event_seconds",
     "has_minimum_share",
     "max_slot_share",
     "wait_deadline",
--- a/mintsaddle/decisions/overload/_call_queue.py
+++ b/mintsaddle/decisions/overload/_call_queue.py
@@ -14,7 +14,7 @@
 from bisect import bisect_left, insort
 from typing import NamedTuple
 
-from mintsaddle.decisions.direct import DirectCall, hold_until, is_late
+from mintsaddle.decisions.direct import DirectCall, StepModel, hold_until, is_late
 from mintsaddle.values import Instant
 
 MAX_CONCURRENT_ATTEMPTS = 2
@@ -22,8 +22,7 @@
 slow probe would delay all others."""
 
 FIRST_EVENT_SECONDS = 0.2
-"""Seconds from placement to the first event on an idle group. A call that is
-placed later than this before its due time is late."""
+"""Seconds from placement to the first event on an idle group."""
 
 USUAL_SLOT_SECONDS = 0.5
 """Seconds after which a slot is usually free. A caller that returns earlier
@@ -214,7 +213,25 @@
         return self._count * math.exp(-seconds / RATE_DECAY_SECONDS)
 
 
-def wait_deadline(call: DirectCall, now: Instant) -> Instant:
+def first_event_seconds(steps: StepModel | None, step_seconds: float) -> float:
+    """Return how long a placed call waits for its first event.
+
+    The first event takes a fixed number of steps, so the time grows with the
+    duration of a step.
+
+    Args:
+        steps: The published model of step times, if there is one.
+        step_seconds: The present step time; 0 if unknown.
+    """
+    if steps is None:
+        return FIRST_EVENT_SECONDS
+    idle_seconds = steps.step_seconds(1)
+    return FIRST_EVENT_SECONDS * max(1.0, step_seconds / idle_seconds)
+
+
+def wait_deadline(
+    call: DirectCall, now: Instant, first_event: float = FIRST_EVENT_SECONDS
+) -> Instant:
     """Return until when a call may wait in the queue.
 
     It is determined when the call is enqueued and then kept: a call that
@@ -223,13 +240,14 @@
     Args:
         call: The call. It isn't enqueued if the result is past.
         now: The present instant.
+        first_event: Seconds from placement to the first event.
     """
     latest = hold_until(call)
     # A caller that returns is late from its arrival on.
     is_returning = call.due_at <= call.arrived_at
     if call.response_started or is_returning or is_late(call, now):
         return latest
-    return min(call.due_at - FIRST_EVENT_SECONDS, latest)
+    return min(call.due_at - first_event, latest)
 
 
 def capacity_expected_at(calls_ahead: int, rate: float, now: Instant) -> Instant:
--- a/mintsaddle/decisions/overload/tests/test_call_queue.py
+++ b/mintsaddle/decisions/overload/tests/test_call_queue.py
@@ -4,11 +4,12 @@
 
 import pytest
 
-from mintsaddle.decisions.direct import DirectCall, hold_until
+from mintsaddle.decisions.direct import DirectCall, StepModel, hold_until
 from mintsaddle.decisions.overload import (
     FIRST_EVENT_SECONDS,
     MAX_CONCURRENT_ATTEMPTS,
     CallQueue,
+    first_event_seconds,
     wait_deadline,
 )
 from mintsaddle.decisions.overload.tests.call_samples import STREAM_ROUTE, make_call
@@ -244,3 +245,19 @@
         call = make_call("a", 0.0)
         assert wait_deadline(call, 0.0) + FIRST_EVENT_SECONDS <= call.due_at
         assert call.due_at == STREAM_ROUTE.objective
+
+
+class TestFirstEvent:
+    @pytest.mark.parametrize(
+        ("steps", "step_seconds", "expected"),
+        [
+            (None, 9.0, FIRST_EVENT_SECONDS),
+            (StepModel(0.006, 0.001, 6), 0.0, FIRST_EVENT_SECONDS),
+            (StepModel(0.006, 0.001, 6), 0.084, 2 * FIRST_EVENT_SECONDS),
+        ],
+    )
+    def test_it_takes_longer_while_steps_are_long(
+        self, steps: StepModel | None, step_seconds: float, expected: float
+    ) -> None:
+        """Guards against calls that wait so long that they are late."""
+        assert first_event_seconds(steps, step_seconds) == pytest.approx(expected)
--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -64,6 +64,10 @@
         self._levels = {name: levels for name, levels in found.items() if levels}
         self._steps = {name: table.services[name].steps for name in self._levels}
 
+    def step_model(self, service: str) -> StepModel | None:
+        """Return the published step times of a service with levels, if any."""
+        return self._steps.get(service)
+
     def levels_of(self, call: DirectCall) -> PriorityLevels | None:
         """Return the levels by which a call is admitted.
 
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -20,6 +20,7 @@
 from mintsaddle.decisions.overload import (
     PriorityLevels,
     filter_by_level,
+    first_event_seconds,
     has_minimum_share,
     wait_deadline,
     with_local_capacity,
@@ -87,7 +88,7 @@
             if isinstance(ranked, Reason):
                 return ranked
             if levelled is None or was_unavailable:
-                levelled = _begin(gateway, call, levels, ticket)
+                levelled = _begin(gateway, call, levels, ticket, ranked)
             if was_unavailable:
                 join_returning_calls(gateway, levelled)
             if not await_turn(gateway, levelled, is_disconnected):
@@ -118,16 +119,31 @@
 
 
 def _begin(
-    gateway: Gateway, call: DirectCall, levels: PriorityLevels, ticket: str
+    gateway: Gateway,
+    call: DirectCall,
+    levels: PriorityLevels,
+    ticket: str,
+    available: Sequence[Incarnation],
 ) -> LevelledCall:
+    groups = {
+        endpoint.assignment.group
+        for endpoint in available
+        if endpoint.assignment is not None
+    }
     with gateway.lock:
         now = gateway.now()
         judged, level = gateway.overload.judge(call, levels, now)
         draw = gateway.overload.draw(call)
+        steps = gateway.overload.step_model(call.service)
+        step_seconds = max(
+            (gateway.step_times.step_seconds(group, now) for group in groups),
+            default=0.0,
+        )
     is_over_share = (judged, level) != (call, levels.level_of(call))
     is_protected = has_minimum_share(levels, level, draw)
     first_turn_until = min(now + FIRST_TURN_SECONDS, hold_until(call))
-    wait_until = max(wait_deadline(judged, now), first_turn_until)
+    first_event = first_event_seconds(steps, step_seconds)
+    wait_until = max(wait_deadline(judged, now, first_event), first_turn_until)
     levelled = LevelledCall(
         judged,
         levels,
