Move tests that publish items to the platform's tests

Cause: the keys of published items belong to the platform's folder. Change: the tests of the choice by level and of its log lines move there, like other tests that apply published items. Measured: both files passed after the move.

--- a/mintsaddle/direct/tests/test_priority_choice.py
+++ b/mintsaddle/platform/tests/test_priority_choice.py
@@ -19,7 +19,7 @@
     CallerDisconnectedError,
 )
 from mintsaddle.direct._turns import ATTEMPT_INTERVAL_SECONDS
-from mintsaddle.direct.tests.desk import (
+from mintsaddle.platform.tests.desk import (
     GROUP,
     OBJECTIVE,
     SCHEDULING_SECONDS,
