Split what an answer's head records off the runner of calls

Change: recording of heads, notices and broken answers, the urgency of a call and the closing body are modules of their own; behaviour is the same.

--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -16,6 +16,7 @@
 from mintsaddle.direct._answers import BufferedAnswer, CallerRequest, StreamAnswer
 from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._calls import find_key_holder, make_call
+from mintsaddle.direct._closing_body import ClosingBody
 from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._runner import CallRunner
@@ -71,7 +72,7 @@
             self._open_calls += 1
             is_full = self._open_calls > self._max_calls
         answer = self._answer(environ, start_response, is_full=is_full)
-        return _ClosingBody(answer, self._record_closed)
+        return ClosingBody(answer, self._record_closed)
 
     def _record_closed(self) -> None:
         with self._lock:
@@ -281,23 +282,3 @@
                 longest_pause=timing.longest_pause if timing else None,
             ),
         )
-
-
-class _ClosingBody:
-    """An answer's body that calls a function when the server closes it."""
-
-    def __init__(self, body: Iterable[bytes], on_close: Any) -> None:
-        self._body = body
-        self._on_close = on_close
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._body)
-
-    def close(self) -> None:
-        """Close the wrapped body; called by the server."""
-        try:
-            close = getattr(self._body, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._on_close()
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -11,21 +11,23 @@
     Incarnation,
     Repeat,
     attempt_until,
-    choose_urgency,
     decide_next,
     give_up,
     idle_limit_seconds,
-    is_late,
     record_attempt,
 )
 from mintsaddle.decisions.routing import (
     may_retry,
     record_failed,
     record_finished,
-    record_load,
     record_turned_away,
     spend_retry,
 )
+from mintsaddle.direct._answer_records import (
+    find_urgency,
+    log_broken_answer,
+    record_head,
+)
 from mintsaddle.direct._answers import (
     BufferedAnswer,
     CallAnswer,
@@ -57,10 +59,6 @@
 awaited: the endpoint works until the deadline, and its answer takes 1 ms to
 arrive."""
 
-_UNUSED_BOOT = 0
-"""Boot number under which loads are recorded. It isn't needed to tell runs
-apart, since each incarnation has a name of its own."""
-
 _SERVER_ERROR = 500
 _log = make_logger("calls")
 
@@ -165,7 +163,7 @@
             call.workspace,
             left,
             call.last_event,
-            self._urgency(),
+            find_urgency(self._gateway, call),
         )
         try:
             response = exchange.send(
@@ -177,11 +175,11 @@
                 lambda: not self._gateway.waits.is_waiting(endpoint.name),
             )
         except (OSError, http.client.HTTPException, ValueError) as error:
-            self._log_broken_answer(endpoint, error)
+            log_broken_answer(self._call, endpoint, error)
             has_timed_out = self._gateway.now() >= watched.expires_at
             return Ending.SILENT if has_timed_out else Ending.BROKEN, None
         head = read_response_head(response, call.request_id, endpoint.slots)
-        self._record_head(endpoint, head)
+        record_head(self._gateway, call, endpoint, head)
         if head.is_misdirected:
             if not head.at_fault:
                 self._gateway.record_replaced(endpoint.name)
@@ -198,19 +196,6 @@
             return Ending.BROKEN, None
         return Ending.BROKEN, _Attempt(endpoint, exchange, watched, response, head)
 
-    def _urgency(self) -> int | None:
-        """Return the call's urgency; None for services that aren't engines."""
-        table = self._gateway.directory.table
-        service = table.services.get(self._call.service) if table else None
-        if service is None or not service.is_engine:
-            return None
-        now = self._gateway.now()
-        levels = self._gateway.overload.levels_of(self._call)
-        if levels is None:
-            return choose_urgency(self._call, now)
-        late = is_late(self._call, now)
-        return levels.urgency_of(levels.level_of(self._call), late=late)
-
     def _read_answer(self, attempt: _Attempt) -> BufferedAnswer | GiveUp | None:
         """Read a complete answer; None if another endpoint may be tried."""
         ending = Ending.BROKEN
@@ -218,7 +203,7 @@
         try:
             body = read_body(attempt.response)
         except (OSError, http.client.HTTPException) as error:
-            self._log_broken_answer(attempt.endpoint, error)
+            log_broken_answer(self._call, attempt.endpoint, error)
         else:
             is_complete = True
             headers = make_response_headers(attempt.response)
@@ -271,7 +256,7 @@
                 yield event.data
             is_complete = True
         except (OSError, http.client.HTTPException, StreamCutError) as error:
-            self._log_broken_answer(attempt.endpoint, error)
+            log_broken_answer(self._call, attempt.endpoint, error)
             return False
         finally:
             # Also runs when the caller disconnects: the server closes the
@@ -309,36 +294,6 @@
         )
         return decision if isinstance(decision, GiveUp) else None
 
-    def _record_head(self, endpoint: Incarnation, head: ResponseHead) -> None:
-        gateway = self._gateway
-        if not head.is_misdirected:
-            gateway.record_rate_limit(endpoint.name, head.rate_limit, gateway.now())
-        self._record_notices(endpoint, head)
-        if head.load is None:
-            return
-        with gateway.lock:
-            record_load(
-                gateway.routing,
-                endpoint.name,
-                _UNUSED_BOOT,
-                head.load,
-                gateway.now(),
-                is_refusal=head.not_executed,
-            )
-
-    def _record_notices(self, endpoint: Incarnation, head: ResponseHead) -> None:
-        """Record a request to wait, or that the endpoint is shutting down."""
-        self._gateway.waits.record_answer(endpoint.name, head.retry_after)
-        names = {"request": self._call.request_id, "endpoint": endpoint.name}
-        if head.retry_after > 0:
-            self._gateway.metrics.count("endpoint_asked_to_wait")
-            details = fields(**names, status=head.status, seconds=head.retry_after)
-            _log.info("Endpoint asked to wait %s.", details)
-        if head.is_leaving and self._gateway.record_said_leaving(endpoint):
-            self._gateway.metrics.count("endpoint_said_leaving")
-            details = fields(**names, status=head.status)
-            _log.info("Endpoint said that it leaves %s.", details)
-
     def _finish(self, attempt: _Attempt, *, is_complete: bool) -> None:
         """Pool the connection if the answer is complete, else close it."""
         endpoint, exchange = attempt.endpoint, attempt.exchange
@@ -358,14 +313,3 @@
         exchange.close()
         with self._gateway.lock:
             record_finished(self._gateway.routing, endpoint.name)
-
-    def _log_broken_answer(self, endpoint: Incarnation, error: Exception) -> None:
-        _log.info(
-            "Answer broken %s.",
-            fields(
-                request=self._call.request_id,
-                endpoint=endpoint.name,
-                error=type(error).__name__,
-                last_event=self._call.last_event,
-            ),
-        )
