Keep late calls of the minimum share at their own level in the queue

Cause: a call of the minimum share waited at the first level and kept it when it became late, so after a freeze it went ahead of more urgent late calls. The state machine over entries found it. Change: the queue knows the level that a call has once it is late.

--- a/mintsaddle/decisions/overload/_call_queue.py
+++ b/mintsaddle/decisions/overload/_call_queue.py
@@ -72,6 +72,7 @@
         self._order: list[_Position] = []
         self._positions: dict[str, _Position] = {}
         self._due: dict[str, Instant] = {}
+        self._late_levels: dict[str, int] = {}
         self._displaced: set[str] = set()
         self._next_late_at: Instant = math.inf
         self._next_number = 0
@@ -81,7 +82,9 @@
         """Number of waiting calls, without displaced ones."""
         return len(self._order)
 
-    def enqueue(self, call: DirectCall, level: int, now: Instant) -> bool:
+    def enqueue(
+        self, call: DirectCall, level: int, now: Instant, *, is_protected: bool = False
+    ) -> bool:
         """Let a call wait.
 
         If the queue is full, the call that goes last is displaced or, if that
@@ -91,6 +94,7 @@
             call: The call.
             level: Its priority level; 0 goes first.
             now: The present instant.
+            is_protected: Whether it waits at the first level until it is late.
 
         Returns:
             False if the queue is full of calls that go first, or if a call of
@@ -101,9 +105,10 @@
         request_id = call.request_id
         if request_id in self._positions or request_id in self._displaced:
             return False
+        late = is_late(call, now)
         position = _Position(
-            is_late(call, now),
-            level,
+            late,
+            0 if is_protected and not late else level,
             call.due_at,
             call.arrived_at,
             self._next_number,
@@ -120,6 +125,7 @@
         self._positions[request_id] = position
         if not position.late and not call.response_started:
             self._due[request_id] = call.due_at
+            self._late_levels[request_id] = level
             self._next_late_at = min(self._next_late_at, call.due_at)
         return True
 
@@ -181,7 +187,8 @@
         for request_id in became_late:
             del self._due[request_id]
             position = self._positions[request_id]
-            self._positions[request_id] = position._replace(late=True)
+            level = self._late_levels.pop(request_id)
+            self._positions[request_id] = position._replace(late=True, level=level)
         if became_late:
             self._order = sorted(self._positions.values())
         self._next_late_at = min(self._due.values(), default=math.inf)
@@ -189,6 +196,7 @@
     def _forget(self, request_id: str) -> None:
         del self._positions[request_id]
         self._due.pop(request_id, None)
+        self._late_levels.pop(request_id, None)
 
 
 class PlacementRate:
--- a/mintsaddle/direct/_levelled_call.py
+++ b/mintsaddle/direct/_levelled_call.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from mintsaddle.decisions.direct import DirectCall, is_late
+from mintsaddle.decisions.direct import DirectCall
 from mintsaddle.decisions.overload import CallPriority, PriorityLevels
 from mintsaddle.values import Instant
 
@@ -56,8 +56,3 @@
         if workspace is None:
             workspace = self.levels.default_workspace
         return CallPriority(workspace, self.call.route.priority)
-
-    def queue_level(self, now: Instant) -> int:
-        """Return the level at which it waits in the queue."""
-        has_first_level = self.is_protected and not is_late(self.call, now)
-        return 0 if has_first_level else self.level
--- a/mintsaddle/direct/_turns.py
+++ b/mintsaddle/direct/_turns.py
@@ -54,7 +54,7 @@
     call = levelled.call._replace(request_id=levelled.ticket)
     queue = gateway.overload.queue(call.service)
     return queue.is_waiting(levelled.ticket) or queue.enqueue(
-        call, levelled.queue_level(now), now
+        call, levelled.level, now, is_protected=levelled.is_protected
     )
 
 
