--- a/mintsaddle/direct/_overload.py
+++ b/mintsaddle/direct/_overload.py
@@ -58,6 +58,11 @@
         """Priority levels by service; services without levels are missing."""
         return self._levels
 
+    @property
+    def group_loads(self) -> Mapping[str, float]:
+        """Mean requests of the engines of each group that were probed last."""
+        return self._loads
+
     def replace_table(self, table: RoutingTable) -> None:
         """Derive the levels of all services from a new routing table."""
         found = {name: find_priority_levels(table, name) for name in table.services}
@@ -130,11 +135,6 @@
         rate = self._rates.get(service)
         return rate.rate(now) if rate else 0.0
 
-    @property
-    def group_loads(self) -> Mapping[str, float]:
-        """Mean requests of the engines of each group that were probed last."""
-        return self._loads
-
     def keep_groups(self, groups: Collection[str]) -> None:
         """Discard what is known of groups that no longer exist."""
         self._loads = {k: v for k, v in self._loads.items() if k in groups}
