--- a/mintsaddle/decisions/overload/_workspace_use.py
+++ b/mintsaddle/decisions/overload/_workspace_use.py
@@ -25,8 +25,8 @@
 remainder of its use would still count as competition for the others."""
 
 PEER_USE_SECONDS = 10.0
-"""Seconds for which a peer's report counts. Among 34 entries, a peer is heard
-from about every 8 s."""
+"""Seconds for which a peer's report counts. Each round of gossip reaches few
+peers, so a given one reports every few seconds."""
 
 OVERLOAD_WINDOW_SECONDS = 3.0
 """Seconds after a call wasn't admitted for which the entry counts as
