Reuse the check for available endpoints and the known step model

Cause: the read-through found that a service without usable endpoints was checked by a second copy of the same loop, and that each admission looked the step model up in the table though the admission state holds it. Change: both call what exists; behaviour is the same.

--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -452,7 +452,7 @@
 
     def _is_unserved(self, service: str) -> bool:
         usable = usable_endpoints(self._directory, service)
-        return bool(usable) and not any(map(self.takes_work, usable))
+        return bool(usable) and not self.has_available(service)
 
     def sample_addresses(self, data_centre: str, number: int) -> list[str]:
         """Return the addresses of random endpoints of a data centre."""
--- a/mintsaddle/direct/_priority_choice.py
+++ b/mintsaddle/direct/_priority_choice.py
@@ -204,8 +204,6 @@
     loads: Mapping[str, EngineLoad],
 ) -> _Probed:
     call = levelled.call
-    table = gateway.directory.table
-    service = table.services.get(call.service) if table else None
     requests: dict[str, list[int]] = {}
     for engine in candidates:
         if engine.assignment is not None and engine.name in loads:
@@ -222,7 +220,7 @@
             gateway.rng,
             levelled.levels,
             levelled.level,
-            service.steps if service else None,
+            gateway.overload.step_model(call.service),
             gateway.entry_share(available),
             is_protected=levelled.is_protected,
             skews=gateway.overload.skews(requests, gateway.now()),
