Log what a broken answer's request held and whether its engine ended

The timeline of the crashed engines leaves three hypotheses: a part of the prompt, the crowd as a group opens, or engines that end by themselves. No line told them apart. "Answer broken" now names the parts of the prompt that other requests may share, the time since the head of the answer, and, for an answer that broke within a second of it, whether the engine's VM refuses connections: that tells an engine that ended from a connection that was reset.

No decision has changed.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -91,6 +91,9 @@
     workspace_priority: int | None = None
     """Priority that its workspace publishes; None if it publishes none."""
 
+    parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt that other requests may share."""
+
 
 class TryAgain(NamedTuple):
     """Send the request to another endpoint."""
--- a/mintsaddle/direct/_answer_records.py
+++ b/mintsaddle/direct/_answer_records.py
@@ -7,6 +7,7 @@
     is_late,
 )
 from mintsaddle.decisions.routing import record_load
+from mintsaddle.direct._engine_checks import EngineState
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import ResponseHead
@@ -15,6 +16,9 @@
 """Boot number under which loads are recorded. It isn't needed to tell runs
 apart, since each incarnation has a name of its own."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names."""
+
 _log = make_logger("calls")
 
 
@@ -59,9 +63,21 @@
 
 
 def log_broken_answer(
-    call: DirectCall, endpoint: Incarnation, error: Exception
+    call: DirectCall,
+    endpoint: Incarnation,
+    error: Exception,
+    begun_seconds: float | None,
+    engine_state: EngineState | None,
 ) -> None:
-    """Log that an answer can't be used."""
+    """Log that an answer can't be used.
+
+    Args:
+        call: The call.
+        endpoint: The endpoint that it was sent to.
+        error: What broke the answer.
+        begun_seconds: Seconds since the head of the answer; None without one.
+        engine_state: State of the engine; None if it wasn't checked.
+    """
     _log.info(
         "Answer broken %s.",
         fields(
@@ -69,6 +85,9 @@
             endpoint=endpoint.name,
             error=type(error).__name__,
             last_event=call.last_event,
+            begun_seconds=begun_seconds,
+            engine=engine_state.value if engine_state else None,
+            parts=",".join(call.parts[:MAX_LOGGED_PARTS]) or "-",
         ),
     )
 
--- a/mintsaddle/direct/_calls.py
+++ b/mintsaddle/direct/_calls.py
@@ -58,4 +58,5 @@
         work=call_work(head.tokens),
         last_event=head.last_event,
         workspace_priority=holder.priority,
+        parts=head.parts,
     )
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -2,7 +2,6 @@
 
 import http.client
 from collections.abc import Callable, Generator, Iterator
-from typing import NamedTuple
 
 from mintsaddle.decisions.direct import (
     DirectCall,
@@ -23,18 +22,20 @@
     record_turned_away,
     spend_retry,
 )
-from mintsaddle.direct._answer_records import (
-    find_urgency,
-    log_broken_answer,
-    record_head,
-)
 from mintsaddle.direct._answers import (
     BufferedAnswer,
     CallAnswer,
     CallerRequest,
     StreamAnswer,
 )
+from mintsaddle.direct._attempt import (
+    DEADLINE_GRACE_SECONDS,
+    Attempt,
+    acquire_exchange,
+    send_request,
+)
 from mintsaddle.direct._availability import CallerDisconnectedError
+from mintsaddle.direct._broken_answers import record_broken_answer
 from mintsaddle.direct._choice import choose_endpoint
 from mintsaddle.direct._exchange import (
     Exchange,
@@ -47,30 +48,14 @@
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
-    ResponseHead,
-    make_endpoint_headers,
     make_response_headers,
-    read_response_head,
 )
 from mintsaddle.values import Instant, Reason
 
-DEADLINE_GRACE_SECONDS = 0.15
-"""Seconds past the deadline for which the endpoint's own timeout answer is
-awaited: the endpoint works until the deadline, and its answer takes 1 ms to
-arrive."""
-
 _SERVER_ERROR = 500
 _log = make_logger("calls")
 
 
-class _Attempt(NamedTuple):
-    endpoint: Incarnation
-    exchange: Exchange
-    watched: WatchedExchange
-    response: http.client.HTTPResponse
-    head: ResponseHead
-
-
 class CallRunner:
     """Runs one call. Not thread-safe."""
 
@@ -105,7 +90,7 @@
             if isinstance(result, GiveUp):
                 # An endpoint's own error is more specific than a refusal.
                 return self._failed_answer or result
-            if isinstance(result, _Attempt):
+            if isinstance(result, Attempt):
                 if result.head.is_stream:
                     self._call = self._call._replace(response_started=True)
                     headers = make_response_headers(result.response)
@@ -115,7 +100,7 @@
                 if answer is not None:
                     return answer
 
-    def _try_endpoint(self) -> _Attempt | GiveUp | None:
+    def _try_endpoint(self) -> Attempt | GiveUp | None:
         """Try one endpoint.
 
         Returns:
@@ -125,85 +110,27 @@
         endpoint = choose_endpoint(self._gateway, self._call, self._is_disconnected)
         if isinstance(endpoint, Reason):
             return give_up(self._call, endpoint)
-        exchange = self._acquire_exchange(endpoint)
+        exchange = acquire_exchange(self._gateway, self._call, endpoint)
         until = attempt_until(self._call, self._gateway.now())
         expires_at = until + DEADLINE_GRACE_SECONDS
         watched = WatchedExchange(exchange, self._is_disconnected, expires_at)
         self._watchdog.add(watched)
-        ending, attempt = self._send_request(endpoint, exchange, watched)
+        ending, attempt = send_request(
+            self._gateway, self._call, self._request, endpoint, watched
+        )
         if attempt is not None:
             return attempt
         self._discard(endpoint, exchange, watched)
         return self._record_failure(endpoint, ending)
 
-    def _acquire_exchange(self, endpoint: Incarnation) -> Exchange:
-        """Return a pooled connection if repeats are allowed, or a new one."""
-        pooled = None
-        if self._call.route.repeat is not Repeat.ONCE:
-            pooled = self._gateway.pool.acquire(endpoint)
-        self._gateway.metrics.count("connection_kept" if pooled else "connection_fresh")
-        return pooled or Exchange(endpoint.address)
-
-    def _send_request(
-        self, endpoint: Incarnation, exchange: Exchange, watched: WatchedExchange
-    ) -> tuple[Ending, _Attempt | None]:
-        is_fresh = not exchange.is_reused
-        if not exchange.connect():
-            self._gateway.reach.record(endpoint.data_centre, received=False)
-            return Ending.NOT_SENT, None
-        if is_fresh:
-            self._gateway.reach.record(endpoint.data_centre, received=True)
-        call, request = self._call, self._request
-        left = call.deadline - self._gateway.now()
-        if left <= 0 or self._gateway.waits.is_waiting(endpoint.name):
-            return Ending.NOT_SENT, None
-        headers = make_endpoint_headers(
-            request.environ,
-            endpoint.name,
-            call.workspace,
-            left,
-            call.last_event,
-            find_urgency(self._gateway, call),
-        )
-        try:
-            response = exchange.send(
-                request.method,
-                request.target,
-                headers,
-                request.body,
-                left + 2 * DEADLINE_GRACE_SECONDS,
-                lambda: not self._gateway.waits.is_waiting(endpoint.name),
-            )
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            log_broken_answer(self._call, endpoint, error)
-            has_timed_out = self._gateway.now() >= watched.expires_at
-            return Ending.SILENT if has_timed_out else Ending.BROKEN, None
-        head = read_response_head(response, call.request_id, endpoint.slots)
-        record_head(self._gateway, call, endpoint, head)
-        if head.is_misdirected:
-            if not head.at_fault:
-                self._gateway.record_replaced(endpoint.name)
-            return Ending.MISDIRECTED, None
-        if head.not_executed:
-            assignment = endpoint.assignment
-            if head.at_fault and assignment is not None:
-                self._gateway.record_group_refusal(
-                    assignment.group, assignment.epoch, head.at_fault
-                )
-                return Ending.GROUP_DOWN, None
-            return Ending.NOT_RUN, None
-        if not head.is_authentic:
-            return Ending.BROKEN, None
-        return Ending.BROKEN, _Attempt(endpoint, exchange, watched, response, head)
-
-    def _read_answer(self, attempt: _Attempt) -> BufferedAnswer | GiveUp | None:
+    def _read_answer(self, attempt: Attempt) -> BufferedAnswer | GiveUp | None:
         """Read a complete answer; None if another endpoint may be tried."""
         ending = Ending.BROKEN
         is_complete = False
         try:
             body = read_body(attempt.response)
         except (OSError, http.client.HTTPException) as error:
-            log_broken_answer(self._call, attempt.endpoint, error)
+            self._record_broken(attempt, error)
         else:
             is_complete = True
             headers = make_response_headers(attempt.response)
@@ -218,7 +145,7 @@
         result = self._record_failure(attempt.endpoint, ending)
         return result if result is None else self._failed_answer or result
 
-    def _relay_stream(self, attempt: _Attempt | None) -> Iterator[bytes]:
+    def _relay_stream(self, attempt: Attempt | None) -> Iterator[bytes]:
         """Relay events, and resume at another endpoint if the stream breaks.
 
         Raises:
@@ -241,7 +168,7 @@
                 result = None
             attempt = result
 
-    def _relay_attempt(self, attempt: _Attempt) -> Generator[bytes, None, bool]:
+    def _relay_attempt(self, attempt: Attempt) -> Generator[bytes, None, bool]:
         """Relay events of one endpoint; return whether it sent all of them."""
         is_complete = False
         record_event = make_pause_recorder(
@@ -256,7 +183,7 @@
                 yield event.data
             is_complete = True
         except (OSError, http.client.HTTPException, StreamCutError) as error:
-            log_broken_answer(self._call, attempt.endpoint, error)
+            self._record_broken(attempt, error)
             return False
         finally:
             # Also runs when the caller disconnects: the server closes the
@@ -264,6 +191,16 @@
             self._finish(attempt, is_complete=is_complete)
         return True
 
+    def _record_broken(self, attempt: Attempt, error: Exception) -> None:
+        record_broken_answer(
+            self._gateway,
+            self._call,
+            attempt.endpoint,
+            attempt.watched,
+            error,
+            attempt.begun_at,
+        )
+
     def _record_failure(self, endpoint: Incarnation, ending: Ending) -> GiveUp | None:
         """Record a failed attempt; return a GiveUp, or None to try again."""
         if self._is_disconnected():
@@ -294,7 +231,7 @@
         )
         return decision if isinstance(decision, GiveUp) else None
 
-    def _finish(self, attempt: _Attempt, *, is_complete: bool) -> None:
+    def _finish(self, attempt: Attempt, *, is_complete: bool) -> None:
         """Pool the connection if the answer is complete, else close it."""
         endpoint, exchange = attempt.endpoint, attempt.exchange
         self._watchdog.remove(attempt.watched)
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_messages.py
@@ -11,6 +11,7 @@
 from email.utils import parsedate_to_datetime
 from typing import Any, NamedTuple
 
+from mintsaddle.platform._prompt_parts import read_shared_parts
 from mintsaddle.values import MILLISECONDS, Load, Outcome, Reason
 
 READY_PATH = "/mintsaddle/ready"
@@ -23,6 +24,7 @@
 _DEADLINE = "X-Mintsaddle-Deadline-Ms"
 _EXPECTED_ENDPOINT = "X-Mintsaddle-Expect-Instance"
 _TOKEN_USAGE = "X-Mintsaddle-Token-Usage"
+_PROMPT_PARTS = "X-Mintsaddle-Prompt-Prefix"
 _WORKSPACE = "X-Mintsaddle-Tenant"
 _URGENCY = "X-Mintsaddle-Request-Urgency"
 _NOT_EXECUTED = "X-Mintsaddle-Not-Executed"
@@ -88,6 +90,9 @@
     tokens: tuple[float, float] | None = None
     """Tokens of input and maximum tokens of output; None if not stated."""
 
+    parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt that other requests may share."""
+
 
 class ResponseHead(NamedTuple):
     """Decoded status and headers of an endpoint's response."""
@@ -131,6 +136,7 @@
         seconds_left=_read_seconds(_request_header(environ, _DEADLINE)),
         last_event=_read_event_id(_request_header(environ, _LAST_EVENT_ID)),
         tokens=_read_tokens(_request_header(environ, _TOKEN_USAGE)),
+        parts=read_shared_parts(_request_header(environ, _PROMPT_PARTS)),
     )
 
 
