--- a/mintsaddle/values/_outcomes.py
+++ b/mintsaddle/values/_outcomes.py
@@ -61,6 +61,8 @@
     CUT_OFF = "cut-off"
     UNREACHABLE = "unreachable"
     ISOLATED = "isolated"
+    QUARANTINED = "quarantined"
+    ON_TRIAL = "on-trial"
 
 
 class Refusal(NamedTuple):
