Keep parts of prompts that end engines away from them

Callers got hardly an answer while one engine after the other ended: entries forgot each end at once, sent such requests again, new ones and resumed ones, and let those that waited go as the group opened. At each end one or two requests had a head and no event.

An answer that breaks within a second of its head, at an engine whose VM then refuses connections, is an end under the features of its request; one that goes on is a survivor. Ends go to all entries at once and their survivors come back; gossip repairs what was missed and tells new entries. A call passes before each attempt, the resumed one too, and again as its endpoint is chosen; one that is quarantined while it waits is refused at once, and one in an engine's queue is withdrawn. Refusals are NOT_RUN with the time until the next trial.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct._table import Repeat, Route
+from mintsaddle.decisions.quarantine import NO_FEATURES, RequestFeatures
 from mintsaddle.values import Instant, Outcome, Reason
 
 
@@ -94,6 +95,9 @@
     parts: tuple[str, ...] = ()
     """Ids of the parts of its prompt that other requests may share."""
 
+    features: RequestFeatures = NO_FEATURES
+    """What may end the engine that begins to run it."""
+
 
 class TryAgain(NamedTuple):
     """Send the request to another endpoint."""
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -12,6 +12,7 @@
     advise_retry,
     match_route,
 )
+from mintsaddle.decisions.quarantine import extract_features
 from mintsaddle.decisions.routing import record_request
 from mintsaddle.direct._answers import BufferedAnswer, CallerRequest, StreamAnswer
 from mintsaddle.direct._availability import CallerDisconnectedError
@@ -45,6 +46,8 @@
     Reason.GROUP_DOWN: 4.0,
     # The first endpoint of a service takes over a second to announce itself.
     Reason.NO_ENDPOINT: 1.5,
+    # A trial ends once an engine has survived for a second.
+    Reason.ON_TRIAL: 1.0,
 }
 
 _log = make_logger("calls")
@@ -102,6 +105,10 @@
         body = environ["wsgi.input"].read()
         call = self._make_call(head, route, holder, arrived_at)
         request = CallerRequest(environ, environ["REQUEST_METHOD"], target, body)
+        features = extract_features(
+            call.parts, call.workspace, request.method, target, body
+        )
+        call = call._replace(features=features)
         return self._run(environ, start_response, call, request)
 
     def _make_call(
@@ -183,6 +190,7 @@
         reason: Reason,
     ) -> Iterable[bytes]:
         self._log_end(call, f"{outcome.value}:{reason.value}", 0)
+        self._gateway.metrics.count(f"given_up_{reason.value}")
         left = call.deadline - self._gateway.now()
         retry_after = self._retry_after(left, reason, call.service, call)
         status, headers = make_refusal(outcome, reason, call.request_id, retry_after)
@@ -244,6 +252,8 @@
             opens_at = opens_at or gateway.next_permit_at(service)
         if opens_at is not None:
             preferred = opens_at - gateway.now()
+        if reason is Reason.QUARANTINED and call is not None:
+            return self._seconds_quarantined(call)
         if reason is Reason.ISOLATED:
             preferred = max(_USUAL_RETRY_SECONDS, gateway.reach.failover_seconds_left)
         with gateway.lock:
@@ -254,6 +264,11 @@
                 is_minimum=opens_at is not None,
             )
 
+    def _seconds_quarantined(self, call: DirectCall) -> float:
+        """Return after how many seconds its features are tried again."""
+        until = self._gateway.quarantine.judge(call.features).quarantined_until
+        return max(0.0, (until or 0.0) - self._gateway.now())
+
     def _record(self, call: DirectCall, measure: Measure) -> None:
         key = HistogramKey(call.workspace or "none", call.route.name, measure)
         self._gateway.metrics.record(key, self._gateway.now() - call.arrived_at)
--- a/mintsaddle/direct/_broken_answers.py
+++ b/mintsaddle/direct/_broken_answers.py
@@ -1,16 +1,13 @@
 """Finds out why an answer broke: its engine ended, or only the connection."""
 
 from mintsaddle.decisions.direct import DirectCall, Incarnation
+from mintsaddle.decisions.quarantine import SURVIVAL_SECONDS
 from mintsaddle.direct._answer_records import log_broken_answer
-from mintsaddle.direct._engine_checks import check_engine
+from mintsaddle.direct._engine_checks import EngineState, check_engine
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._watchdog import WatchedExchange
 from mintsaddle.values import Instant
 
-BEGINNING_SECONDS = 1.0
-"""Seconds after the head of an answer during which its request may be what
-ended the engine."""
-
 
 def record_broken_answer(
     gateway: Gateway,
@@ -20,7 +17,7 @@
     error: Exception,
     begun_at: Instant | None,
 ) -> None:
-    """Check the engine of an answer that broke at its beginning, and log it.
+    """Record what an answer that broke says of the features of its request.
 
     Args:
         gateway: The entry's shared state.
@@ -32,10 +29,13 @@
     """
     now = gateway.now()
     begun_seconds = None if begun_at is None else now - begun_at
-    is_aborted = watched.exchange.aborted or now >= watched.expires_at
-    has_just_begun = begun_seconds is None or begun_seconds < BEGINNING_SECONDS
     state = None
-    if has_just_begun and not is_aborted:
-        state = check_engine(endpoint.address)
-        gateway.metrics.count(f"broken_answer_engine_{state.value}")
+    if not watched.exchange.aborted and now < watched.expires_at:
+        if begun_seconds is not None and begun_seconds >= SURVIVAL_SECONDS:
+            gateway.quarantine.record_survived(call.features, endpoint.name)
+        else:
+            state = check_engine(endpoint.address)
+            gateway.metrics.count(f"broken_answer_engine_{state.value}")
+    if state is EngineState.ENDED:
+        gateway.quarantine.record_ended(call.features, endpoint.name)
     log_broken_answer(call, endpoint, error, begun_seconds, state)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -27,13 +27,19 @@
     usable_endpoints,
 )
 from mintsaddle.decisions.overload import WorkspaceUse
-from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_sent
+from mintsaddle.decisions.routing import (
+    RoutingState,
+    clear_backoff,
+    record_finished,
+    record_sent,
+)
 from mintsaddle.direct._endpoint_limits import EndpointLimits
 from mintsaddle.direct._endpoint_waits import EndpointWaits
 from mintsaddle.direct._metrics import Metrics
 from mintsaddle.direct._overload import OverloadControl
 from mintsaddle.direct._pool import ConnectionPool
 from mintsaddle.direct._probe import LoadProbe
+from mintsaddle.direct._quarantine import FeatureQuarantine
 from mintsaddle.direct._reach import Reachability
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import PUBLISHED_PREFIX, decode_items, is_followed_key
@@ -110,6 +116,9 @@
         self._pool = ConnectionPool(self.now)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
+        self._quarantine = FeatureQuarantine(
+            settings.vm, self._lock, self.now, self._metrics, self._notify_waiting
+        )
         self._leaving = False
         self._is_platform_lost = False
         self._is_reader = False
@@ -207,6 +216,11 @@
         """Reads engine loads from agents; call it without holding the lock."""
         return self._probe
 
+    @property
+    def quarantine(self) -> FeatureQuarantine:
+        """Features of requests that end engines, and trials of them."""
+        return self._quarantine
+
     @property
     def is_initialized(self) -> bool:
         """Whether a full snapshot and a routing table have been read."""
@@ -478,6 +492,11 @@
         record_sent(self._routing, endpoint.name)
         self._cold_start_limiter.record_sent(endpoint, self.now())
 
+    def release_chosen(self, endpoint: Incarnation) -> None:
+        """Take back a request that was counted but isn't sent after all."""
+        with self._lock:
+            record_finished(self._routing, endpoint.name)
+
     def next_permit_at(self, service: str) -> Instant | None:
         """Return when a permit is expected; None if none was denied.
 
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
 from typing import Any
 
 from grpclib.server import Server, Stream
 
 from mintsaddle.decisions.direct import KnownEntry, Membership, UpstreamSelector
 from mintsaddle.decisions.overload import MAX_REPORTED_USES
+from mintsaddle.decisions.quarantine import Feature
+from mintsaddle.direct._feature_exchange import FeatureExchange
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._permits import PermitExchange
 from mintsaddle.direct._relay import (
@@ -20,6 +23,7 @@
 from mintsaddle.transport import ChannelPool, LoopThread
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.transport.proto.peer_grpc import EntryPeersBase, EntryPeersStub
+from mintsaddle.values import Instant
 
 EXCHANGE_INTERVAL_SECONDS = 1.0
 """Interval between gossip rounds while the platform is available."""
@@ -62,6 +66,7 @@
         self._relay = ReplicaRelay(gateway)
         self._upstreams = UpstreamSelector(membership.vm, gateway.settings.data_centre)
         self._permits = PermitExchange(gateway, membership, self._channels)
+        self._features = FeatureExchange(gateway, membership, self._channels)
         self._reachability_changed = asyncio.Event()
 
     @property
@@ -69,6 +74,11 @@
         """Permits for endpoints that limit their request rate."""
         return self._permits
 
+    @property
+    def features(self) -> FeatureExchange:
+        """Records of features that end engines, and trials of them."""
+        return self._features
+
     async def Exchange(  # noqa: N802 - named by the gRPC service
         self, stream: "Stream[pb.EntryHello, pb.EntryNews]"
     ) -> None:
@@ -77,9 +87,8 @@
         if hello is None:
             return
         self._record_hello(hello)
-        update, _ = self._relay.make_update(
-            self._make_full_hello(), newest_position(hello)
-        )
+        answer = self._make_full_hello(hello.features)
+        update, _ = self._relay.make_update(answer, newest_position(hello))
         await stream.send_message(update)
 
     async def Follow(  # noqa: N802 - named by the gRPC service
@@ -111,6 +120,22 @@
             self._permits.record_rates(update.rates)
             await stream.send_message(pb.RateNoted())
 
+    async def AskTrial(  # noqa: N802 - named by the gRPC service
+        self, stream: "Stream[pb.TrialWish, pb.TrialAnswer]"
+    ) -> None:
+        """Respond to a peer that asks for a trial of a feature."""
+        wish = await stream.recv_message()
+        if wish is not None:
+            await stream.send_message(self._features.answer_trial(wish))
+
+    async def ShareFeatures(  # noqa: N802 - named by the gRPC service
+        self, stream: "Stream[pb.FeatureNews, pb.FeatureNews]"
+    ) -> None:
+        """Merge a peer's records of features, and respond with own ones."""
+        news = await stream.recv_message()
+        if news is not None:
+            await stream.send_message(self._features.answer_share(news))
+
     def notify_on_replica_change(self, loop: asyncio.AbstractEventLoop) -> None:
         """Wake follower streams in the given loop when the replica changes."""
 
@@ -249,10 +274,16 @@
         is_behind = decode_position(position) > replica.position
         return is_behind or now - replica.confirmed_at > STALE_REPLICA_SECONDS
 
-    def _make_brief_hello(self) -> pb.EntryHello:
+    def _make_brief_hello(
+        self, asked: Iterable[pb.FeatureRecord] = ()
+    ) -> pb.EntryHello:
         """Return this entry's identity, without the entries it knows.
 
-        Includes the largest uses by workspace while this entry is overloaded.
+        Includes the largest uses by workspace while this entry is overloaded,
+        and the gravest features under which engines have ended.
+
+        Args:
+            asked: Features in the message that is answered.
         """
         hello = pb.EntryHello(
             vm=self._membership.vm,
@@ -260,6 +291,7 @@
             leaving=self._gateway.leaving,
             data_centre=self._gateway.settings.data_centre,
             cut=self._gateway.reach.unreachable,
+            features=self._features.make_gossip(asked),
         )
         with self._gateway.lock:
             uses = self._gateway.workspace_use.make_report(self._gateway.now())
@@ -273,10 +305,10 @@
         hello.positions.append(self._relay.make_position(self._gateway.now()))
         return hello
 
-    def _make_full_hello(self) -> pb.EntryHello:
+    def _make_full_hello(self, asked: Iterable[pb.FeatureRecord] = ()) -> pb.EntryHello:
         """Return a gossip message with the entries that this one knows."""
         now = self._gateway.now()
-        hello = self._make_brief_hello()
+        hello = self._make_brief_hello(asked)
         for entry in self._membership.most_recent_entries(now):
             hello.entries.add(
                 vm=entry.vm,
@@ -298,6 +330,7 @@
             with self._gateway.lock:
                 uses = [(use.name, use.rate) for use in hello.uses[:MAX_REPORTED_USES]]
                 self._gateway.workspace_use.record_peer(hello.vm, uses, now)
+            self._features.merge(hello.features)
         if hello.data_centre == self._gateway.settings.data_centre:
             # What a local peer can't reach may be unreachable from here too.
             for name in hello.cut:
@@ -325,6 +358,19 @@
         loop_thread.post(permits.mark_changed, endpoint)
 
     gateway.limits.set_callbacks(request_permit, publish)
+    features = exchange.features
+
+    def request_trial(feature: Feature, holder: str, until: Instant) -> bool:
+        wish = features.request_trial(feature, holder, until)
+        return loop_thread.submit(wish).result()
+
+    def end_trial(feature: Feature, holder: str) -> None:
+        loop_thread.submit(features.end_trial(feature, holder))
+
+    def publish_features(changed: list[Feature]) -> None:
+        loop_thread.post(features.mark_changed, changed)
+
+    gateway.quarantine.set_callbacks(request_trial, end_trial, publish_features)
 
 
 async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
@@ -338,7 +384,13 @@
     holders_task = asyncio.ensure_future(exchange.watch_holders())
     upstreams_task = asyncio.ensure_future(exchange.follow_upstreams())
     permits_task = asyncio.ensure_future(exchange.permits.publish_changes())
+    features_task = asyncio.ensure_future(exchange.features.publish_changes())
     gateway.keep_references(
-        server, exchange_task, holders_task, upstreams_task, permits_task
+        server,
+        exchange_task,
+        holders_task,
+        upstreams_task,
+        permits_task,
+        features_task,
     )
     return exchange
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -158,6 +158,7 @@
     lines = gateway.metrics.lines()
     with gateway.lock:
         lines += render_overload(gateway.overload, gateway.now())
+    lines += gateway.quarantine.render()
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
     return "200 OK", "\n".join(sorted(lines)) + "\n"
 
@@ -173,5 +174,6 @@
             server.close_idle()
         with gateway.lock:
             gateway.overload.end_overloads(gateway.now())
+        gateway.quarantine.discard_expired()
         gateway.pool.sweep(gateway.directory.endpoints.keys())
         time.sleep(_MAINTENANCE_INTERVAL_SECONDS)
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -15,6 +15,7 @@
     idle_limit_seconds,
     record_attempt,
 )
+from mintsaddle.decisions.quarantine import SURVIVAL_SECONDS
 from mintsaddle.decisions.routing import (
     may_retry,
     record_failed,
@@ -45,6 +46,7 @@
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._pauses import make_pause_recorder
+from mintsaddle.direct._trial_passage import CallQuarantinedError, TrialPassage
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
@@ -73,6 +75,8 @@
         self._request = request
         self._is_disconnected = is_disconnected
         self._failed_answer: BufferedAnswer | None = None
+        self._passage = TrialPassage(gateway)
+        self._has_begun = False
 
     @property
     def call(self) -> DirectCall:
@@ -88,6 +92,7 @@
         while True:
             result = self._try_endpoint()
             if isinstance(result, GiveUp):
+                self._passage.end()
                 # An endpoint's own error is more specific than a refusal.
                 return self._failed_answer or result
             if isinstance(result, Attempt):
@@ -107,22 +112,65 @@
             The attempt if its answer has begun, a GiveUp if the call is over,
             or None if another endpoint may be tried.
         """
-        endpoint = choose_endpoint(self._gateway, self._call, self._is_disconnected)
+        endpoint = self._await_endpoint()
         if isinstance(endpoint, Reason):
             return give_up(self._call, endpoint)
+        self._has_begun = False
         exchange = acquire_exchange(self._gateway, self._call, endpoint)
         until = attempt_until(self._call, self._gateway.now())
         expires_at = until + DEADLINE_GRACE_SECONDS
-        watched = WatchedExchange(exchange, self._is_disconnected, expires_at)
+        watched = WatchedExchange(exchange, self._must_abort, expires_at)
         self._watchdog.add(watched)
         ending, attempt = send_request(
             self._gateway, self._call, self._request, endpoint, watched
         )
         if attempt is not None:
+            self._has_begun = True
             return attempt
         self._discard(endpoint, exchange, watched)
         return self._record_failure(endpoint, ending)
 
+    def _await_endpoint(self) -> Incarnation | Reason:
+        """Return the endpoint to try, or why there is none."""
+        while True:
+            refusal = self._passage.await_admission(self._call, self._is_disconnected)
+            if refusal is not None:
+                return refusal
+            try:
+                endpoint = choose_endpoint(
+                    self._gateway, self._call, self._is_waiting_in_vain
+                )
+            except CallQuarantinedError:
+                return Reason.QUARANTINED
+            except CallerDisconnectedError:
+                self._passage.end()
+                raise
+            if isinstance(endpoint, Reason) or self._passage.may_send(self._call):
+                return endpoint
+            self._gateway.release_chosen(endpoint)
+
+    def _is_waiting_in_vain(self) -> bool:
+        """Return whether the caller has disconnected.
+
+        Raises:
+            CallQuarantinedError: The call has been quarantined meanwhile.
+        """
+        if self._gateway.quarantine.is_quarantined(self._call.features):
+            raise CallQuarantinedError
+        return self._is_disconnected()
+
+    def _must_abort(self) -> bool:
+        """Return whether the request is to be withdrawn from its endpoint.
+
+        A request that has been quarantined still ends an engine in whose
+        queue it waits.
+        """
+        if self._is_disconnected():
+            return True
+        return not self._has_begun and self._gateway.quarantine.is_quarantined(
+            self._call.features
+        )
+
     def _read_answer(self, attempt: Attempt) -> BufferedAnswer | GiveUp | None:
         """Read a complete answer; None if another endpoint may be tried."""
         ending = Ending.BROKEN
@@ -133,6 +181,7 @@
             self._record_broken(attempt, error)
         else:
             is_complete = True
+            self._record_survived(attempt)
             headers = make_response_headers(attempt.response)
             answer = BufferedAnswer(attempt.head.status, headers, body)
             repeat = self._call.route.repeat
@@ -160,6 +209,7 @@
                     raise StreamCutError
             result = self._try_endpoint()
             if isinstance(result, GiveUp):
+                self._passage.end()
                 raise StreamCutError
             if result is not None and not result.head.is_stream:
                 self._discard(result.endpoint, result.exchange, result.watched)
@@ -170,7 +220,7 @@
 
     def _relay_attempt(self, attempt: Attempt) -> Generator[bytes, None, bool]:
         """Relay events of one endpoint; return whether it sent all of them."""
-        is_complete = False
+        is_complete = has_survived = False
         record_event = make_pause_recorder(
             self._gateway, self._call, attempt.endpoint.assignment
         )
@@ -180,8 +230,13 @@
                 if number is not None:
                     self._call = self._call._replace(last_event=number)
                 record_event()
+                age = self._gateway.now() - attempt.begun_at
+                if not has_survived and age >= SURVIVAL_SECONDS:
+                    has_survived = True
+                    self._record_survived(attempt)
                 yield event.data
             is_complete = True
+            self._record_survived(attempt)
         except (OSError, http.client.HTTPException, StreamCutError) as error:
             self._record_broken(attempt, error)
             return False
@@ -191,6 +246,12 @@
             self._finish(attempt, is_complete=is_complete)
         return True
 
+    def _record_survived(self, attempt: Attempt) -> None:
+        self._gateway.quarantine.record_survived(
+            self._call.features, attempt.endpoint.name
+        )
+        self._passage.end()
+
     def _record_broken(self, attempt: Attempt, error: Exception) -> None:
         record_broken_answer(
             self._gateway,
@@ -233,6 +294,7 @@
 
     def _finish(self, attempt: Attempt, *, is_complete: bool) -> None:
         """Pool the connection if the answer is complete, else close it."""
+        self._passage.end()
         endpoint, exchange = attempt.endpoint, attempt.exchange
         self._watchdog.remove(attempt.watched)
         if is_complete:
@@ -246,6 +308,7 @@
     def _discard(
         self, endpoint: Incarnation, exchange: Exchange, watched: WatchedExchange
     ) -> None:
+        self._passage.end()
         self._watchdog.remove(watched)
         exchange.close()
         with self._gateway.lock:
--- a/mintsaddle/transport/proto/peer_grpc.py
+++ b/mintsaddle/transport/proto/peer_grpc.py
@@ -158,6 +158,14 @@
     async def NoteRates(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.RateNews, mintsaddle.transport.proto.peer_pb2.RateNoted]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AskTrial(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.TrialWish, mintsaddle.transport.proto.peer_pb2.TrialAnswer]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ShareFeatures(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.FeatureNews, mintsaddle.transport.proto.peer_pb2.FeatureNews]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Exchange(self, stream: 'grpclib.server.Stream[mintsaddle.transport.proto.peer_pb2.EntryHello, mintsaddle.transport.proto.peer_pb2.EntryNews]') -> None:
         pass
@@ -180,6 +188,18 @@
                 mintsaddle.transport.proto.peer_pb2.RateNews,
                 mintsaddle.transport.proto.peer_pb2.RateNoted,
             ),
+            '/mintsaddle.v1.EntryPeers/AskTrial': grpclib.const.Handler(
+                self.AskTrial,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.TrialWish,
+                mintsaddle.transport.proto.peer_pb2.TrialAnswer,
+            ),
+            '/mintsaddle.v1.EntryPeers/ShareFeatures': grpclib.const.Handler(
+                self.ShareFeatures,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mintsaddle.transport.proto.peer_pb2.FeatureNews,
+                mintsaddle.transport.proto.peer_pb2.FeatureNews,
+            ),
             '/mintsaddle.v1.EntryPeers/Exchange': grpclib.const.Handler(
                 self.Exchange,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -210,6 +230,18 @@
             mintsaddle.transport.proto.peer_pb2.RateNews,
             mintsaddle.transport.proto.peer_pb2.RateNoted,
         )
+        self.AskTrial = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/AskTrial',
+            mintsaddle.transport.proto.peer_pb2.TrialWish,
+            mintsaddle.transport.proto.peer_pb2.TrialAnswer,
+        )
+        self.ShareFeatures = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mintsaddle.v1.EntryPeers/ShareFeatures',
+            mintsaddle.transport.proto.peer_pb2.FeatureNews,
+            mintsaddle.transport.proto.peer_pb2.FeatureNews,
+        )
         self.Exchange = grpclib.client.UnaryUnaryMethod(
             channel,
             '/mintsaddle.v1.EntryPeers/Exchange',
