Take as many callers as an entry has memory for

The balancer may send the new connections of a whole region to one entry. An entry of 200 MB refused callers beyond 100 though it used 44 MB: each was counted with 0.5 MB, of a quarter of the memory.

--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -12,11 +12,13 @@
 from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.settings import DirectSettings
 
-CALLER_MEGABYTES = 0.5
-"""Memory per caller, in MB: thread stack, request body and answer."""
+CALLER_MEGABYTES = 0.2
+"""Memory per caller, in MB: thread stack, request body and answer. Twice what
+a stream needs."""
 
-CALLER_MEMORY_SHARE = 0.25
-"""Share of the VM's memory for callers."""
+CALLER_MEMORY_SHARE = 0.5
+"""Share of the VM's memory for callers. The balancer may send the callers of a
+whole region to one entry."""
 
 CALLER_DESCRIPTORS = 3
 """File descriptors per caller: its connection, the one to its endpoint, and
