Keep room for new connections while idle ones are open

An entry accepts 1,500 connections. With more than half of the limit open, answers carry Connection: close; above four fifths the connections that were idle for longest are closed, of which no request has been read. The limit also follows the descriptors that exchanges with engines leave.

Both new tests failed before: calls timed out, and no answer said close.

--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -15,7 +15,12 @@
 from mintsaddle.direct._overload_metrics import render_overload
 from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peers import start_peer_exchange
-from mintsaddle.direct._server import CallerServer, max_callers, serve_pages
+from mintsaddle.direct._server import (
+    CallerServer,
+    max_callers,
+    max_connections,
+    serve_pages,
+)
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import READY_PATH
@@ -58,7 +63,13 @@
     def should_close_connections() -> bool:
         return gateway.leaving or gateway.is_cut_off()
 
-    server = CallerServer(app, settings.callers, should_close_connections, callers)
+    server = CallerServer(
+        app,
+        settings.callers,
+        should_close_connections,
+        callers,
+        max_connections(settings),
+    )
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
         {
@@ -172,6 +183,7 @@
             server.set_limits(applied_limits)
         if gateway.is_cut_off():
             server.close_idle()
+        server.close_excess()
         with gateway.lock:
             gateway.overload.end_overloads(gateway.now())
         gateway.quarantine.discard_expired()
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -30,8 +30,18 @@
 _REFUSAL_THREADS = 4
 """Threads in addition to one per caller; they refuse excess requests."""
 
+MAX_CONNECTIONS = 1500
+"""Connections at which no further one is accepted. The server's loop checks
+each of them after each block that it sends."""
+
+KEPT_CONNECTIONS_SHARE = 0.5
+"""Share of the connections above which answers tell callers to close theirs.
+Idle ones would use up the limit if most callers came to this entry."""
+
+MAX_CONNECTIONS_SHARE = 0.8
+"""Share of the connections above which idle ones are closed."""
+
 _BACKLOG = 1024
-_MAX_CONNECTIONS = 1500
 _CLEANUP_SECONDS = 1
 _READ_BYTES = 65_536
 
@@ -40,7 +50,8 @@
     """Sends `Connection: close` if callers should use another entry."""
 
     def build_response_header(self) -> bytes:
-        if self.channel.server.should_close_connections():
+        server = self.channel.server
+        if server.should_close_connections() or server.is_crowded():
             self.request.headers["CONNECTION"] = "close"
         head: bytes = super().build_response_header()
         return head
@@ -57,6 +68,13 @@
     return max(1, int(min(by_memory, descriptors / CALLER_DESCRIPTORS)))
 
 
+def max_connections(settings: DirectSettings) -> int:
+    """Return how many connections of callers the VM has resources for."""
+    exchanges = (CALLER_DESCRIPTORS - 1) * max_callers(settings)
+    left = settings.descriptors - RESERVED_DESCRIPTORS - exchanges
+    return max(1, min(MAX_CONNECTIONS, int(left)))
+
+
 class CallerServer:
     """Accepts callers' connections and serves their requests."""
 
@@ -66,6 +84,7 @@
         address: str,
         should_close_connections: Callable[[], bool],
         max_callers: int,
+        max_connections: int,
     ) -> None:
         """Create the server.
 
@@ -75,7 +94,9 @@
             should_close_connections: Returns whether callers should send
                 their next request to another entry.
             max_callers: How many requests are served concurrently.
+            max_connections: How many connections are open at the same time.
         """
+        self._max_connections = max_connections
         dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
         dispatcher.set_thread_count(INITIAL_THREADS)
         self._server: TcpWSGIServer = create_server(
@@ -83,7 +104,7 @@
             listen=address,
             _dispatcher=dispatcher,
             backlog=_BACKLOG,
-            connection_limit=_MAX_CONNECTIONS,
+            connection_limit=max_connections,
             cleanup_interval=_CLEANUP_SECONDS,
             recv_bytes=_READ_BYTES,
             channel_request_lookahead=1,
@@ -95,6 +116,7 @@
         )
         self._server.channel_class = _CallerChannel
         self._server.should_close_connections = should_close_connections
+        self._server.is_crowded = self._is_crowded
 
     def start(self) -> None:
         """Start serving in a separate thread."""
@@ -113,9 +135,35 @@
 
     def close_idle(self) -> None:
         """Close connections without a request; callers open new ones."""
-        for channel in tuple(self._server.active_channels.values()):
-            if not channel.requests and channel.request is None:
-                channel.will_close = True
+        self._close(self._idle_channels())
+
+    def close_excess(self) -> None:
+        """Close the connections that were idle for longest if many are open.
+
+        Otherwise no further one would be accepted until some of them have
+        reached the idle limit, and callers wait unread.
+        """
+        allowed = int(self._max_connections * MAX_CONNECTIONS_SHARE)
+        excess = len(self._server.active_channels) - allowed
+        if excess > 0:
+            idle = sorted(self._idle_channels(), key=lambda one: one.last_activity)
+            self._close(idle[:excess])
+
+    def _is_crowded(self) -> bool:
+        """Return whether callers should close their connections."""
+        kept = self._max_connections * KEPT_CONNECTIONS_SHARE
+        return len(self._server.active_channels) > kept
+
+    def _idle_channels(self) -> list[Any]:
+        return [
+            channel
+            for channel in tuple(self._server.active_channels.values())
+            if not channel.requests and channel.request is None
+        ]
+
+    def _close(self, channels: Iterable[Any]) -> None:
+        for channel in channels:
+            channel.will_close = True
         self._server.pull_trigger()
 
 
--- a/mintsaddle/direct/tests/test_threads.py
+++ b/mintsaddle/direct/tests/test_threads.py
@@ -3,7 +3,15 @@
 import threading
 from typing import Any
 
-from mintsaddle.direct._server import max_callers
+import pytest
+
+from mintsaddle.direct._server import (
+    CALLER_DESCRIPTORS,
+    MAX_CONNECTIONS,
+    RESERVED_DESCRIPTORS,
+    max_callers,
+    max_connections,
+)
 from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.platform.tests.test_taking_items import SETTINGS
 
@@ -58,3 +66,17 @@
         assert max_callers(SETTINGS) == 500
         assert max_callers(SETTINGS._replace(memory_megabytes=552)) == 1266
         assert max_callers(SETTINGS._replace(descriptors=450)) == 50
+
+    @pytest.mark.parametrize("megabytes", [64, 200, 552, 4_000])
+    @pytest.mark.parametrize("descriptors", [310, 450, 4_100, 20_000])
+    def test_callers_and_idle_connections_fit_the_descriptors(
+        self, megabytes: int, descriptors: int
+    ) -> None:
+        """Guards against an entry that runs out of descriptors."""
+        settings = SETTINGS._replace(
+            memory_megabytes=megabytes, descriptors=descriptors
+        )
+        callers, connections = max_callers(settings), max_connections(settings)
+        assert connections >= callers or connections == MAX_CONNECTIONS
+        used = connections + (CALLER_DESCRIPTORS - 1) * callers
+        assert used <= descriptors - RESERVED_DESCRIPTORS
--- a/mintsaddle/platform/tests/test_connection_crowd.py
+++ b/mintsaddle/platform/tests/test_connection_crowd.py
@@ -1,15 +1,19 @@
 """A real entry to which the balancer sends most new connections."""
 
+import contextlib
+import socket
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
+from mintsaddle.direct._server import MAX_CONNECTIONS
 from mintsaddle.platform.tests import standins
-from mintsaddle.platform.tests.standins import Site
+from mintsaddle.platform.tests.standins import Site, wait_for
 
 CALLERS = 160
+IDLE_CONNECTIONS = MAX_CONNECTIONS + 50
 EVENTS = 10
 
 
@@ -44,3 +48,31 @@
         """Guards against refusals while memory for callers is left."""
         answers = call_at_once(site, CALLERS)
         assert answers.count((200, EVENTS)) == CALLERS
+
+    def test_idle_connections_leave_room_for_new_ones(self, site: Site) -> None:
+        """Guards against callers unread until idle ones reach their limit."""
+        address = ("127.0.0.1", site.entry.front)
+        with contextlib.ExitStack() as stack:
+            for _ in range(IDLE_CONNECTIONS):
+                stack.enter_context(socket.create_connection(address))
+            answers = call_at_once(site, 20)
+        assert answers.count((200, EVENTS)) == 20
+
+    def test_a_crowded_entry_tells_callers_to_close(self, site: Site) -> None:
+        """Guards against kept connections that use up the limit."""
+        address = ("127.0.0.1", site.entry.front)
+        for endpoint in site.endpoints:
+            endpoint.responders.clear()
+        _, headers, _ = site.entry.call("GET", "/lookup/1")
+        assert headers.get("Connection", "keep-alive").lower() != "close"
+        with contextlib.ExitStack() as stack:
+            for _ in range(MAX_CONNECTIONS // 2 + 50):
+                stack.enter_context(socket.create_connection(address))
+            closes = []
+
+            def tells_to_close() -> bool:
+                _, headers, _ = site.entry.call("GET", "/lookup/1")
+                closes.append(headers.get("Connection", "").lower() == "close")
+                return closes[-1]
+
+            wait_for(tells_to_close, "answer with Connection: close")
