Take a stream without an end or an event as broken off

An answer may have neither a length nor chunks and end with its connection. An engine that ends as it begins to write then leaves a head and nothing else, which callers got as a whole stream. Such a stream counts as broken off now, is resumed, and is an end under the features of its request. The other forms held already: cut inside an event, reset, a body that is reset, no reuse of the connection.

--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -213,17 +213,21 @@
     Raises:
         OSError: The connection broke.
         http.client.HTTPException: The body ended early.
-        StreamCutError: The body ended in the middle of an event.
+        StreamCutError: The body ended in the middle of an event, or before
+            its first event with nothing that marks the end.
     """
+    has_marked_end = response.chunked or response.length is not None
+    has_event = False
     partial = b""
     while True:
         block = response.read1(_READ_BYTES)
         if not block:
             break
         *complete, partial = (partial + block).split(_EVENT_END)
+        has_event = has_event or bool(complete)
         for data in complete:
             yield Event(data + _EVENT_END)
     if response.length:
         raise http.client.IncompleteRead(partial, response.length)
-    if partial.strip():
+    if partial.strip() or not (has_event or has_marked_end):
         raise StreamCutError
--- /dev/null
+++ b/mintsaddle/platform/tests/test_answers_without_length.py
@@ -0,0 +1,111 @@
+"""Answers that have neither a length nor chunks and end with a connection."""
+
+import http.client
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests.standins import Endpoint, Responder, Site
+
+PIECES = [b"id: %d\ndata: piece\n\n" % number for number in range(1, 6)]
+Ending = Callable[[Any], None]
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    yield from standins.run_site(tmp_path)
+
+
+def close(handler: Any) -> None:
+    """End the connection as an engine does after a complete answer."""
+    handler.close_connection = True
+
+
+def reset(handler: Any) -> None:
+    """Reset the connection as the VM of an engine that crashed does."""
+    linger = struct.pack("ii", 1, 0)
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    handler.connection.close()
+    handler.close_connection = True
+
+
+def respond(
+    endpoint: Endpoint, handler: Any, *, body: bytes, kind: str, end: Ending
+) -> None:
+    handler.send_response(200)
+    attempt = "X-Mintsaddle-Attempt-Id"
+    handler.send_header(attempt, handler.headers[attempt])
+    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    handler.send_header("Content-Type", kind)
+    handler.end_headers()
+    handler.wfile.write(body)
+    handler.wfile.flush()
+    end(handler)
+
+
+def stream(body: bytes, end: Ending = close) -> Responder:
+    return partial(respond, body=body, kind="text/event-stream", end=end)
+
+
+def text(body: bytes, end: Ending = close) -> Responder:
+    return partial(respond, body=body, kind="text/plain", end=end)
+
+
+class TestStreams:
+    def test_one_that_ends_after_an_event_is_complete(self, site: Site) -> None:
+        site.script(stream(b"".join(PIECES)))
+        status, _, body = site.entry.call("POST", "/letter/1")
+        assert (status, body) == (200, b"".join(PIECES))
+        assert len(site.requests()) == 1
+
+    @pytest.mark.parametrize(
+        ("sent", "end"),
+        [
+            (b"".join(PIECES[:2]) + b"id: 3\nda", close),
+            (b"".join(PIECES[:2]) + b"id: 3\ndata: piece\n", close),
+            (b"".join(PIECES[:2]), reset),
+            (b"", close),
+        ],
+        ids=["inside-event", "before-blank-line", "reset", "without-event"],
+    )
+    def test_one_that_was_broken_off_is_resumed(
+        self, site: Site, sent: bytes, end: Ending
+    ) -> None:
+        """Guards against the stream of an engine that ended seen as whole."""
+        received = PIECES[2:] if sent else PIECES
+        site.script(stream(sent, end), stream(b"".join(received)))
+        status, _, body = site.entry.call("POST", "/letter/1")
+        assert (status, body) == (200, b"".join(PIECES))
+        assert len(site.requests()) == 2
+
+    def test_one_that_cannot_be_resumed_does_not_look_complete(
+        self, site: Site
+    ) -> None:
+        site.script(stream(b"", close), standins.refuse)
+        connection = site.entry.open("POST", "/letter/1")
+        with pytest.raises((http.client.HTTPException, OSError)):
+            connection.getresponse().read()
+
+
+class TestBodies:
+    def test_one_that_ends_with_its_connection_is_complete(self, site: Site) -> None:
+        site.script(text(b"a whole answer"))
+        assert site.entry.call("POST", "/order/1")[::2] == (200, b"a whole answer")
+
+    def test_one_that_is_reset_is_not_passed_on(self, site: Site) -> None:
+        """Guards against half an answer that looks whole."""
+        site.script(text(b"half an answer" * 10_000, reset))
+        assert site.entry.call("POST", "/order/1")[0] == 502
+
+    def test_its_connection_is_not_used_again(self, site: Site) -> None:
+        site.script(text(b"whole"), text(b"whole"), text(b"whole"))
+        for _ in range(3):
+            assert site.entry.call("GET", "/lookup/1")[::2] == (200, b"whole")
+        ports = [request["port"] for request in site.requests()]
+        assert len(set(ports)) == 3
