--- a/mintsaddle/decisions/quarantine/_comparison.py
+++ b/mintsaddle/decisions/quarantine/_comparison.py
@@ -5,7 +5,6 @@
 that can't be told apart yet are only known to end engines together.
 """
 
-from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from mintsaddle.decisions.quarantine._features import Feature
@@ -23,42 +22,43 @@
 
 
 class _Explanation(NamedTuple):
-    feature: Feature
     ended: frozenset[int]
     survivors: int
 
 
 class Comparison:
-    """The features that may explain ends, at one moment."""
+    """The features that may explain ends, kept up to date with their records.
 
-    def __init__(self, records: Mapping[Feature, Outcomes]) -> None:
-        explanations = (
-            _Explanation(
-                feature, frozenset(ended_engines(outcomes)), count_survivors(outcomes)
-            )
-            for feature, outcomes in records.items()
-            if is_implicated(outcomes)
-        )
-        self._explanations = [
-            explanation
-            for explanation in explanations
-            if len(explanation.ended) >= MIN_EXPLAINING_ENDS
-        ]
-        ended = (explanation.ended for explanation in self._explanations)
-        self._explained = frozenset[int]().union(*ended)
+    Most records have one end and are skipped, so each change is cheap.
+    """
+
+    def __init__(self) -> None:
+        self._explanations: dict[Feature, _Explanation] = {}
+        self._explained: frozenset[int] = frozenset()
 
     @property
     def explained(self) -> frozenset[int]:
         """Engines whose end some feature explains."""
         return self._explained
 
+    def update(self, feature: Feature, outcomes: Outcomes) -> None:
+        """Take over a feature's record; an empty one if it was discarded."""
+        ended = frozenset(ended_engines(outcomes))
+        if len(ended) >= MIN_EXPLAINING_ENDS and is_implicated(outcomes):
+            explanation = _Explanation(ended, count_survivors(outcomes))
+            self._explanations[feature] = explanation
+        elif self._explanations.pop(feature, None) is None:
+            return
+        sets = (explanation.ended for explanation in self._explanations.values())
+        self._explained = frozenset[int]().union(*sets)
+
     def unexplained(self, feature: Feature, outcomes: Outcomes) -> Outcomes:
         """Return a record without the ends that others explain better."""
         survivors = count_survivors(outcomes)
         explained: set[int] = set()
-        for other in self._explanations:
-            if other.feature != feature and other.survivors < survivors:
-                explained |= other.ended
+        for other, explanation in self._explanations.items():
+            if other != feature and explanation.survivors < survivors:
+                explained |= explanation.ended
         return without_engines(outcomes, explained) if explained else outcomes
 
     def rivals(self, feature: Feature, outcomes: Outcomes) -> set[Feature]:
@@ -66,9 +66,9 @@
         ended = ended_engines(outcomes)
         survivors = count_survivors(outcomes)
         return {
-            other.feature
-            for other in self._explanations
-            if other.feature != feature
-            and other.survivors == survivors
-            and other.ended >= ended
+            other
+            for other, explanation in self._explanations.items()
+            if other != feature
+            and explanation.survivors == survivors
+            and explanation.ended >= ended
         }
--- a/mintsaddle/decisions/quarantine/_ledger.py
+++ b/mintsaddle/decisions/quarantine/_ledger.py
@@ -13,7 +13,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Final, NamedTuple
 
@@ -79,7 +79,7 @@
         self._implicated: dict[Feature, Outcomes] = {}
         self._survived: OrderedDict[Feature, Outcomes] = OrderedDict()
         self._ended_at: dict[int, Instant] = {}
-        self._known_comparison: Comparison | None = None
+        self._comparison = Comparison()
 
     @property
     def is_empty(self) -> bool:
@@ -223,23 +223,19 @@
         """Discard outcomes that don't count any more."""
         for feature, outcomes in list(self._implicated.items()):
             kept = drop_expired(outcomes, now)
+            if kept == outcomes:
+                continue
             if ended_engines(kept):
                 self._implicated[feature] = kept
+                self._comparison.update(feature, kept)
             else:
-                del self._implicated[feature]
-        self._known_comparison = None
+                self._discard(feature)
         self._ended_at = {
             engine: at
             for engine, at in self._ended_at.items()
             if now - at < EVIDENCE_SECONDS
         }
 
-    @property
-    def _comparison(self) -> Comparison:
-        if self._known_comparison is None:
-            self._known_comparison = Comparison(self._implicated)
-        return self._known_comparison
-
     def _add(
         self, feature: Feature, engine: int, outcome: Outcome, now: Instant
     ) -> list[Feature]:
@@ -253,12 +249,13 @@
         now: Instant,
     ) -> list[Feature]:
         """Change a record; return the feature if its verdict has changed."""
-        before = self.verdict(feature, now)
         known = self._implicated.get(feature)
-        if known is None:
-            known = self._survived.pop(feature, {})
-        self._implicated[feature] = change(known)
-        self._known_comparison = None
+        changed = change(self._survived.pop(feature, {}) if known is None else known)
+        if changed == known:
+            return []
+        before = self.verdict(feature, now)
+        self._implicated[feature] = changed
+        self._comparison.update(feature, changed)
         return [feature] if self.verdict(feature, now) is not before else []
 
     def _remember_survivor(self, feature: Feature, engine: int, now: Instant) -> None:
@@ -277,10 +274,10 @@
             oldest = min(self._ended_at, key=self._ended_at.__getitem__)
             del self._ended_at[oldest]
 
-    def _other_ends(self, outcomes: Outcomes) -> list[Instant]:
+    def _other_ends(self, outcomes: Outcomes) -> Iterator[Instant]:
         """Return when engines have ended that no feature explains so far."""
         explained = ended_engines(outcomes) | self._comparison.explained
-        return [at for engine, at in self._ended_at.items() if engine not in explained]
+        return (at for engine, at in self._ended_at.items() if engine not in explained)
 
     def _discard_excess(self, now: Instant) -> None:
         """Discard the features that matter least if there are too many."""
@@ -298,5 +295,8 @@
             )
 
         for feature in sorted(self._implicated, key=importance)[:excess]:
-            del self._implicated[feature]
-        self._known_comparison = None
+            self._discard(feature)
+
+    def _discard(self, feature: Feature) -> None:
+        del self._implicated[feature]
+        self._comparison.update(feature, {})
--- a/mintsaddle/direct/_broken_answers.py
+++ b/mintsaddle/direct/_broken_answers.py
@@ -16,6 +16,8 @@
     watched: WatchedExchange,
     error: Exception,
     begun_at: Instant | None,
+    *,
+    has_event: bool = False,
 ) -> None:
     """Record what an answer that broke says of the features of its request.
 
@@ -26,13 +28,16 @@
         watched: The connection, which broke or was aborted.
         error: What broke the answer.
         begun_at: When the head of the answer arrived; None without one.
+        has_event: Whether an event has arrived. Without one, a stalled rank
+            can't be told from one that would have ended.
     """
     now = gateway.now()
     begun_seconds = None if begun_at is None else now - begun_at
     state = None
     if not watched.exchange.aborted and now < watched.expires_at:
         if begun_seconds is not None and begun_seconds >= SURVIVAL_SECONDS:
-            gateway.quarantine.record_survived(call.features, endpoint.name)
+            if has_event:
+                gateway.quarantine.record_survived(call.features, endpoint.name)
         else:
             state = check_engine(endpoint.address)
             gateway.metrics.count(f"broken_answer_engine_{state.value}")
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -220,7 +220,7 @@
 
     def _relay_attempt(self, attempt: Attempt) -> Generator[bytes, None, bool]:
         """Relay events of one endpoint; return whether it sent all of them."""
-        is_complete = has_survived = False
+        is_complete = has_survived = has_event = False
         record_event = make_pause_recorder(
             self._gateway, self._call, attempt.endpoint.assignment
         )
@@ -230,6 +230,7 @@
                 if number is not None:
                     self._call = self._call._replace(last_event=number)
                 record_event()
+                has_event = True
                 age = self._gateway.now() - attempt.begun_at
                 if not has_survived and age >= SURVIVAL_SECONDS:
                     has_survived = True
@@ -238,7 +239,7 @@
             is_complete = True
             self._record_survived(attempt)
         except (OSError, http.client.HTTPException, StreamCutError) as error:
-            self._record_broken(attempt, error)
+            self._record_broken(attempt, error, has_event=has_event)
             return False
         finally:
             # Also runs when the caller disconnects: the server closes the
@@ -252,7 +253,9 @@
         )
         self._passage.end()
 
-    def _record_broken(self, attempt: Attempt, error: Exception) -> None:
+    def _record_broken(
+        self, attempt: Attempt, error: Exception, *, has_event: bool = False
+    ) -> None:
         record_broken_answer(
             self._gateway,
             self._call,
@@ -260,6 +263,7 @@
             attempt.watched,
             error,
             attempt.begun_at,
+            has_event=has_event,
         )
 
     def _record_failure(self, endpoint: Incarnation, ending: Ending) -> GiveUp | None:
