--- a/mintsaddle/platform/tests/crashing_engines.py
+++ b/mintsaddle/platform/tests/crashing_engines.py
@@ -16,6 +16,8 @@
 """The first part, which all requests of the tests share."""
 
 CRASHING_PART: Final = "bad0"
+CRASHING_TARGET: Final = "/lookup/crashing"
+"""Path of the request that ends an engine before it answers."""
 
 RESTART_SECONDS = 0.3
 """Seconds after which an engine that ended is back under another name."""
@@ -40,12 +42,15 @@
     def handle(self, handler: Any) -> None:
         with self._lock:
             self._connections.add(handler.connection)
-        self.requests.append(dict(handler.headers.items()))
+        self.requests.append({"target": handler.path, **dict(handler.headers.items())})
         parts = handler.headers.get(_PROMPT, "").split(",")
         if any(part.startswith(f"{CRASHING_PART}:") for part in parts):
             self._begin_stream(handler)
             self.end()
             handler.close_connection = True
+        elif handler.path == CRASHING_TARGET:
+            self.end()
+            handler.close_connection = True
         else:
             standins.stream_events(1, 3, pause=0.01)(self, handler)
 
@@ -114,13 +119,13 @@
         return entry
 
     def crashing_arrivals(self) -> int:
-        """Return how many requests with the crashing part reached engines."""
-        prompts = [
-            request.get(_PROMPT, "")
-            for engine in self.engines
-            for request in engine.requests
-        ]
-        return sum(f"{CRASHING_PART}:" in prompt for prompt in prompts)
+        """Return how many requests that end engines have reached them."""
+        requests = [request for engine in self.engines for request in engine.requests]
+        return sum(
+            f"{CRASHING_PART}:" in request.get(_PROMPT, "")
+            or request["target"] == CRASHING_TARGET
+            for request in requests
+        )
 
     def stop(self) -> None:
         """Kill the entries, and start no more engines."""
