Leave planned ends of engines out of the records of features

An engine that is being replaced may end under requests that have just begun; their features were suspected for it, and callers who share them waited for trials. The end of an engine that is draining, has said that it leaves or isn't announced any more is no evidence now.

--- a/mintsaddle/direct/_broken_answers.py
+++ b/mintsaddle/direct/_broken_answers.py
@@ -41,6 +41,7 @@
         else:
             state = check_engine(endpoint.address)
             gateway.metrics.count(f"broken_answer_engine_{state.value}")
-    if state is EngineState.ENDED:
+    # The planned end of an engine says nothing of its requests.
+    if state is EngineState.ENDED and gateway.is_expected_to_run(endpoint):
         gateway.quarantine.record_ended(call.features, endpoint.name)
     log_broken_answer(call, endpoint, error, begun_seconds, state)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -421,6 +421,12 @@
             self._log_directory(endpoint.name)
         return True
 
+    def is_expected_to_run(self, endpoint: Incarnation) -> bool:
+        """Return whether nothing says that an endpoint leaves or has left."""
+        known = self._directory.endpoints.get(endpoint.name)
+        has_said = endpoint.name in self._directory.said_leaving
+        return known is not None and not known.leaving and not has_said
+
     def drop_expired(self) -> None:
         """Apply changes from an outage or a restore whose grace has ended."""
         with self._lock:
