Move the way to an endpoint out of the runner of calls

What passes the quarantine and then chooses an endpoint stands with the trials that a call holds; trace explains the three new endings. No behaviour changes.

--- a/mintsaddle/cli/_trace.py
+++ b/mintsaddle/cli/_trace.py
@@ -41,6 +41,12 @@
     "not-run:rate-limited": "It was refused: no endpoint had a permit left in time.",
     "not-run:no-endpoint": "It was refused: no endpoint of its service was available.",
     "not-run:unreachable": "It was refused: no connection to an endpoint succeeded.",
+    "not-run:quarantined": "It was refused: engines end as they begin requests "
+    "that have something in common with it.",
+    "not-run:on-trial": "It was refused: requests that have something in common "
+    "with it were on trial for as long as it could wait.",
+    "in-doubt:quarantined": "It was withdrawn from its endpoint: engines end as "
+    "they begin requests that have something in common with it.",
     "in-doubt:cut-off": "It may have run: the endpoint cut off its response.",
     "in-doubt:silent": "It may have run: the endpoint did not respond in time.",
     "in-doubt:too-late": "It may have run: its deadline passed.",
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -37,7 +37,6 @@
 )
 from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._broken_answers import record_broken_answer
-from mintsaddle.direct._choice import choose_endpoint
 from mintsaddle.direct._exchange import (
     Exchange,
     StreamCutError,
@@ -46,7 +45,7 @@
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._pauses import make_pause_recorder
-from mintsaddle.direct._trial_passage import CallQuarantinedError, TrialPassage
+from mintsaddle.direct._trial_passage import TrialPassage
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
@@ -112,7 +111,7 @@
             The attempt if its answer has begun, a GiveUp if the call is over,
             or None if another endpoint may be tried.
         """
-        endpoint = self._await_endpoint()
+        endpoint = self._passage.await_endpoint(self._call, self._is_disconnected)
         if isinstance(endpoint, Reason):
             return give_up(self._call, endpoint)
         self._has_begun = False
@@ -130,35 +129,6 @@
         self._discard(endpoint, exchange, watched)
         return self._record_failure(endpoint, ending)
 
-    def _await_endpoint(self) -> Incarnation | Reason:
-        """Return the endpoint to try, or why there is none."""
-        while True:
-            refusal = self._passage.await_admission(self._call, self._is_disconnected)
-            if refusal is not None:
-                return refusal
-            try:
-                endpoint = choose_endpoint(
-                    self._gateway, self._call, self._is_waiting_in_vain
-                )
-            except CallQuarantinedError:
-                return Reason.QUARANTINED
-            except CallerDisconnectedError:
-                self._passage.end()
-                raise
-            if isinstance(endpoint, Reason) or self._passage.may_send(self._call):
-                return endpoint
-            self._gateway.release_chosen(endpoint)
-
-    def _is_waiting_in_vain(self) -> bool:
-        """Return whether the caller has disconnected.
-
-        Raises:
-            CallQuarantinedError: The call has been quarantined meanwhile.
-        """
-        if self._gateway.quarantine.is_quarantined(self._call.features):
-            raise CallQuarantinedError
-        return self._is_disconnected()
-
     def _must_abort(self) -> bool:
         """Return whether the request is to be withdrawn from its endpoint.
 
--- a/mintsaddle/direct/_trial_passage.py
+++ b/mintsaddle/direct/_trial_passage.py
@@ -1,10 +1,11 @@
-"""Holds back a call while what it has in common with others is on trial."""
+"""Holds back calls whose features are on trial; refuses quarantined ones."""
 
 from collections.abc import Callable
 
-from mintsaddle.decisions.direct import DirectCall, hold_until
+from mintsaddle.decisions.direct import DirectCall, Incarnation, hold_until
 from mintsaddle.decisions.quarantine import Feature, Verdict
 from mintsaddle.direct._availability import CallerDisconnectedError
+from mintsaddle.direct._choice import choose_endpoint
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.values import Reason
@@ -15,7 +16,7 @@
 _log = make_logger("calls")
 
 
-class CallQuarantinedError(Exception):
+class _CallQuarantinedError(Exception):
     """A call was quarantined while it waited for an endpoint."""
 
 
@@ -27,21 +28,52 @@
         self._holder = gateway.quarantine.next_holder()
         self._trials: set[Feature] = set()
 
-    def await_admission(
+    def await_endpoint(
         self, call: DirectCall, is_disconnected: Callable[[], bool]
-    ) -> Reason | None:
-        """Wait until the call may be sent, or may not.
+    ) -> Incarnation | Reason:
+        """Return the endpoint to try, or why there is none.
+
+        Verdicts may change while the call waits for an endpoint, so it passes
+        again once it has one.
 
         Args:
             call: The call.
             is_disconnected: Returns whether the caller has disconnected.
 
-        Returns:
-            None once it may be sent, or why it may not.
-
         Raises:
             CallerDisconnectedError: The caller disconnected while it waited.
         """
+
+        def is_waiting_in_vain() -> bool:
+            if self._gateway.quarantine.is_quarantined(call.features):
+                raise _CallQuarantinedError
+            return is_disconnected()
+
+        while True:
+            refusal = self._await_admission(call, is_disconnected)
+            if refusal is not None:
+                return refusal
+            try:
+                endpoint = choose_endpoint(self._gateway, call, is_waiting_in_vain)
+            except _CallQuarantinedError:
+                return Reason.QUARANTINED
+            except CallerDisconnectedError:
+                self.end()
+                raise
+            if isinstance(endpoint, Reason) or self._may_send(call):
+                return endpoint
+            self._gateway.release_chosen(endpoint)
+
+    def end(self) -> None:
+        """End all trials that the call holds."""
+        for feature in self._trials:
+            self._gateway.quarantine.end_trial(feature, self._holder)
+        self._trials.clear()
+
+    def _await_admission(
+        self, call: DirectCall, is_disconnected: Callable[[], bool]
+    ) -> Reason | None:
+        """Wait until the call may be sent; return why if it may not."""
         gateway, quarantine = self._gateway, self._gateway.quarantine
         has_waited = False
         while not quarantine.is_empty:
@@ -62,7 +94,7 @@
                 raise CallerDisconnectedError
         return None
 
-    def may_send(self, call: DirectCall) -> bool:
+    def _may_send(self, call: DirectCall) -> bool:
         """Return whether the call may still be sent as it was admitted."""
         if self._gateway.quarantine.is_empty:
             return True
@@ -71,12 +103,6 @@
             return False
         return self._trials.issuperset(judgement.suspects)
 
-    def end(self) -> None:
-        """End all trials that the call holds."""
-        for feature in self._trials:
-            self._gateway.quarantine.end_trial(feature, self._holder)
-        self._trials.clear()
-
     def _request_trials(self, call: DirectCall, suspects: tuple[Feature, ...]) -> bool:
         """Return whether the call holds trials of all suspects, or get none.
 
