Don't hold a withdrawn request against its endpoint

A request that is quarantined while it waits in an engine's queue is withdrawn. That counted as an answer the engine had broken, so the engine got no requests for a while. It has an ending of its own now, withdrawn. The new test holds a request in a queue while its part is quarantined: it is taken back and its caller told that it may have run.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -40,6 +40,9 @@
     SILENT = "silent"
     """The request was sent, and nothing came back before the timeout."""
 
+    WITHDRAWN = "withdrawn"
+    """The request was sent, and this entry took it back before any answer."""
+
 
 FIRST_ATTEMPT_SHARE = 0.5
 """Share of the remaining time that the first attempt of an idempotent call may
@@ -168,4 +171,5 @@
     Ending.BROKEN: Reason.CUT_OFF,
     Ending.FAILED: Reason.ENGINE_FAILED,
     Ending.SILENT: Reason.SILENT,
+    Ending.WITHDRAWN: Reason.QUARANTINED,
 }
--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -90,6 +90,8 @@
         )
     except (OSError, http.client.HTTPException, ValueError) as error:
         record_broken_answer(gateway, call, endpoint, watched, error, None)
+        if exchange.aborted and gateway.quarantine.is_quarantined(call.features):
+            return Ending.WITHDRAWN, None
         has_timed_out = gateway.now() >= watched.expires_at
         return Ending.SILENT if has_timed_out else Ending.BROKEN, None
     head = read_response_head(response, call.request_id, endpoint.slots)
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -54,6 +54,9 @@
 from mintsaddle.values import Instant, Reason
 
 _SERVER_ERROR = 500
+_SAYS_NOTHING = frozenset({Ending.FAILED, Ending.GROUP_DOWN, Ending.WITHDRAWN})
+"""Endings that don't speak against the endpoint."""
+
 _log = make_logger("calls")
 
 
@@ -246,7 +249,7 @@
         with gateway.lock:
             if ending is Ending.NOT_RUN:
                 record_turned_away(gateway.routing, endpoint.name, now)
-            elif ending not in (Ending.FAILED, Ending.GROUP_DOWN):
+            elif ending not in _SAYS_NOTHING:
                 record_failed(gateway.routing, endpoint.name, now)
             has_budget = may_retry(gateway.routing)
             decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
--- a/mintsaddle/platform/tests/crashing_engines.py
+++ b/mintsaddle/platform/tests/crashing_engines.py
@@ -38,13 +38,17 @@
         self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._has_ended = False
+        self.holds_requests = False
+        """Whether new requests wait in its queue until their caller leaves."""
 
     def handle(self, handler: Any) -> None:
         with self._lock:
             self._connections.add(handler.connection)
         self.requests.append({"target": handler.path, **dict(handler.headers.items())})
         parts = handler.headers.get(_PROMPT, "").split(",")
-        if any(part.startswith(f"{CRASHING_PART}:") for part in parts):
+        if self.holds_requests:
+            standins.never_respond(self, handler)
+        elif any(part.startswith(f"{CRASHING_PART}:") for part in parts):
             self._begin_stream(handler)
             self.end()
             handler.close_connection = True
--- a/mintsaddle/platform/tests/test_crashing_parts.py
+++ b/mintsaddle/platform/tests/test_crashing_parts.py
@@ -16,7 +16,7 @@
     CrashingSite,
     run_crashing_site,
 )
-from mintsaddle.platform.tests.standins import Entry
+from mintsaddle.platform.tests.standins import Entry, wait_for
 
 ENTRIES = 3
 MAX_ENDS = 5
@@ -132,3 +132,29 @@
                 site.entries[number % ENTRIES].call("GET", CRASHING_TARGET)
             time.sleep(0.1)
         assert site.crashing_arrivals() <= MAX_WHOLE_ENDS + MAX_LATER_ARRIVALS
+
+
+class TestQueuedRequest:
+    def test_it_is_withdrawn_once_its_part_is_quarantined(
+        self, site: CrashingSite
+    ) -> None:
+        """Guards against an engine ended by a request in its queue."""
+        for engine in site.engines:
+            engine.holds_requests = True
+        prompt = f"{SHARED_PART}:40,{CRASHING_PART}:40,feed:40"
+        queued = site.entries[0].open(
+            "POST", "/letter/1", X_Mintsaddle_Prompt_Prefix=prompt
+        )
+        wait_for(lambda: site.crashing_arrivals() == 1, "queued request")
+        for engine in site.engines:
+            engine.holds_requests = False
+            if engine.requests:
+                # The others end by later requests; this one gets none.
+                site.store.delete(f"servers/{engine.name}")
+        for entry in site.entries[:2]:
+            wait_for(lambda log=entry.log: "endpoints=3" in log(), "removed engine")
+        send_crashing(site, 8)
+        response = queued.getresponse()
+        assert response.status == 502
+        assert site.crashing_arrivals() <= 1 + MAX_ENDS + MAX_LATER_ARRIVALS
+        assert "ending=withdrawn" in site.entries[0].log()
