Split gossip messages and startup off the exchange between entries

Messages and what is recorded of them stand by themselves, with a public face, so tests of reported uses no longer reach into the exchange; what they assert is unchanged.

--- /dev/null
+++ b/mintsaddle/direct/_peer_start.py
@@ -0,0 +1,65 @@
+"""Starts the exchange between direct entries, and connects its callers."""
+
+import asyncio
+from typing import Any
+
+from grpclib.server import Server
+
+from mintsaddle.decisions.direct import Membership
+from mintsaddle.decisions.quarantine import Feature
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._peers import PeerExchange
+from mintsaddle.transport import LoopThread
+from mintsaddle.values import Instant
+
+
+def start_peer_exchange(gateway: Gateway, membership: Membership) -> None:
+    """Start gossip in an event loop and thread of its own."""
+    loop_thread = LoopThread("peers")
+    loop_thread.start()
+    exchange = loop_thread.submit(_start(gateway, membership)).result()
+    permits = exchange.permits
+
+    def request_permit(endpoint: str) -> bool:
+        return loop_thread.submit(permits.take_permit(endpoint)).result()
+
+    def publish(endpoint: str) -> None:
+        loop_thread.post(permits.mark_changed, endpoint)
+
+    gateway.limits.set_callbacks(request_permit, publish)
+    features = exchange.features
+
+    def request_trial(feature: Feature, holder: str, until: Instant) -> bool:
+        wish = features.request_trial(feature, holder, until)
+        return loop_thread.submit(wish).result()
+
+    def end_trial(feature: Feature, holder: str) -> None:
+        loop_thread.submit(features.end_trial(feature, holder))
+
+    def publish_features(changed: list[Feature]) -> None:
+        loop_thread.post(features.mark_changed, changed)
+
+    gateway.quarantine.set_callbacks(request_trial, end_trial, publish_features)
+
+
+async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
+    exchange = PeerExchange(gateway, membership)
+    exchange.notify_on_replica_change(asyncio.get_running_loop())
+    exchange.notify_on_path_change(asyncio.get_running_loop())
+    server: Any = Server([exchange])
+    host, _, port = gateway.settings.control.rpartition(":")
+    await server.start(host, int(port))
+    exchange_task = asyncio.ensure_future(exchange.run())
+    holders_task = asyncio.ensure_future(exchange.watch_holders())
+    upstreams_task = asyncio.ensure_future(exchange.follow_upstreams())
+    permits_task = asyncio.ensure_future(exchange.permits.publish_changes())
+    features_task = asyncio.ensure_future(exchange.features.publish_changes())
+    gateway.keep_references(
+        server,
+        exchange_task,
+        holders_task,
+        upstreams_task,
+        permits_task,
+        features_task,
+    )
+    return exchange
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -2,16 +2,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
-from typing import Any
 
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from mintsaddle.decisions.direct import KnownEntry, Membership, UpstreamSelector
-from mintsaddle.decisions.overload import MAX_REPORTED_USES
-from mintsaddle.decisions.quarantine import Feature
 from mintsaddle.direct._feature_exchange import FeatureExchange
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._hellos import PEER_TIMEOUT_WEIGHT, HelloMessages
 from mintsaddle.direct._permits import PermitExchange
 from mintsaddle.direct._relay import (
     ReplicaRelay,
@@ -20,10 +17,9 @@
     newest_position,
 )
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.transport import ChannelPool, LoopThread
+from mintsaddle.transport import ChannelPool
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.transport.proto.peer_grpc import EntryPeersBase, EntryPeersStub
-from mintsaddle.values import Instant
 
 EXCHANGE_INTERVAL_SECONDS = 1.0
 """Interval between gossip rounds while the platform is available."""
@@ -49,9 +45,6 @@
 UPSTREAM_CHECK_INTERVAL_SECONDS = 0.2
 """Interval at which a reader checks whether it should follow another entry."""
 
-PEER_TIMEOUT_WEIGHT = 3
-"""Number of lost datagrams that a peer's timeout counts as."""
-
 _log = make_logger("peers")
 
 
@@ -67,6 +60,7 @@
         self._upstreams = UpstreamSelector(membership.vm, gateway.settings.data_centre)
         self._permits = PermitExchange(gateway, membership, self._channels)
         self._features = FeatureExchange(gateway, membership, self._channels)
+        self._hellos = HelloMessages(gateway, membership, self._relay, self._features)
         self._reachability_changed = asyncio.Event()
 
     @property
@@ -74,6 +68,11 @@
         """Permits for endpoints that limit their request rate."""
         return self._permits
 
+    @property
+    def hellos(self) -> HelloMessages:
+        """Gossip messages of this entry."""
+        return self._hellos
+
     @property
     def features(self) -> FeatureExchange:
         """Records of features that end engines, and trials of them."""
@@ -86,8 +85,8 @@
         hello = await stream.recv_message()
         if hello is None:
             return
-        self._record_hello(hello)
-        answer = self._make_full_hello(hello.features)
+        self._hellos.record(hello)
+        answer = self._hellos.make_full(hello.features)
         update, _ = self._relay.make_update(answer, newest_position(hello))
         await stream.send_message(update)
 
@@ -98,9 +97,9 @@
         hello = await stream.recv_message()
         if hello is None:
             return
-        self._record_hello(hello)
+        self._hellos.record(hello)
         await self._relay.send_updates(
-            stream, self._make_brief_hello, newest_position(hello)
+            stream, self._hellos.make_brief, newest_position(hello)
         )
 
     async def AskPermit(  # noqa: N802 - named by the gRPC service
@@ -207,13 +206,13 @@
         """Follow an entry until it fails, leaves or ends the stream."""
         gateway = self._gateway
         stub = EntryPeersStub(self._channels.open(upstream.address))
-        hello = self._make_hello()
+        hello = self._hellos.make()
         try:
             async with contextlib.aclosing(
                 self._relay.receive_updates(stub, hello)
             ) as updates:
                 async for update in updates:
-                    self._record_hello(update.hello)
+                    self._hellos.record(update.hello)
                     if update.hello.leaving:
                         return
         except StaleUpstreamError:
@@ -236,7 +235,7 @@
         stub = EntryPeersStub(self._channels.open(address))
         try:
             update = await stub.Exchange(
-                self._make_hello(), timeout=EXCHANGE_TIMEOUT_SECONDS
+                self._hellos.make(), timeout=EXCHANGE_TIMEOUT_SECONDS
             )
         except Exception as error:
             self._record_failure(address, error)
@@ -246,7 +245,7 @@
         if address in self._unresponsive:
             self._unresponsive.discard(address)
             _log.info("Peer reachable again %s.", fields(address=address))
-        self._record_hello(update.hello)
+        self._hellos.record(update.hello)
         for position in update.hello.positions:
             if self._should_apply(position):
                 self._relay.apply_update(update, position)
@@ -273,124 +272,3 @@
         replica, now = self._gateway.replica, self._gateway.now()
         is_behind = decode_position(position) > replica.position
         return is_behind or now - replica.confirmed_at > STALE_REPLICA_SECONDS
-
-    def _make_brief_hello(
-        self, asked: Iterable[pb.FeatureRecord] = ()
-    ) -> pb.EntryHello:
-        """Return this entry's identity, without the entries it knows.
-
-        Includes the largest uses by workspace while this entry is overloaded,
-        and the gravest features under which engines have ended.
-
-        Args:
-            asked: Features in the message that is answered.
-        """
-        hello = pb.EntryHello(
-            vm=self._membership.vm,
-            address=self._membership.address,
-            leaving=self._gateway.leaving,
-            data_centre=self._gateway.settings.data_centre,
-            cut=self._gateway.reach.unreachable,
-            features=self._features.make_gossip(asked),
-        )
-        with self._gateway.lock:
-            uses = self._gateway.workspace_use.make_report(self._gateway.now())
-        for name, rate in uses:
-            hello.uses.add(name=name, rate=rate)
-        return hello
-
-    def _make_hello(self) -> pb.EntryHello:
-        """Return a gossip message with the position of the replica."""
-        hello = self._make_full_hello()
-        hello.positions.append(self._relay.make_position(self._gateway.now()))
-        return hello
-
-    def _make_full_hello(self, asked: Iterable[pb.FeatureRecord] = ()) -> pb.EntryHello:
-        """Return a gossip message with the entries that this one knows."""
-        now = self._gateway.now()
-        hello = self._make_brief_hello(asked)
-        for entry in self._membership.most_recent_entries(now):
-            hello.entries.add(
-                vm=entry.vm,
-                address=entry.address,
-                age=now - entry.last_seen_at,
-                data_centre=entry.data_centre,
-            )
-        return hello
-
-    def _record_hello(self, hello: pb.EntryHello) -> None:
-        now = self._gateway.now()
-        if hello.leaving:
-            self._membership.remove(hello.vm, now)
-        else:
-            self._membership.record_entry(
-                KnownEntry(hello.vm, hello.address, now, hello.data_centre)
-            )
-        if hello.vm != self._membership.vm:
-            with self._gateway.lock:
-                uses = [(use.name, use.rate) for use in hello.uses[:MAX_REPORTED_USES]]
-                self._gateway.workspace_use.record_peer(hello.vm, uses, now)
-            self._features.merge(hello.features)
-        if hello.data_centre == self._gateway.settings.data_centre:
-            # What a local peer can't reach may be unreachable from here too.
-            for name in hello.cut:
-                self._gateway.reach.record(
-                    name, received=False, weight=PEER_TIMEOUT_WEIGHT
-                )
-        for entry in hello.entries:
-            last_seen_at = now - entry.age
-            self._membership.record_entry(
-                KnownEntry(entry.vm, entry.address, last_seen_at, entry.data_centre)
-            )
-
-
-def start_peer_exchange(gateway: Gateway, membership: Membership) -> None:
-    """Start gossip in an event loop and thread of its own."""
-    loop_thread = LoopThread("peers")
-    loop_thread.start()
-    exchange = loop_thread.submit(_start(gateway, membership)).result()
-    permits = exchange.permits
-
-    def request_permit(endpoint: str) -> bool:
-        return loop_thread.submit(permits.take_permit(endpoint)).result()
-
-    def publish(endpoint: str) -> None:
-        loop_thread.post(permits.mark_changed, endpoint)
-
-    gateway.limits.set_callbacks(request_permit, publish)
-    features = exchange.features
-
-    def request_trial(feature: Feature, holder: str, until: Instant) -> bool:
-        wish = features.request_trial(feature, holder, until)
-        return loop_thread.submit(wish).result()
-
-    def end_trial(feature: Feature, holder: str) -> None:
-        loop_thread.submit(features.end_trial(feature, holder))
-
-    def publish_features(changed: list[Feature]) -> None:
-        loop_thread.post(features.mark_changed, changed)
-
-    gateway.quarantine.set_callbacks(request_trial, end_trial, publish_features)
-
-
-async def _start(gateway: Gateway, membership: Membership) -> PeerExchange:
-    exchange = PeerExchange(gateway, membership)
-    exchange.notify_on_replica_change(asyncio.get_running_loop())
-    exchange.notify_on_path_change(asyncio.get_running_loop())
-    server: Any = Server([exchange])
-    host, _, port = gateway.settings.control.rpartition(":")
-    await server.start(host, int(port))
-    exchange_task = asyncio.ensure_future(exchange.run())
-    holders_task = asyncio.ensure_future(exchange.watch_holders())
-    upstreams_task = asyncio.ensure_future(exchange.follow_upstreams())
-    permits_task = asyncio.ensure_future(exchange.permits.publish_changes())
-    features_task = asyncio.ensure_future(exchange.features.publish_changes())
-    gateway.keep_references(
-        server,
-        exchange_task,
-        holders_task,
-        upstreams_task,
-        permits_task,
-        features_task,
-    )
-    return exchange
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -14,7 +14,7 @@
 from mintsaddle.direct._maps import MapCoordinator
 from mintsaddle.direct._overload_metrics import render_overload
 from mintsaddle.direct._paths import start_checking_paths
-from mintsaddle.direct._peers import start_peer_exchange
+from mintsaddle.direct._peer_start import start_peer_exchange
 from mintsaddle.direct._server import (
     CallerServer,
     max_callers,
--- a/mintsaddle/direct/tests/test_workspace_uses.py
+++ b/mintsaddle/direct/tests/test_workspace_uses.py
@@ -7,6 +7,7 @@
 from mintsaddle.decisions.overload import MAX_REPORTED_USES
 from mintsaddle.direct._calls import make_call
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._hellos import HelloMessages
 from mintsaddle.direct._peers import PeerExchange
 from mintsaddle.direct.tests.clocks import Clock
 from mintsaddle.platform import read_request_head
@@ -35,26 +36,27 @@
         return gateway
 
     @pytest.fixture
-    def exchange(self, gateway: Gateway) -> PeerExchange:
-        return PeerExchange(gateway, Membership("entry-1", "127.0.0.1:3", ()))
+    def hellos(self, gateway: Gateway) -> HelloMessages:
+        membership = Membership("entry-1", "127.0.0.1:3", ())
+        return PeerExchange(gateway, membership).hellos
 
     def test_uses_are_sent_only_under_overload(
-        self, gateway: Gateway, exchange: PeerExchange, clock: Clock
+        self, gateway: Gateway, hellos: HelloMessages, clock: Clock
     ) -> None:
         """Guards against larger hellos while capacity is sufficient."""
         for number in range(20):
             gateway.workspace_use.record(f"w{number}", 10.0 + number, clock.now)
-        assert not exchange._make_brief_hello().uses
+        assert not hellos.make_brief().uses
         gateway.workspace_use.record_not_admitted(clock.now)
-        uses = exchange._make_brief_hello().uses
+        uses = hellos.make_brief().uses
         assert [use.name for use in uses] == [
             f"w{number}" for number in range(19, 19 - MAX_REPORTED_USES, -1)
         ]
         clock.now += 60.0
-        assert not exchange._make_brief_hello().uses
+        assert not hellos.make_brief().uses
 
     def test_uses_of_a_peer_are_recorded(
-        self, gateway: Gateway, exchange: PeerExchange, clock: Clock
+        self, gateway: Gateway, hellos: HelloMessages, clock: Clock
     ) -> None:
         """Guards against shares of what this entry sees alone."""
         for name in ("a", "b"):
@@ -64,15 +66,15 @@
             address="10.0.0.2:3",
             uses=[pb.WorkspaceUse(name="a", rate=50.0)],
         )
-        exchange._record_hello(hello)
+        hellos.record(hello)
         gateway.workspace_use.record_not_admitted(clock.now)
         assert gateway.workspace_use.is_over_share("a", clock.now)
         assert not gateway.workspace_use.is_over_share("b", clock.now)
 
     def test_hellos_of_older_entries_have_no_uses(
-        self, gateway: Gateway, exchange: PeerExchange, clock: Clock
+        self, gateway: Gateway, hellos: HelloMessages, clock: Clock
     ) -> None:
         """Guards against a failure while versions are mixed."""
-        exchange._record_hello(pb.EntryHello(vm="entry-2", address="10.0.0.2:3"))
+        hellos.record(pb.EntryHello(vm="entry-2", address="10.0.0.2:3"))
         gateway.workspace_use.record_not_admitted(clock.now)
         assert not gateway.workspace_use.is_over_share("", clock.now)
--- a/mintsaddle/platform/tests/test_crashing_parts.py
+++ b/mintsaddle/platform/tests/test_crashing_parts.py
@@ -151,8 +151,10 @@
             if engine.requests:
                 # The others end by later requests; this one gets none.
                 site.store.delete(f"servers/{engine.name}")
-        for entry in site.entries[:2]:
-            wait_for(lambda log=entry.log: "endpoints=3" in log(), "removed engine")
+        wait_for(
+            lambda: all("endpoints=3" in entry.log() for entry in site.entries[:2]),
+            "removed engine",
+        )
         send_crashing(site, 8)
         response = queued.getresponse()
         assert response.status == 502
