--- a/mintsaddle/platform/tests/crashing_engines.py
+++ b/mintsaddle/platform/tests/crashing_engines.py
@@ -1,5 +1,6 @@
 """Engines that end as they begin to write on a part of a prompt."""
 
+import contextlib
 import itertools
 import socket
 import threading
@@ -64,13 +65,12 @@
             if self._has_ended:
                 return
             self._has_ended = True
+        # The listener first: an answer that breaks is followed by a check.
+        for open_socket in (self._server.socket, *self._connections):
+            with contextlib.suppress(OSError):
+                open_socket.shutdown(socket.SHUT_RDWR)
         self._server.shutdown()
         self._server.server_close()
-        for connection in self._connections:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                continue
         self._on_end(self)
 
     @staticmethod
