Bear a verdict on a feature whose record has made room for others

A peer's message may change more records than are kept. What is logged of a change was read from the record that was gone by then, an IndexError in the loop of the gossip. Such a record reads as empty now. Only quarantines are warnings; suspicions come with each end.

--- a/mintsaddle/decisions/quarantine/_ledger.py
+++ b/mintsaddle/decisions/quarantine/_ledger.py
@@ -120,6 +120,10 @@
             return Judgement(Verdict.SUSPECT, tuple(sorted(suspects)))
         return _CLEAR
 
+    def outcomes(self, feature: Feature) -> Outcomes:
+        """Return the record of a feature; an empty one if it has none."""
+        return self._implicated.get(feature) or self._survived.get(feature) or {}
+
     def max_trials(self, feature: Feature, now: Instant) -> int:
         """Return how many requests with a suspected feature may run at once.
 
@@ -204,12 +208,8 @@
 
     def report_on(self, features: Iterable[Feature]) -> list[FeatureReport]:
         """Return the records of some features, as far as they are known."""
-        reports = []
-        for feature in features:
-            outcomes = self._implicated.get(feature) or self._survived.get(feature)
-            if outcomes:
-                reports.append(FeatureReport(feature, outcomes))
-        return reports
+        reports = (FeatureReport(one, self.outcomes(one)) for one in features)
+        return [report for report in reports if report.outcomes]
 
     def count(self, now: Instant) -> dict[Verdict, int]:
         """Return the number of features with each verdict but CLEAR."""
@@ -288,11 +288,7 @@
         def importance(feature: Feature) -> tuple[Verdict, int, Instant]:
             outcomes = self._implicated[feature]
             newest = max(outcome.at for outcome in outcomes.values())
-            return (
-                self.verdict(feature, now),
-                len(ended_engines(outcomes)),
-                newest,
-            )
+            return self.verdict(feature, now), len(ended_engines(outcomes)), newest
 
         for feature in sorted(self._implicated, key=importance)[:excess]:
             self._discard(feature)
--- a/mintsaddle/decisions/quarantine/tests/test_ledger.py
+++ b/mintsaddle/decisions/quarantine/tests/test_ledger.py
@@ -166,3 +166,15 @@
         reported = [report.feature for report in ledger.report(NOW)]
         assert reported[0] == CRASHING
         assert len(reported) <= MAX_REPORTED
+
+    def test_a_feature_that_was_discarded_has_an_empty_record(self) -> None:
+        """Guards against a change reported of a record that made room."""
+        ledger = CrashLedger()
+        crash(ledger, CRASHING, ends=4)
+        news = [
+            FeatureReport(Feature(10_000 + number), {number: Outcome(True, NOW)})
+            for number in range(2 * MAX_IMPLICATED)
+        ]
+        changed = ledger.merge(news, NOW)
+        assert any(not ledger.outcomes(feature) for feature in changed)
+        assert len(ledger.outcomes(CRASHING)) == 4
--- a/mintsaddle/direct/_quarantine.py
+++ b/mintsaddle/direct/_quarantine.py
@@ -1,6 +1,7 @@
 """Records of features that end engines, shared by the entry's threads."""
 
 import itertools
+import logging
 import random
 import threading
 from collections.abc import Callable, Iterable
@@ -174,11 +175,12 @@
         now = self._now()
         for feature in changed:
             verdict = self._ledger.verdict(feature, now)
-            outcomes = dict(self._ledger.report_on([feature])[0].outcomes)
+            outcomes = self._ledger.outcomes(feature)
             ends = sum(outcome.has_ended for outcome in outcomes.values())
             name = verdict.name.lower()
             self._metrics.count(f"feature_{name}")
-            _log.warning(
+            _log.log(
+                logging.WARNING if verdict is Verdict.QUARANTINED else logging.INFO,
                 "Feature judged %s.",
                 fields(
                     feature=f"{feature:016x}",
