--- a/mintsaddle/decisions/quarantine/tests/test_fleet_replays.py
+++ b/mintsaddle/decisions/quarantine/tests/test_fleet_replays.py
@@ -5,11 +5,8 @@
 import pytest
 
 from mintsaddle.decisions.quarantine import Verdict
-from mintsaddle.decisions.quarantine.tests.fleet import (
-    CONTACT_SECONDS,
-    FleetReplay,
-    Scenario,
-)
+from mintsaddle.decisions.quarantine.tests.fleet import CONTACT_SECONDS, Scenario
+from mintsaddle.decisions.quarantine.tests.fleet_replay import FleetReplay
 
 MAX_ENDS = 5
 MAX_LATER_ARRIVALS = 3
