--- a/mintsaddle/platform/__init__.py
+++ b/mintsaddle/platform/__init__.py
@@ -6,16 +6,6 @@
     decode_items,
     is_followed_key,
 )
-from mintsaddle.platform._messages import (
-    READY_PATH,
-    RequestHead,
-    ResponseHead,
-    make_endpoint_headers,
-    make_refusal,
-    make_response_headers,
-    read_request_head,
-    read_response_head,
-)
 from mintsaddle.platform._ranks import (
     call_rank,
     counts_call,
@@ -27,6 +17,18 @@
     order_call,
     report_call,
 )
+from mintsaddle.platform._requests import (
+    READY_PATH,
+    RequestHead,
+    make_endpoint_headers,
+    read_request_head,
+)
+from mintsaddle.platform._responses import (
+    ResponseHead,
+    make_refusal,
+    make_response_headers,
+    read_response_head,
+)
 from mintsaddle.platform._settings import load_direct_settings, settings_path
 from mintsaddle.platform._store import StoreClient, StoreProblem
 
--- a/mintsaddle/platform/_messages.py
+++ b/mintsaddle/platform/_responses.py
@@ -1,32 +1,21 @@
-"""Translation of HTTP headers between the platform's names and typed values.
-
-Callers and endpoints use the same set of headers. Only this module knows which
-of them are hop-by-hop, which ones the system sets itself, and their formats.
-"""
+"""Translation of responses between the platform's headers and typed values."""
 
 import http.client
 import math
 import re
-from collections.abc import Iterable, Mapping
 from email.utils import parsedate_to_datetime
-from typing import Any, NamedTuple
-
-from mintsaddle.platform._prompt_parts import read_shared_parts
-from mintsaddle.values import MILLISECONDS, Load, Outcome, Reason
+from typing import NamedTuple
 
-READY_PATH = "/mintsaddle/ready"
-"""Path of the balancer's readiness check."""
+from mintsaddle.platform._headers import (
+    HOP_BY_HOP_HEADERS,
+    REQUEST_ID,
+    RETRY_AFTER,
+)
+from mintsaddle.values import Load, Outcome, Reason
 
 EVENT_STREAM = "text/event-stream"
 
-_REQUEST_ID = "X-Mintsaddle-Attempt-Id"
 _SIGNATURE = "X-Mintsaddle-Response-Stamp"
-_DEADLINE = "X-Mintsaddle-Deadline-Ms"
-_EXPECTED_ENDPOINT = "X-Mintsaddle-Expect-Instance"
-_TOKEN_USAGE = "X-Mintsaddle-Token-Usage"
-_PROMPT_PARTS = "X-Mintsaddle-Prompt-Prefix"
-_WORKSPACE = "X-Mintsaddle-Tenant"
-_URGENCY = "X-Mintsaddle-Request-Urgency"
 _NOT_EXECUTED = "X-Mintsaddle-Not-Executed"
 _LOAD = "X-Mintsaddle-Server-Load"
 _RATE_LIMIT_HEADERS = ("X-Mintsaddle-Server-Limit", "Server-Limit")
@@ -35,38 +24,9 @@
 _LEAVING_HEADERS = ("X-Mintsaddle-Server-Leaving", "Server-Leaving")
 """The header is documented without the prefix that the others have."""
 
-_RETRY_AFTER = "Retry-After"
 _FAULTY_ENDPOINT = "At-Server"
-_API_KEY = "Api-Key"
-_LAST_EVENT_ID = "Last-Event-Id"
-
-_HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_REPLACED_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        _API_KEY,
-        _WORKSPACE,
-        _EXPECTED_ENDPOINT,
-        _DEADLINE,
-        _LAST_EVENT_ID,
-        _URGENCY,
-        "Content-Length",
-    )
-)
-_REMOVED_RESPONSE_HEADERS = frozenset({"content-length", "date"}) | _HOP_BY_HOP_HEADERS
+
+_REMOVED_RESPONSE_HEADERS = frozenset({"content-length", "date"}) | HOP_BY_HOP_HEADERS
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout=(?P<seconds>\d+)")
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
@@ -74,26 +34,6 @@
 _MIN_RETRY_AFTER_SECONDS = 0.02
 
 
-class RequestHead(NamedTuple):
-    """Decoded headers of a caller's request, except those only passed on."""
-
-    request_id: str
-    """The caller's id for this attempt; an empty string if it sent none."""
-
-    key: str
-    seconds_left: float | None
-    """Remaining time until the caller's deadline; None if it sent none."""
-
-    last_event: int | None
-    """Id of the last event that the caller received of a resumed stream."""
-
-    tokens: tuple[float, float] | None = None
-    """Tokens of input and maximum tokens of output; None if not stated."""
-
-    parts: tuple[str, ...] = ()
-    """Ids of the parts of its prompt that other requests may share."""
-
-
 class ResponseHead(NamedTuple):
     """Decoded status and headers of an endpoint's response."""
 
@@ -128,60 +68,6 @@
     connection at once, None if unknown."""
 
 
-def read_request_head(environ: Mapping[str, Any]) -> RequestHead:
-    """Return the decoded headers of a request from its WSGI environment."""
-    return RequestHead(
-        request_id=_request_header(environ, _REQUEST_ID),
-        key=_request_header(environ, _API_KEY),
-        seconds_left=_read_seconds(_request_header(environ, _DEADLINE)),
-        last_event=_read_event_id(_request_header(environ, _LAST_EVENT_ID)),
-        tokens=_read_tokens(_request_header(environ, _TOKEN_USAGE)),
-        parts=read_shared_parts(_request_header(environ, _PROMPT_PARTS)),
-    )
-
-
-def make_endpoint_headers(
-    environ: Mapping[str, Any],
-    endpoint: str,
-    workspace: str,
-    seconds_left: float,
-    last_event: int | None,
-    urgency: int | None = None,
-) -> list[tuple[str, str]]:
-    """Return the headers of a request to an endpoint.
-
-    Args:
-        environ: The caller's WSGI environment.
-        endpoint: Name of the endpoint's incarnation; another one that now has
-            the same address refuses the request.
-        workspace: The workspace that owns the caller's key, regardless of any
-            header that the caller sent.
-        seconds_left: Time that the endpoint has for the request.
-        last_event: Id of the last event that the caller received, if any.
-        urgency: 0 (most urgent) to 9, for endpoints that admit by urgency.
-    """
-    listed = str(environ.get("HTTP_CONNECTION", "")).split(",")
-    dropped = (
-        {name.strip().lower() for name in listed}
-        | _HOP_BY_HOP_HEADERS
-        | _REPLACED_HEADERS
-    )
-    headers = [
-        (name, value)
-        for name, value in _request_headers(environ)
-        if name.lower() not in dropped
-    ]
-    remaining_ms = max(1, math.floor(seconds_left * MILLISECONDS))
-    headers += [(_DEADLINE, str(remaining_ms)), (_EXPECTED_ENDPOINT, endpoint)]
-    if workspace:
-        headers.append((_WORKSPACE, workspace))
-    if urgency is not None:
-        headers.append((_URGENCY, str(urgency)))
-    if last_event is not None:
-        headers.append((_LAST_EVENT_ID, str(last_event)))
-    return headers
-
-
 def read_response_head(
     response: http.client.HTTPResponse, request_id: str, slots: int
 ) -> ResponseHead:
@@ -194,7 +80,7 @@
     """
     headers = response.headers
     is_encoded = headers.get("Content-Encoding") is not None
-    has_request_id = headers.get(_REQUEST_ID) == request_id
+    has_request_id = headers.get(REQUEST_ID) == request_id
     is_misdirected = response.status == _MISDIRECTED_STATUS
     return ResponseHead(
         status=response.status,
@@ -234,29 +120,16 @@
     503 guarantees that the request has not run and never will; 502 and 504
     leave open whether it ran.
     """
-    headers = [(_REQUEST_ID, request_id)] if request_id else []
+    headers = [(REQUEST_ID, request_id)] if request_id else []
     if outcome is Outcome.NOT_RUN:
         seconds = max(_MIN_RETRY_AFTER_SECONDS, retry_after)
-        headers.append((_RETRY_AFTER, f"{seconds:.2f}"))
+        headers.append((RETRY_AFTER, f"{seconds:.2f}"))
         return "503 Service Unavailable", headers
     if reason in _TIMEOUT_REASONS:
         return "504 Gateway Timeout", headers
     return "502 Bad Gateway", headers
 
 
-def _request_headers(environ: Mapping[str, Any]) -> Iterable[tuple[str, str]]:
-    for name, value in environ.items():
-        if name.startswith("HTTP_"):
-            yield name[5:].replace("_", "-").title(), str(value)
-    if environ.get("CONTENT_TYPE"):
-        yield "Content-Type", str(environ["CONTENT_TYPE"])
-
-
-def _request_header(environ: Mapping[str, Any], name: str) -> str:
-    key = f"HTTP_{name.upper().replace('-', '_')}"
-    return str(environ.get(key, "")).strip()
-
-
 def _read_idle_seconds(response: http.client.HTTPResponse) -> float | None:
     if response.will_close:
         return 0.0
@@ -264,13 +137,6 @@
     return float(match["seconds"]) if match else None
 
 
-def _read_seconds(text: str) -> float | None:
-    try:
-        return max(0.0, float(text) / MILLISECONDS)
-    except ValueError:
-        return None
-
-
 def _read_rate_limit(headers: http.client.HTTPMessage) -> float | None:
     values = [headers[name] for name in _RATE_LIMIT_HEADERS if name in headers]
     try:
@@ -286,7 +152,7 @@
     A date is read relative to the endpoint's own clock, since this VM's clock
     may differ from it.
     """
-    text = response.headers.get(_RETRY_AFTER)
+    text = response.headers.get(RETRY_AFTER)
     if text is None or response.status != _UNAVAILABLE_STATUS:
         return 0.0
     try:
@@ -310,18 +176,6 @@
     return any(value.strip() == "1" for value in values)
 
 
-def _read_event_id(text: str) -> int | None:
-    return int(text) if text.isdecimal() else None
-
-
-def _read_tokens(text: str) -> tuple[float, float] | None:
-    """Return the tokens from ``PROMPT,MAX_OUTPUT``."""
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 2 or not all(part.isdecimal() for part in parts):
-        return None
-    return float(parts[0]), float(parts[1])
-
-
 def _read_load(text: str, slots: int) -> Load | None:
     """Return the load from ``RUNNING,QUEUED[,SLOTS]``."""
     parts = [part.strip() for part in text.split(",")]
