Close excess connections in the server's loop

They were chosen in the thread that applies limits, so a request could arrive on one between the check and its close, and be cut off. In the loop nothing is read in between. The tests of crowded entries pass as before; the race itself was not seen.

--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -183,7 +183,6 @@
             server.set_limits(applied_limits)
         if gateway.is_cut_off():
             server.close_idle()
-        server.close_excess()
         with gateway.lock:
             gateway.overload.end_overloads(gateway.now())
         gateway.quarantine.discard_expired()
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -117,6 +117,8 @@
         self._server.channel_class = _CallerChannel
         self._server.should_close_connections = should_close_connections
         self._server.is_crowded = self._is_crowded
+        self._close_expired = self._server.maintenance
+        self._server.maintenance = self._maintain
 
     def start(self) -> None:
         """Start serving in a separate thread."""
@@ -137,7 +139,16 @@
         """Close connections without a request; callers open new ones."""
         self._close(self._idle_channels())
 
-    def close_excess(self) -> None:
+    def _maintain(self, now: float) -> None:
+        """Close idle connections; called in the server's loop.
+
+        No request can arrive on a connection between the check and its close
+        there.
+        """
+        self._close_expired(now)
+        self._close_excess()
+
+    def _close_excess(self) -> None:
         """Close the connections that were idle for longest if many are open.
 
         Otherwise no further one would be accepted until some of them have
