Check the verdict on a call again once it has a connection

Opening a connection takes up to 0.4 s, in which a verdict may arrive; the same holds for a request that is sent once more because a kept connection broke.

--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -69,7 +69,12 @@
     if is_fresh:
         gateway.reach.record(endpoint.data_centre, received=True)
     left = call.deadline - gateway.now()
-    if left <= 0 or gateway.waits.is_waiting(endpoint.name):
+
+    def may_send() -> bool:
+        is_waiting = gateway.waits.is_waiting(endpoint.name)
+        return not (is_waiting or gateway.quarantine.is_quarantined(call.features))
+
+    if left <= 0 or not may_send():
         return Ending.NOT_SENT, None
     headers = make_endpoint_headers(
         request.environ,
@@ -86,7 +91,7 @@
             headers,
             request.body,
             left + 2 * DEADLINE_GRACE_SECONDS,
-            lambda: not gateway.waits.is_waiting(endpoint.name),
+            may_send,
         )
     except (OSError, http.client.HTTPException, ValueError) as error:
         record_broken_answer(gateway, call, endpoint, watched, error, None)
