--- a/mintsaddle/platform/tests/crashing_engines.py
+++ b/mintsaddle/platform/tests/crashing_engines.py
@@ -23,6 +23,9 @@
 RESTART_SECONDS = 0.3
 """Seconds after which an engine that ended is back under another name."""
 
+ANNOUNCEMENT_SECONDS = 0.2
+"""Seconds by when entries know of an engine."""
+
 _PROMPT = "X-Mintsaddle-Prompt-Prefix"
 
 
@@ -93,6 +96,7 @@
         self._names = itertools.count(1)
         self._lock = threading.Lock()
         self._stopped = False
+        self._count = engines
         self.store = Store()
         self.store.put("op/config", standins.make_configuration())
         self.engines: list[CrashingEngine] = []
@@ -122,6 +126,16 @@
         wait_for(entry.is_ready, "ready entry")
         return entry
 
+    def await_engines(self) -> None:
+        """Wait until all engines are back and the entries know them."""
+
+        def are_back() -> bool:
+            return len(self.engines) - len(self.ends) == self._count
+
+        if not are_back():
+            wait_for(are_back, "engines that are back")
+            time.sleep(ANNOUNCEMENT_SECONDS)
+
     def crashing_arrivals(self) -> int:
         """Return how many requests that end engines have reached them."""
         requests = [request for engine in self.engines for request in engine.requests]
--- a/mintsaddle/platform/tests/test_crashing_parts.py
+++ b/mintsaddle/platform/tests/test_crashing_parts.py
@@ -70,6 +70,7 @@
         served = 0
         for number in range(24):
             entry = site.entries[number % ENTRIES]
+            site.await_engines()
             send(entry, SHARED_PART, "b1", CRASHING_PART)
             served += send(entry, SHARED_PART, "b1") == 200
         assert site.crashing_arrivals() <= MAX_ENDS + MAX_LATER_ARRIVALS
@@ -128,9 +129,9 @@
     ) -> None:
         """Guards against a lookup that ends one engine after the other."""
         for number in range(12):
+            site.await_engines()
             with contextlib.suppress(OSError):
                 site.entries[number % ENTRIES].call("GET", CRASHING_TARGET)
-            time.sleep(0.1)
         assert site.crashing_arrivals() <= MAX_WHOLE_ENDS + MAX_LATER_ARRIVALS
 
 
