Wait for sockets whatever number their descriptors have

Traced in the entry's log: select.select raises ValueError for descriptors from 1,024 on, as the connection to the engine is checked for reuse at the end of a stream. Any entry with some thousand connections did that to every stream; that it passed before was luck, since closed ones free small numbers. The check, and the wait for agents' replies, use poll now.

--- a/mintsaddle/direct/_agents.py
+++ b/mintsaddle/direct/_agents.py
@@ -1,12 +1,12 @@
 """Datagram client for calls to many rank agents at once."""
 
 import itertools
-import select
 import socket
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
+from mintsaddle.engines import is_readable
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.rank_agent import (
     AgentMessageError,
@@ -96,10 +96,7 @@
         wait_until = time.monotonic() + self._reply_timeout
         while waiting:
             seconds_left = wait_until - time.monotonic()
-            if (
-                seconds_left <= 0
-                or not select.select([self._socket], [], [], seconds_left)[0]
-            ):
+            if seconds_left <= 0 or not is_readable(self._socket, seconds_left):
                 break
             reply = self._receive()
             # Late replies to earlier requests are ignored.
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -6,11 +6,10 @@
 """
 
 import http.client
-import select
 import socket
 from collections.abc import Callable, Iterable, Iterator
 
-from mintsaddle.engines import shut_down
+from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.values import MILLISECONDS
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -88,7 +87,7 @@
             return False
         if response is not None and not response.isclosed():
             return False
-        return not select.select([self._socket], [], [], 0)[0]
+        return not is_readable(self._socket, 0.0)
 
     def mark_reused(self) -> None:
         """Mark the connection as used for a further request."""
--- a/mintsaddle/engines/__init__.py
+++ b/mintsaddle/engines/__init__.py
@@ -8,7 +8,7 @@
     EngineRequest,
 )
 from mintsaddle.engines._probe import EngineStatus, probe_engine, send_group_order
-from mintsaddle.engines._sockets import shut_down
+from mintsaddle.engines._sockets import is_readable, shut_down
 
 __all__ = [
     "EVENT_STREAM",
@@ -19,5 +19,6 @@
     "EngineStatus",
     "probe_engine",
     "send_group_order",
+    "is_readable",
     "shut_down",
 ]
--- a/mintsaddle/engines/_sockets.py
+++ b/mintsaddle/engines/_sockets.py
@@ -1,7 +1,10 @@
-"""Shutdown of a connection that another thread reads from."""
+"""Sockets that other threads read from, and waits for them."""
 
+import select
 import socket
 
+from mintsaddle.values import MILLISECONDS
+
 
 def shut_down(connection: socket.socket | None) -> None:
     """Shut a connection down, so that the engine stops its work.
@@ -15,3 +18,13 @@
     except OSError:
         # The engine has already closed the connection.
         return
+
+
+def is_readable(connection: socket.socket, seconds: float) -> bool:
+    """Return whether data, an end or an error arrives on a socket in time.
+
+    ``select.select`` fails for descriptors from 1,024 on.
+    """
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(max(0.0, seconds) * MILLISECONDS))
--- a/mintsaddle/platform/tests/test_connection_crowd.py
+++ b/mintsaddle/platform/tests/test_connection_crowd.py
@@ -14,6 +14,7 @@
 
 CALLERS = 160
 IDLE_CONNECTIONS = MAX_CONNECTIONS + 50
+MANY_DESCRIPTORS = 1_100
 EVENTS = 10
 
 
@@ -51,6 +52,17 @@
         endings = [line for line in log if "Ended" in line and "streamed" not in line]
         assert answers == [(200, EVENTS)] * CALLERS, endings
 
+    def test_streams_are_whole_whatever_number_their_descriptors_have(
+        self, site: Site
+    ) -> None:
+        """Guards against streams cut at their end with many connections."""
+        address = ("127.0.0.1", site.entry.front)
+        with contextlib.ExitStack() as stack:
+            for _ in range(MANY_DESCRIPTORS):
+                stack.enter_context(socket.create_connection(address))
+            answers = call_at_once(site, 20)
+        assert answers == [(200, EVENTS)] * 20
+
     def test_idle_connections_leave_room_for_new_ones(self, site: Site) -> None:
         """Guards against callers unread until idle ones reach their limit."""
         address = ("127.0.0.1", site.entry.front)
