Read the log of an entry without moving where it writes

The stand-in moved the position of the file that the entry writes to as well, so that lines written in between went to its beginning. It reads a file of its own now, and the test waits for the line, which another thread writes. The check is the same.

--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -492,7 +492,8 @@
                 seeds=json.dumps(seeds or []),
             )
         )
-        self._log = (folder / f"{name}.log").open("w+")
+        self._log_path = folder / f"{name}.log"
+        self._log = self._log_path.open("a")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "mintsaddle.platform"],
             env={**os.environ, "MINTSADDLE_NODE_FILE": str(settings)},
@@ -518,9 +519,12 @@
         self._settings.write_text(text.replace(old, new))
 
     def log(self) -> str:
-        """Return the log so far."""
-        self._log.seek(0)
-        return self._log.read()
+        """Return the log so far.
+
+        A file of its own is read: the process shares the position of the one
+        that it writes to.
+        """
+        return self._log_path.read_text()
 
     def is_ready(self) -> bool:
         """Return whether the readiness check succeeds."""
--- a/mintsaddle/platform/tests/test_crashing_parts.py
+++ b/mintsaddle/platform/tests/test_crashing_parts.py
@@ -160,4 +160,6 @@
         response = queued.getresponse()
         assert response.status == 502
         assert site.crashing_arrivals() <= 1 + MAX_ENDS + MAX_LATER_ARRIVALS
-        assert "ending=withdrawn" in site.entries[0].log()
+        wait_for(
+            lambda: "ending=withdrawn" in site.entries[0].log(), "log line of its end"
+        )
