Use one check of a listener, and encode records once for all peers

From reading the whole change again. The check of an engine repeated the test connection of the paths module, which calls it now. Records sent to all entries were encoded once for each of them; three more places repeated the same two lines. The count of recent ends stood twice. A stream that had survived its first second was recorded a second time at its end. Some comments use the terms of the field.

--- a/mintsaddle/decisions/quarantine/_comparison.py
+++ b/mintsaddle/decisions/quarantine/_comparison.py
@@ -2,7 +2,7 @@
 
 Requests that end engines also hold features of sound ones. Among features with
 the same ends, the one with the fewest survivors explains these ends. Features
-that can't be told apart yet are only known to end engines together.
+that can't be distinguished yet are only known to end engines together.
 """
 
 from typing import Final, NamedTuple
--- a/mintsaddle/decisions/quarantine/_ledger.py
+++ b/mintsaddle/decisions/quarantine/_ledger.py
@@ -21,10 +21,10 @@
 from mintsaddle.decisions.quarantine._features import Feature, RequestFeatures
 from mintsaddle.decisions.quarantine._records import (
     EVIDENCE_SECONDS,
-    WAVE_SECONDS,
     Outcome,
     Outcomes,
     Verdict,
+    count_recent,
     drop_expired,
     ended_engines,
     judge_outcomes,
@@ -131,13 +131,13 @@
         make it come later.
         """
         outcomes = self._implicated.get(feature, {})
-        recent = sum(now - at < WAVE_SECONDS for at in self._other_ends(outcomes))
-        return max(1, needed_ends(recent) - len(ended_engines(outcomes)))
+        needed = needed_ends(count_recent(self._other_ends(outcomes), now))
+        return max(1, needed - len(ended_engines(outcomes)))
 
     def record_survived(
         self, features: RequestFeatures, engine: int, now: Instant
     ) -> list[Feature]:
-        """Record that an engine has gone on after it began a request.
+        """Record that an engine has continued after it began a request.
 
         Args:
             features: The features of the request.
--- a/mintsaddle/decisions/quarantine/_records.py
+++ b/mintsaddle/decisions/quarantine/_records.py
@@ -1,7 +1,7 @@
 """What is known of one feature: the engines that ended or survived under it.
 
 An engine ends under a feature if its process is gone at the beginning of an
-answer to a request with it. It survives if it goes on past that beginning. A
+answer to a request with it. It survives if it continues past that beginning. A
 feature that ends engines does so at nearly each one that begins to write, so
 the record of any other feature soon has more survivors than ends, however
 often its requests are on engines that end for another reason.
@@ -17,7 +17,7 @@
 from mintsaddle.values import Instant
 
 SURVIVAL_SECONDS: Final = 1.0
-"""Seconds after the head of an answer for which its engine has to go on. A
+"""Seconds after the head of an answer for which its engine has to continue. A
 rank whose group stalls keeps its connections for longer than this, so the cut
 of a stalled stream shows that its own rank has survived."""
 
@@ -135,6 +135,11 @@
     return MIN_ENDS + min(MAX_EXTRA_ENDS, other_ends // OTHER_ENDS_PER_END)
 
 
+def count_recent(ends: Iterable[Instant], now: Instant) -> int:
+    """Return how many of some ends belong to a wave that still lasts."""
+    return sum(now - at < WAVE_SECONDS for at in ends)
+
+
 def is_implicated(outcomes: Outcomes) -> bool:
     """Return whether engines end under a feature far more often than not."""
     ends = len(ended_engines(outcomes))
@@ -160,8 +165,8 @@
     """
     if not is_implicated(outcomes):
         return Verdict.CLEAR
-    recent = sum(now - at < WAVE_SECONDS for at in other_ends)
-    has_enough = len(ended_engines(outcomes)) >= needed_ends(recent)
+    needed = needed_ends(count_recent(other_ends, now))
+    has_enough = len(ended_engines(outcomes)) >= needed
     if has_enough and now < quarantined_until(outcomes):
         return Verdict.QUARANTINED
     return Verdict.SUSPECT
--- a/mintsaddle/direct/_engine_checks.py
+++ b/mintsaddle/direct/_engine_checks.py
@@ -22,11 +22,13 @@
     """Its VM doesn't answer."""
 
 
-def check_engine(address: str) -> EngineState:
+def check_engine(
+    address: str, timeout_seconds: float = CHECK_TIMEOUT_SECONDS
+) -> EngineState:
     """Return the state of the engine at an address, by a new connection."""
     host, _, port = address.rpartition(":")
     try:
-        socket.create_connection((host, int(port)), CHECK_TIMEOUT_SECONDS).close()
+        socket.create_connection((host, int(port)), timeout_seconds).close()
     except ConnectionRefusedError:
         return EngineState.ENDED
     except OSError:
--- a/mintsaddle/direct/_feature_exchange.py
+++ b/mintsaddle/direct/_feature_exchange.py
@@ -117,8 +117,7 @@
         """Merge a peer's records; return what this entry knows of them."""
         self.merge(news.records)
         features = [Feature(record.feature) for record in news.records]
-        reports = self._gateway.quarantine.report_on(features[:MAX_RECORDS])
-        return pb.FeatureNews(records=encode_reports(reports, self._gateway.now()))
+        return pb.FeatureNews(records=self._encode(features[:MAX_RECORDS]))
 
     def answer_trial(self, wish: pb.TrialWish) -> pb.TrialAnswer:
         """Grant or end a trial for another entry."""
@@ -129,8 +128,7 @@
             return pb.TrialAnswer()
         until = self._gateway.now() + max(0.0, wish.seconds)
         is_granted = self._grant(feature, wish.holder, until)
-        reports = self._gateway.quarantine.report_on([feature])
-        records = encode_reports(reports, self._gateway.now())
+        records = self._encode([feature])
         return pb.TrialAnswer(
             granted=is_granted, record=records[0] if records else None
         )
@@ -176,23 +174,20 @@
             await self._has_changed.wait()
             self._has_changed.clear()
             changed, self._changed = self._changed, set()
-            reports = self._gateway.quarantine.report_on(changed)
+            news = pb.FeatureNews(records=self._encode(changed)[:MAX_RECORDS])
             others = self._membership.reachable(self._gateway.now())
-            await asyncio.gather(*(self._share(entry, reports) for entry in others))
+            await asyncio.gather(*(self._share(entry, news) for entry in others))
             await asyncio.sleep(SHARE_INTERVAL_SECONDS)
 
-    async def _share(self, entry: KnownEntry, reports: list[FeatureReport]) -> None:
-        records = encode_reports(reports[:MAX_RECORDS], self._gateway.now())
+    async def _share(self, entry: KnownEntry, news: pb.FeatureNews) -> None:
         stub = EntryPeersStub(self._channels.open(entry.address))
         try:
-            answer = await stub.ShareFeatures(
-                pb.FeatureNews(records=records), timeout=SHARE_TIMEOUT_SECONDS
-            )
+            answer = await stub.ShareFeatures(news, timeout=SHARE_TIMEOUT_SECONDS)
         except Exception as error:
             self._record_unreachable(entry, error)
             return
         if self.merge(answer.records):
-            self.mark_changed(report.feature for report in reports)
+            self.mark_changed(Feature(record.feature) for record in news.records)
 
     async def _ask(
         self, arbiter: KnownEntry, wish: pb.TrialWish
@@ -205,6 +200,11 @@
             self._record_unreachable(arbiter, error)
             return None
 
+    def _encode(self, features: Iterable[Feature]) -> list[pb.FeatureRecord]:
+        """Return the records of some features, as far as they are known."""
+        reports = self._gateway.quarantine.report_on(features)
+        return encode_reports(reports, self._gateway.now())
+
     def _grant(self, feature: Feature, holder: str, until: Instant) -> bool:
         quarantine = self._gateway.quarantine
         match quarantine.judge(RequestFeatures((feature,), None)).verdict:
@@ -224,13 +224,11 @@
         return by_name.get(first)
 
     def _make_wish(self, feature: Feature, holder: str, until: Instant) -> pb.TrialWish:
-        now = self._gateway.now()
-        reports = self._gateway.quarantine.report_on([feature])
-        records = encode_reports(reports, now)
+        records = self._encode([feature])
         return pb.TrialWish(
             record=records[0] if records else pb.FeatureRecord(feature=feature),
             holder=holder,
-            seconds=max(0.0, until - now),
+            seconds=max(0.0, until - self._gateway.now()),
         )
 
     def _record_unreachable(self, entry: KnownEntry, error: Exception) -> None:
--- a/mintsaddle/direct/_paths.py
+++ b/mintsaddle/direct/_paths.py
@@ -1,11 +1,11 @@
 """Test connections to data centres that may be unreachable."""
 
-import socket
 import threading
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from mintsaddle.decisions.direct import ENDPOINTS_PER_CHECK
+from mintsaddle.direct._engine_checks import EngineState, check_engine
 from mintsaddle.direct._gateway import Gateway
 
 CHECK_SECONDS = 0.15
@@ -48,12 +48,5 @@
 
 
 def _is_reachable(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), timeout=CHECK_SECONDS).close()
-    except ConnectionRefusedError:
-        # The VM refused the connection, so the network path works.
-        return True
-    except OSError:
-        return False
-    return True
+    # A VM that refuses the connection shows that the network path works.
+    return check_engine(address, CHECK_SECONDS) is not EngineState.UNKNOWN
--- a/mintsaddle/direct/_quarantine.py
+++ b/mintsaddle/direct/_quarantine.py
@@ -107,7 +107,7 @@
         Args:
             feature: The suspected feature.
             holder: Names the request among those of all entries.
-            until: When the trial ends if nothing is heard of it.
+            until: When the trial ends if no end of it is reported.
         """
         return self._request_trial(feature, holder, until)
 
@@ -116,7 +116,7 @@
         self._end_trial(feature, holder)
 
     def record_survived(self, features: RequestFeatures, endpoint: str) -> None:
-        """Record that an endpoint has gone on after it began a request."""
+        """Record that an endpoint has continued after it began a request."""
         engine = digest_engine(endpoint)
         with self._lock:
             changed = self._ledger.record_survived(features, engine, self._now())
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -210,7 +210,8 @@
                     self._record_survived(attempt)
                 yield event.data
             is_complete = True
-            self._record_survived(attempt)
+            if not has_survived:
+                self._record_survived(attempt)
         except (OSError, http.client.HTTPException, StreamCutError) as error:
             self._record_broken(attempt, error, has_event=has_event)
             return False
