--- /dev/null
+++ b/review/standins/engine.py
@@ -0,0 +1,161 @@
+"""Stand-in for an engine of a plain service, run as a process of its own.
+
+It answers one request at a time on a connection, in `SLOTS` slots. Of its
+answers, each one in `--unframed-every` has no length and ends with its
+connection; such a body is sent in two halves while the work is done. All
+others have a length and are sent when the work is done.
+
+While the file of `--grey-file` is there, it fails a share of `--grey-share` of
+its requests: it does the work and then answers 503, with its stamp, without
+saying that it has not run the request. Its health stays good.
+
+Each line on standard output is one event: `run ID` as the work begins, `half
+ID` once the first half of a body without a length has been sent, `done ID`,
+`failed ID`.
+"""
+
+import argparse
+import http.server
+import itertools
+import random
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from bodies import make_body
+
+SLOTS = 6
+QUEUE = 24
+IDLE_SECONDS = 5
+
+_lock = threading.Lock()
+
+
+def report(event: str, attempt: str) -> None:
+    """Write one event to standard output."""
+    with _lock:
+        print(event, attempt, flush=True)
+
+
+class Engine(http.server.ThreadingHTTPServer):
+    """The server; holds what its handlers share."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        host, _, port = options.address.rpartition(":")
+        super().__init__((host, int(port)), Handler)
+        self.options = options
+        self.slots = threading.BoundedSemaphore(SLOTS)
+        self.places = threading.BoundedSemaphore(SLOTS + QUEUE)
+        self.answers = itertools.count(1)
+
+    def handle_error(self, *_: object) -> None:
+        """Ignore connections that the caller has closed."""
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Serves one connection."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    server: Engine
+    timeout = IDLE_SECONDS
+
+    def log_message(self, *_: object) -> None:
+        """Log nothing; events are written to standard output."""
+
+    def do_GET(self) -> None:
+        """Answer a request."""
+        length = int(self.headers.get("Content-Length") or 0)
+        self.rfile.read(length)
+        options = self.server.options
+        attempt = self.headers.get("X-Mintsaddle-Attempt-Id", "")
+        if self.path == "/health":
+            self._send(200, b"", X_Mintsaddle_Instance_Id=options.name)
+            return
+        if self.headers.get("X-Mintsaddle-Expect-Instance", "") != options.name:
+            self._send(421, b"", X_Mintsaddle_Instance_Id=options.name)
+            return
+        if not attempt:
+            self._send(400, b"", X_Mintsaddle_Not_Executed="1")
+            return
+        if not self.server.places.acquire(blocking=False):
+            self._send(503, b"", X_Mintsaddle_Not_Executed="1")
+            return
+        try:
+            with self.server.slots:
+                self._run(attempt)
+        finally:
+            self.server.places.release()
+
+    do_POST = do_GET  # noqa: N815 - named by the base class
+
+    def _run(self, attempt: str) -> None:
+        options = self.server.options
+        report("run", attempt)
+        body = make_body(options.name, attempt)
+        every = options.unframed_every
+        is_unframed = bool(every) and next(self.server.answers) % every == 0
+        seconds = options.work_ms / 1000
+        if self._is_failing():
+            time.sleep(seconds)
+            self._send_head(503, attempt, Content_Length="0")
+            report("failed", attempt)
+            return
+        if is_unframed:
+            half = len(body) // 2
+            time.sleep(seconds / 3)
+            self._send_head(200, attempt)
+            self.wfile.write(body[:half])
+            report("half", attempt)
+            time.sleep(2 * seconds / 3)
+            self.wfile.write(body[half:])
+            self.close_connection = True
+        else:
+            time.sleep(seconds)
+            self._send_head(200, attempt, Content_Length=str(len(body)))
+            self.wfile.write(body)
+        report("done", attempt)
+
+    def _is_failing(self) -> bool:
+        options = self.server.options
+        if not options.grey_file or not Path(options.grey_file).exists():
+            return False
+        return random.random() < options.grey_share
+
+    def _send_head(self, status: int, attempt: str, **headers: str) -> None:
+        self.send_response(status)
+        self.send_header("X-Mintsaddle-Attempt-Id", attempt)
+        stamp = f"{self.server.options.name}.{attempt}"
+        self.send_header("X-Mintsaddle-Response-Stamp", stamp)
+        self.send_header("Keep-Alive", f"timeout={IDLE_SECONDS}")
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.end_headers()
+
+    def _send(self, status: int, body: bytes, **headers: Any) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--work-ms", type=float, default=90.0)
+    parser.add_argument("--unframed-every", type=int, default=0)
+    parser.add_argument("--grey-file", default="")
+    parser.add_argument("--grey-share", type=float, default=0.0)
+    Engine(parser.parse_args()).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
