--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,11 @@
-"""An engine goes dark while an answer without a length is on its way."""
+"""Answers without a length that an entry gives up on at its own time limit.
 
+The disruption is named by the variable DISRUPTION: `dark` (the default), an
+engine that is silent for some seconds from the middle of such an answer, or
+`slow`, one that works more slowly.
+"""
+
+import os
 import signal
 import sys
 import time
@@ -10,7 +16,6 @@
 from bodies import make_body
 from site_on_loopback import (
     Answer,
-    Engine,
     Site,
     Traffic,
     has_trouble,
@@ -21,10 +26,12 @@
 )
 
 CALM_SECONDS = 4.0
-DARK_SECONDS = 4.5
 BETWEEN_SECONDS = 5.0
 DISRUPTIONS = 4
+DISRUPTED_SECONDS = {"slow": 9.0, "dark": 4.5}
+SLOW_FACTOR = 8
 PER_SECOND = 24
+LOOKUPS = 0.5
 UNFRAMED_EVERY = 20
 WORK_MS = 90
 
@@ -38,41 +45,47 @@
     return not is_own or answer.body != make_body(engine, attempt)
 
 
-def go_dark(site: Site, engine: Engine) -> None:
-    """Stop an engine while it sends an answer without a length."""
-    before = engine.log().count("half ")
-    wait_for(lambda: engine.log().count("half ") > before, "answer without a length")
-    site.record.write("dark", engine.name)
-    engine.send_signal(signal.SIGSTOP)
-    engine.is_silent = True
-    time.sleep(DARK_SECONDS)
+def disrupt(site: Site, slow_file: Path, how: str) -> None:
+    """Make the first engine slow or dark for a while."""
+    engine = site.engines[0]
+    if how == "dark":
+        before = engine.log().count("half ")
+        is_on_its_way = "answer without a length"
+        wait_for(lambda: engine.log().count("half ") > before, is_on_its_way)
+        engine.send_signal(signal.SIGSTOP)
+        engine.is_silent = True
+    else:
+        slow_file.touch()
+    site.record.write(how, engine.name)
+    time.sleep(DISRUPTED_SECONDS[how])
+    slow_file.unlink(missing_ok=True)
     engine.send_signal(signal.SIGCONT)
     engine.is_silent = False
-    site.record.write("back", engine.name)
+    site.record.write("as before", engine.name)
 
 
 def play(site: Site) -> int:
     """Play the case and return the exit status."""
+    how = os.environ.get("DISRUPTION", "dark")
+    slow_file = site.logs / "slow"
+    slow = ["--slow-file", str(slow_file), "--slow-factor", str(SLOW_FACTOR)]
+    unframed = ["--unframed-every", str(UNFRAMED_EVERY)]
+    first = [*slow, *unframed]
     site.start_engines(
-        lambda index: [
-            "--work-ms",
-            str(WORK_MS),
-            "--unframed-every",
-            str(UNFRAMED_EVERY if index == 0 else 0),
-        ]
+        lambda index: ["--work-ms", str(WORK_MS), *([] if index else first)]
     )
     site.store.put("op/config", make_configuration())
     site.start_entries()
     count = len(site.entry_ips)
     wait_for(lambda: len(site.ready_entries()) == count, "entries that are ready")
-    traffic = Traffic(site, PER_SECOND)
+    traffic = Traffic(site, PER_SECOND, LOOKUPS)
     traffic.start()
     time.sleep(CALM_SECONDS)
     for _ in range(DISRUPTIONS):
         if has_trouble():
-            go_dark(site, site.engines[0])
+            disrupt(site, slow_file, how)
         else:
-            time.sleep(DARK_SECONDS)
+            time.sleep(DISRUPTED_SECONDS[how])
         time.sleep(BETWEEN_SECONDS)
     traffic.stop()
     answers = [answer for _, answer in traffic.answers]
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -5,19 +5,24 @@
 connection; such a body is sent in two halves while the work is done. All
 others have a length and are sent when the work is done.
 
+While the file of `--slow-file` is there, its work takes `--slow-factor` times
+as long. It stops work at the deadline that it receives.
+
 While the file of `--grey-file` is there, it fails a share of `--grey-share` of
 its requests: it does the work and then answers 503, with its stamp, without
 saying that it has not run the request. Its health stays good.
 
 Each line on standard output is one event: `run ID` as the work begins, `half
 ID` once the first half of a body without a length has been sent, `done ID`,
-`failed ID`.
+`failed ID`, `late ID` when the deadline ended the work.
 """
 
 import argparse
 import http.server
 import itertools
 import random
+import socket
+import struct
 import threading
 import time
 from pathlib import Path
@@ -38,6 +43,18 @@
         print(event, attempt, flush=True)
 
 
+def is_there(path: str) -> bool:
+    """Return whether a file is there."""
+    return bool(path) and Path(path).exists()
+
+
+def sleep_until_deadline(seconds: float, deadline: float) -> bool:
+    """Work for some seconds; return whether that ended before the deadline."""
+    left = deadline - time.monotonic()
+    time.sleep(max(0.0, min(seconds, left)))
+    return seconds <= left
+
+
 class Engine(http.server.ThreadingHTTPServer):
     """The server; holds what its handlers share."""
 
@@ -85,46 +102,60 @@
         if not self.server.places.acquire(blocking=False):
             self._send(503, b"", X_Mintsaddle_Not_Executed="1")
             return
+        left_ms = float(self.headers.get("X-Mintsaddle-Deadline-Ms") or 10_000)
+        deadline = time.monotonic() + left_ms / 1000
         try:
             with self.server.slots:
-                self._run(attempt)
+                self._run(attempt, deadline)
         finally:
             self.server.places.release()
 
     do_POST = do_GET  # noqa: N815 - named by the base class
 
-    def _run(self, attempt: str) -> None:
+    def _run(self, attempt: str, deadline: float) -> None:
+        if time.monotonic() >= deadline:
+            self._send(503, b"", X_Mintsaddle_Not_Executed="1")
+            return
         options = self.server.options
         report("run", attempt)
         body = make_body(options.name, attempt)
         every = options.unframed_every
         is_unframed = bool(every) and next(self.server.answers) % every == 0
         seconds = options.work_ms / 1000
-        if self._is_failing():
+        if is_there(options.slow_file):
+            seconds *= options.slow_factor
+        if is_there(options.grey_file) and random.random() < options.grey_share:
             time.sleep(seconds)
             self._send_head(503, attempt, Content_Length="0")
             report("failed", attempt)
-            return
-        if is_unframed:
-            half = len(body) // 2
-            time.sleep(seconds / 3)
-            self._send_head(200, attempt)
-            self.wfile.write(body[:half])
-            report("half", attempt)
-            time.sleep(2 * seconds / 3)
-            self.wfile.write(body[half:])
-            self.close_connection = True
-        else:
-            time.sleep(seconds)
+        elif is_unframed:
+            self._answer_without_length(attempt, body, seconds, deadline)
+        elif sleep_until_deadline(seconds, deadline):
             self._send_head(200, attempt, Content_Length=str(len(body)))
             self.wfile.write(body)
-        report("done", attempt)
-
-    def _is_failing(self) -> bool:
-        options = self.server.options
-        if not options.grey_file or not Path(options.grey_file).exists():
-            return False
-        return random.random() < options.grey_share
+            report("done", attempt)
+        else:
+            self._send_head(504, attempt, Content_Length="0")
+            report("late", attempt)
+
+    def _answer_without_length(
+        self, attempt: str, body: bytes, seconds: float, deadline: float
+    ) -> None:
+        """Send one half after a third of the work and the other at the end."""
+        half = len(body) // 2
+        time.sleep(seconds / 3)
+        self._send_head(200, attempt)
+        self.wfile.write(body[:half])
+        report("half", attempt)
+        self.close_connection = True
+        if sleep_until_deadline(2 * seconds / 3, deadline):
+            self.wfile.write(body[half:])
+            report("done", attempt)
+            return
+        report("late", attempt)
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.connection.close()
 
     def _send_head(self, status: int, attempt: str, **headers: str) -> None:
         self.send_response(status)
@@ -152,6 +183,8 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--work-ms", type=float, default=90.0)
     parser.add_argument("--unframed-every", type=int, default=0)
+    parser.add_argument("--slow-file", default="")
+    parser.add_argument("--slow-factor", type=float, default=1.0)
     parser.add_argument("--grey-file", default="")
     parser.add_argument("--grey-share", type=float, default=0.0)
     Engine(parser.parse_args()).serve_forever()
--- a/review/standins/site_on_loopback.py
+++ b/review/standins/site_on_loopback.py
@@ -398,9 +398,17 @@
 class Traffic:
     """Clients that look up and register orders, and what came back."""
 
-    def __init__(self, site: Site, per_second: float) -> None:
+    def __init__(self, site: Site, per_second: float, lookups: float = 0.5) -> None:
+        """Set up the clients.
+
+        Args:
+            site: The site.
+            per_second: Requests a second.
+            lookups: Share of these that are lookups.
+        """
         self._site = site
         self._per_second = per_second
+        self._lookups = lookups
         self._lock = threading.Lock()
         self._is_running = True
         self._threads: list[threading.Thread] = []
@@ -427,7 +435,7 @@
     def _call(self) -> None:
         sent_at = time.monotonic()
         index = random.randrange(len(self._site.entries))
-        if random.random() < 0.5:
+        if random.random() < self._lookups:
             answer = self._site.call(index, "GET", "/lookup/2f", LOOKUP_DEADLINE_MS)
         else:
             answer = self._site.call(index, "POST", "/order/2f", ORDER_DEADLINE_MS)
