--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -8,19 +8,18 @@
 While the file of `--slow-file` is there, its work takes `--slow-factor` times
 as long. It stops work at the deadline that it receives.
 
-While the file of `--grey-file` is there, it fails a share of `--grey-share` of
-its requests: it does the work and then answers 503, with its stamp, without
-saying that it has not run the request. Its health stays good.
+Its process ends as it begins to run a request to `--crash-path`, which it
+reports as `crash ID`.
 
-Each line on standard output is one event: `run ID` as the work begins, `half
-ID` once the first half of a body without a length has been sent, `done ID`,
-`failed ID`, `late ID` when the deadline ended the work.
+Each line on standard output is one event with the time of the steady clock:
+`run ID` as the work begins, `half ID` once the first half of a body without a
+length has been sent, `done ID`, `late ID` when the deadline ended the work.
 """
 
 import argparse
 import http.server
 import itertools
-import random
+import os
 import socket
 import struct
 import threading
@@ -40,7 +39,7 @@
 def report(event: str, attempt: str) -> None:
     """Write one event to standard output."""
     with _lock:
-        print(event, attempt, flush=True)
+        print(event, attempt, f"{time.monotonic():.3f}", flush=True)
 
 
 def is_there(path: str) -> bool:
@@ -117,6 +116,9 @@
             self._send(503, b"", X_Mintsaddle_Not_Executed="1")
             return
         options = self.server.options
+        if options.crash_path and self.path == options.crash_path:
+            report("crash", attempt)
+            os._exit(1)
         report("run", attempt)
         body = make_body(options.name, attempt)
         every = options.unframed_every
@@ -124,11 +126,7 @@
         seconds = options.work_ms / 1000
         if is_there(options.slow_file):
             seconds *= options.slow_factor
-        if is_there(options.grey_file) and random.random() < options.grey_share:
-            time.sleep(seconds)
-            self._send_head(503, attempt, Content_Length="0")
-            report("failed", attempt)
-        elif is_unframed:
+        if is_unframed:
             self._answer_without_length(attempt, body, seconds, deadline)
         elif sleep_until_deadline(seconds, deadline):
             self._send_head(200, attempt, Content_Length=str(len(body)))
@@ -185,8 +183,7 @@
     parser.add_argument("--unframed-every", type=int, default=0)
     parser.add_argument("--slow-file", default="")
     parser.add_argument("--slow-factor", type=float, default=1.0)
-    parser.add_argument("--grey-file", default="")
-    parser.add_argument("--grey-share", type=float, default=0.0)
+    parser.add_argument("--crash-path", default="")
     Engine(parser.parse_args()).serve_forever()
 
 
--- a/review/standins/site_on_loopback.py
+++ b/review/standins/site_on_loopback.py
@@ -484,6 +484,7 @@
         folder: The folder of the case.
         sizes: Numbers of entries and engines.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         site = Site(Path(folder), **sizes)
         try:
