Don't take the end of an aborted connection for the end of an answer

A lookup's second attempt wasn't made.

Cause: the watchdog aborts an exchange at its limit by shutdown(SHUT_RDWR). The reading thread then sees an end of file, which is how such an answer ends. Evidence: the answers arrived 0.55 s (lookup) and 0.95 s (order) after the request, which are the entry's limits (0.4 and 0.8 s, plus 0.15 s of grace) while the engine was stopped. Ruled out: the engine's own end, as a reset raises and is refused.

Change: bodies and streams that only end with their connection count as broken once the exchange was aborted. The same end of file on related paths: a head that is cut before its blank line, whether by an abort or by the engine, was a whole answer without a body; a chunk size that is cut was the last chunk; a cancelled call of an endpoint daemon recorded a part as complete.

--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -30,6 +30,10 @@
     begun_at: Instant
     """When the head of the answer arrived."""
 
+    def is_aborted(self) -> bool:
+        """Return whether this entry has aborted the exchange."""
+        return self.exchange.aborted
+
 
 def acquire_exchange(
     gateway: Gateway, call: DirectCall, endpoint: Incarnation
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Callable, Iterable, Iterator
 
-from mintsaddle.engines import is_readable, shut_down
+from mintsaddle.engines import StrictResponse, is_readable, shut_down
 from mintsaddle.values import MILLISECONDS
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -35,6 +35,10 @@
     """
 
 
+class AbortedError(ConnectionError):
+    """This entry aborted the exchange before the answer's end was certain."""
+
+
 class Event:
     """One complete event of a stream, as raw bytes."""
 
@@ -62,6 +66,7 @@
         self._connection = http.client.HTTPConnection(
             address, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self._connection.response_class = StrictResponse
         self._socket: socket.socket | None = None
         self._response: http.client.HTTPResponse | None = None
         self._aborted = False
@@ -193,29 +198,47 @@
             self._socket.close()
 
 
-def read_body(response: http.client.HTTPResponse) -> bytes:
+def read_body(
+    response: http.client.HTTPResponse, is_aborted: Callable[[], bool]
+) -> bytes:
     """Return a complete body.
 
+    Args:
+        response: The answer, whose head has been read.
+        is_aborted: Returns whether this entry has aborted the exchange.
+
     Raises:
-        OSError: The connection broke.
+        OSError: The connection broke, or was aborted before a body that only
+            ends with it was complete.
         http.client.HTTPException: The body is shorter than announced.
     """
+    has_marked_end = _has_marked_end(response)
     body = response.read()
     if response.length:
         raise http.client.IncompleteRead(body, response.length)
+    # An abort ends the connection in the same way as a complete answer.
+    if not has_marked_end and is_aborted():
+        raise AbortedError
     return body
 
 
-def read_events(response: http.client.HTTPResponse) -> Iterator[Event]:
+def read_events(
+    response: http.client.HTTPResponse, is_aborted: Callable[[], bool]
+) -> Iterator[Event]:
     """Yield each complete event as it arrives.
 
+    Args:
+        response: The answer, whose head has been read.
+        is_aborted: Returns whether this entry has aborted the exchange.
+
     Raises:
-        OSError: The connection broke.
+        OSError: The connection broke, or was aborted before a stream that only
+            ends with it was complete.
         http.client.HTTPException: The body ended early.
         StreamCutError: The body ended in the middle of an event, or before
             its first event with nothing that marks the end.
     """
-    has_marked_end = response.chunked or response.length is not None
+    has_marked_end = _has_marked_end(response)
     has_event = False
     partial = b""
     while True:
@@ -228,5 +251,12 @@
             yield Event(data + _EVENT_END)
     if response.length:
         raise http.client.IncompleteRead(partial, response.length)
+    if not has_marked_end and is_aborted():
+        raise AbortedError
     if partial.strip() or not (has_event or has_marked_end):
         raise StreamCutError
+
+
+def _has_marked_end(response: http.client.HTTPResponse) -> bool:
+    """Return whether the end of the body doesn't depend on the connection."""
+    return response.chunked or response.length is not None
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -149,7 +149,7 @@
         ending = Ending.BROKEN
         is_complete = False
         try:
-            body = read_body(attempt.response)
+            body = read_body(attempt.response, attempt.is_aborted)
         except (OSError, http.client.HTTPException) as error:
             self._record_broken(attempt, error)
         else:
@@ -198,7 +198,7 @@
             self._gateway, self._call, attempt.endpoint.assignment
         )
         try:
-            for event in read_events(attempt.response):
+            for event in read_events(attempt.response, attempt.is_aborted):
                 number = event.read_id()
                 if number is not None:
                     self._call = self._call._replace(last_event=number)
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -86,7 +86,7 @@
 def send_request(exchange: Exchange) -> bytes:
     assert exchange.connect()
     response = exchange.send("GET", "/x", [], b"", TIMEOUT)
-    return read_body(response)
+    return read_body(response, lambda: exchange.aborted)
 
 
 def wait_readable(exchange: Exchange) -> None:
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple, TypeAlias
 
+from mintsaddle.engines._responses import StrictResponse
 from mintsaddle.engines._sockets import shut_down
 
 EVENT_STREAM = "text/event-stream"
@@ -62,6 +63,7 @@
         self._connection = http.client.HTTPConnection(
             address, timeout=request.silence_timeout
         )
+        self._connection.response_class = StrictResponse
         self._socket: socket.socket | None = None
         self._cancelled = False
 
@@ -81,7 +83,7 @@
                 return EngineCallResult(reached=False, is_complete=False, chunk_count=0)
             with self._send() as response:
                 on_head(_read_head(response))
-                for chunk in _read_chunks(response):
+                for chunk in _read_chunks(response, lambda: self._cancelled):
                     if chunk is None:
                         return EngineCallResult(
                             reached=True, is_complete=True, chunk_count=count
@@ -116,8 +118,11 @@
     )
 
 
-def _read_chunks(response: http.client.HTTPResponse) -> Iterator[bytes | None]:
+def _read_chunks(
+    response: http.client.HTTPResponse, is_cancelled: Callable[[], bool]
+) -> Iterator[bytes | None]:
     """Yield the chunks, then None if the response is complete."""
+    has_marked_end = response.chunked or response.length is not None
     content_type = response.headers.get("Content-Type", "")
     if content_type.startswith(EVENT_STREAM):
         yield from _read_events(response)
@@ -127,8 +132,8 @@
         yield block
         block = response.read(_BLOCK_BYTES)
     # When reading in blocks, http.client doesn't report a truncated body; the
-    # remaining length shows it.
-    if not response.length:
+    # remaining length shows it. Cancelling also ends the connection.
+    if not response.length and (has_marked_end or not is_cancelled()):
         yield None
 
 
--- a/mintsaddle/engines/tests/test_calls.py
+++ b/mintsaddle/engines/tests/test_calls.py
@@ -122,6 +122,30 @@
             reached=True, is_complete=False, chunk_count=1
         )
 
+    def test_cancel_does_not_complete_a_body_without_a_length(self) -> None:
+        """Guards against a part of an answer recorded as whole."""
+        response = b"HTTP/1.1 200 OK\r\n\r\n" + b"part" * 32_768
+        with engine(response, keeps_open=True) as address:
+            call = EngineCall(address, REQUEST)
+            result = call.run(lambda head: None, lambda chunk: call.cancel())
+        assert result.chunk_count > 0
+        assert not result.is_complete
+
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 200 OK\r\nEngine-Boot: 7\r\n",
+            b"HTTP/1.1 200 OK\r\nEngine-Boot: 7",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0",
+        ],
+        ids=["before-blank-line", "in-header", "in-chunk-size"],
+    )
+    def test_line_that_was_cut_is_no_complete_response(self, response: bytes) -> None:
+        """Guards against a cut head or chunk size seen as a whole answer."""
+        with engine(response) as address:
+            result, _, _ = run(address)
+        assert (result.reached, result.is_complete) == (True, False)
+
     def test_cancelled_before_the_first_byte_reached_nothing(self) -> None:
         with engine(b"") as address:
             call = EngineCall(address, REQUEST)
--- a/mintsaddle/platform/tests/test_answers_without_length.py
+++ b/mintsaddle/platform/tests/test_answers_without_length.py
@@ -35,6 +35,28 @@
     handler.close_connection = True
 
 
+def fall_silent(handler: Any) -> None:
+    """Leave the connection open until the caller closes it."""
+    handler.connection.settimeout(standins.WAIT_SECONDS)
+    handler.connection.recv(1)
+    handler.close_connection = True
+
+
+def send_part_of_head(endpoint: Endpoint, handler: Any, *, end: Ending) -> None:
+    """Send a head that lacks the line with the length, and its end."""
+    handler.send_response(200)
+    attempt = "X-Mintsaddle-Attempt-Id"
+    handler.send_header(attempt, handler.headers[attempt])
+    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    handler.flush_headers()
+    handler.wfile.flush()
+    end(handler)
+
+
+def part_of_head(end: Ending) -> Responder:
+    return partial(send_part_of_head, end=end)
+
+
 def respond(
     endpoint: Endpoint, handler: Any, *, body: bytes, kind: str, end: Ending
 ) -> None:
@@ -92,6 +114,16 @@
         with pytest.raises((http.client.HTTPException, OSError)):
             connection.getresponse().read()
 
+    def test_one_that_the_entry_aborts_between_events_does_not_look_complete(
+        self, site: Site
+    ) -> None:
+        """Guards against a part of a stream that is passed on as whole."""
+        site.script(stream(b"".join(PIECES[:2]), fall_silent))
+        deadline = {"X_Mintsaddle_Deadline_Ms": "500"}
+        connection = site.entry.open("POST", "/letter/1", **deadline)
+        with pytest.raises((http.client.HTTPException, OSError)):
+            connection.getresponse().read()
+
 
 class TestBodies:
     def test_one_that_ends_with_its_connection_is_complete(self, site: Site) -> None:
@@ -109,3 +141,31 @@
             assert site.entry.call("GET", "/lookup/1")[::2] == (200, b"whole")
         ports = [request["port"] for request in site.requests()]
         assert len(set(ports)) == 3
+
+    def test_one_that_the_entry_aborts_is_not_passed_on(self, site: Site) -> None:
+        """Guards against half an answer passed on as whole at a timeout."""
+        site.script(text(b"half an answer", fall_silent))
+        deadline = {"X_Mintsaddle_Deadline_Ms": "500"}
+        status, _, body = site.entry.call("POST", "/order/1", **deadline)
+        assert (status, body) == (504, b"")
+        assert len(site.requests()) == 1
+
+    def test_one_that_the_entry_aborts_is_requested_from_another_endpoint(
+        self, site: Site
+    ) -> None:
+        """Guards against half an answer that takes the place of a retry."""
+        site.script(text(b"half an answer", fall_silent), text(b"whole"))
+        deadline = {"X_Mintsaddle_Deadline_Ms": "1500"}
+        status, _, body = site.entry.call("GET", "/lookup/1", **deadline)
+        assert (status, body) == (200, b"whole")
+
+
+class TestHeads:
+    @pytest.mark.parametrize("end", [close, fall_silent])
+    def test_one_that_was_broken_off_is_not_passed_on(
+        self, site: Site, end: Ending
+    ) -> None:
+        """Guards against a cut head seen as a whole answer without a body."""
+        site.script(part_of_head(end))
+        deadline = {"X_Mintsaddle_Deadline_Ms": "500"}
+        assert site.entry.call("POST", "/order/1", **deadline)[0] in (502, 504)
