Let an unreadable item of the store cost only itself

Cause: json.loads raises RecursionError for nested brackets, and int() raises OverflowError for 1e999; the decoder listed four other exceptions. Ruled out: that the item names an engine that gets the requests, and that the page isn't read.

Change: whatever one item raises, all others are applied, and an endpoint with an unreadable announcement isn't used. Numbers have to fit a double, names have to be encodable for peers, addresses have to be an IP and a port. Related paths: decoders of the configuration, of engines' reports, counts and experts, of probes, of the platform's values and of agents' datagrams catch the same errors; one datagram no longer ends an agent; a group's size isn't listed in memory; the gossip goes on after an update that can't be applied.

--- a/mintsaddle/direct/_peer_start.py
+++ b/mintsaddle/direct/_peer_start.py
@@ -1,7 +1,8 @@
 """Starts the exchange between direct entries, and connects its callers."""
 
 import asyncio
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, NoReturn
 
 from grpclib.server import Server
 
@@ -9,9 +10,15 @@
 from mintsaddle.decisions.quarantine import Feature
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._peers import PeerExchange
+from mintsaddle.observe import make_logger
 from mintsaddle.transport import LoopThread
 from mintsaddle.values import Instant
 
+RESTART_PAUSE_SECONDS = 0.3
+"""Pause before a job starts again, as long as between fast gossip rounds."""
+
+_log = make_logger("peers")
+
 
 def start_peer_exchange(gateway: Gateway, membership: Membership) -> None:
     """Start gossip in an event loop and thread of its own."""
@@ -49,17 +56,31 @@
     server: Any = Server([exchange])
     host, _, port = gateway.settings.control.rpartition(":")
     await server.start(host, int(port))
-    exchange_task = asyncio.ensure_future(exchange.run())
-    holders_task = asyncio.ensure_future(exchange.watch_holders())
-    upstreams_task = asyncio.ensure_future(exchange.follow_upstreams())
-    permits_task = asyncio.ensure_future(exchange.permits.publish_changes())
-    features_task = asyncio.ensure_future(exchange.features.publish_changes())
-    gateway.keep_references(
-        server,
-        exchange_task,
-        holders_task,
-        upstreams_task,
-        permits_task,
-        features_task,
+    jobs = (
+        exchange.run,
+        exchange.watch_holders,
+        exchange.follow_upstreams,
+        exchange.permits.publish_changes,
+        exchange.features.publish_changes,
     )
+    tasks = [asyncio.ensure_future(run_forever(job)) for job in jobs]
+    gateway.keep_references(server, *tasks)
     return exchange
+
+
+async def run_forever(
+    job: Callable[[], Coroutine[Any, Any, None]],
+    pause_seconds: float = RESTART_PAUSE_SECONDS,
+) -> NoReturn:
+    """Run a job until cancelled; start it again after any exception.
+
+    Args:
+        job: Runs until cancelled.
+        pause_seconds: Pause before it starts again.
+    """
+    while True:
+        try:
+            await job()
+        except Exception:
+            _log.exception("Exchange with peers failed; retrying.")
+        await asyncio.sleep(pause_seconds)
--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -245,10 +245,14 @@
         if address in self._unresponsive:
             self._unresponsive.discard(address)
             _log.info("Peer reachable again %s.", fields(address=address))
-        self._hellos.record(update.hello)
-        for position in update.hello.positions:
-            if self._should_apply(position):
-                self._relay.apply_update(update, position)
+        try:
+            self._hellos.record(update.hello)
+            for position in update.hello.positions:
+                if self._should_apply(position):
+                    self._relay.apply_update(update, position)
+        except Exception:
+            # The other peers' updates, and later rounds, still count.
+            _log.exception("Update not applied %s.", fields(address=address))
 
     def _record_failure(self, address: str, error: Exception) -> None:
         """Record that a peer failed with any exception that grpclib raises.
--- a/mintsaddle/direct/_rank_groups.py
+++ b/mintsaddle/direct/_rank_groups.py
@@ -35,7 +35,8 @@
             for endpoint in ranks.values()
             if endpoint.assignment is not None
         ]
-        is_whole = sorted(ranks) == list(range(assignments[0].size))
+        size = assignments[0].size
+        is_whole = len(ranks) == size and sorted(ranks) == list(range(size))
         if layout is not None and is_whole:
             ordered = tuple(ranks[rank] for rank in sorted(ranks))
             serving = tuple(
--- a/mintsaddle/engines/_probe.py
+++ b/mintsaddle/engines/_probe.py
@@ -6,6 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
+from mintsaddle.values import DECODING_ERRORS
+
 PROBE_TIMEOUT_SECONDS = 0.4
 """Bounds the age of a probe result below the time of the fastest restart."""
 
@@ -54,7 +56,7 @@
         connection.request("POST", f"/group/{action}", json.dumps(order))
         response = connection.getresponse()
         answer = json.loads(response.read(_MAX_RESPONSE_BYTES))
-    except (OSError, http.client.HTTPException, ValueError) as error:
+    except (OSError, http.client.HTTPException, *DECODING_ERRORS) as error:
         return Failure(type(error).__name__)
     finally:
         connection.close()
@@ -68,7 +70,7 @@
         answer = json.loads(body)
         limit = answer.get("limit")
         return EngineStatus(int(answer["boot"]), int(limit) if limit else None)
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except DECODING_ERRORS:
         # A plain service is up, and its restarts only show as refused
         # connections.
         return EngineStatus(DEFAULT_BOOT, None)
--- a/mintsaddle/platform/_client.py
+++ b/mintsaddle/platform/_client.py
@@ -12,6 +12,8 @@
 
 from returns.result import Failure, Result, Success
 
+from mintsaddle.values import DECODING_ERRORS
+
 MAX_RESPONSE_BYTES = 4 * 1_048_576
 """Largest response body; fits a value of 1 MB after JSON escaping."""
 
@@ -68,7 +70,7 @@
     try:
         content = json.loads(body)
         value = PlatformValue(int(content["revision"]), str(content["value"]))
-    except (ValueError, TypeError, KeyError) as error:
+    except DECODING_ERRORS as error:
         return Failure(f"'{name}' is unreadable: {type(error).__name__}")
     if value.revision <= after:
         return Success(None)
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -18,7 +18,7 @@
     RoutingTable,
     StepModel,
 )
-from mintsaddle.values import MILLISECONDS
+from mintsaddle.values import DECODING_ERRORS, MILLISECONDS
 
 _STREAMING = "streaming"
 _IDEMPOTENT = "idempotent"
@@ -33,7 +33,7 @@
     """
     try:
         return Success(_decode_configuration(json.loads(value)))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
--- a/mintsaddle/platform/_items.py
+++ b/mintsaddle/platform/_items.py
@@ -1,5 +1,6 @@
 """Decoding of the store's items into updates of the directory."""
 
+import ipaddress
 import json
 from collections.abc import Iterable
 from typing import Any
@@ -30,6 +31,8 @@
 _TABLE_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _ENDPOINT_STATES = frozenset({"ready", "draining"})
+_MAX_NUMBER = 2**53
+_MAX_PORT = 65_535
 _log = make_logger("platform")
 
 
@@ -43,10 +46,23 @@
 
 
 def decode_items(items: Iterable[PublishedItem], now: Instant) -> list[DirectoryUpdate]:
-    """Return the updates in changed items; unreadable ones are logged."""
+    """Return the updates in changed items; unreadable ones are logged.
+
+    Other writers may omit fields, or write wrong types or invalid JSON. An
+    endpoint with such an announcement isn't used.
+    """
     updates: list[DirectoryUpdate] = []
     for item in items:
-        update = _decode_item(item, now)
+        update: DirectoryUpdate | None
+        try:
+            update = _decode_item(item, now)
+        except Exception as error:
+            # Whatever one item raises, all others are applied.
+            _log.warning(
+                "Item unreadable %s.",
+                fields(key=item.key, revision=item.revision, problem=repr(error)),
+            )
+            update = _remove_endpoint(item)
         if update is not None:
             updates.append(update)
     return updates
@@ -81,50 +97,33 @@
     return None
 
 
-def _decode_endpoint(item: PublishedItem, now: Instant) -> DirectoryUpdate:
-    """Return the announcement, or a removal if it is invalid.
+def _remove_endpoint(item: PublishedItem) -> EndpointRemoved | None:
+    """Return the removal of an item's endpoint; None for other items."""
+    if not item.key.startswith(_ENDPOINT_PREFIX):
+        return None
+    return EndpointRemoved(item.key.removeprefix(_ENDPOINT_PREFIX))
 
-    Other writers may omit fields, or write wrong types or invalid JSON. An
-    endpoint with such an announcement isn't used.
-    """
-    name = item.key.removeprefix(_ENDPOINT_PREFIX)
+
+def _decode_endpoint(item: PublishedItem, now: Instant) -> DirectoryUpdate | None:
     if item.value is None:
-        return EndpointRemoved(name)
-    try:
-        return EndpointPublished(_read_endpoint(name, json.loads(item.value), now))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        _log.warning(
-            "Endpoint unreadable %s.",
-            fields(endpoint=name, revision=item.revision, problem=repr(error)),
-        )
-        return EndpointRemoved(name)
+        return _remove_endpoint(item)
+    name = item.key.removeprefix(_ENDPOINT_PREFIX)
+    return EndpointPublished(_read_endpoint(name, json.loads(item.value), now))
 
 
 def _read_endpoint(name: str, values: dict[str, Any], now: Instant) -> Incarnation:
-    service, address, zone = values["service"], values["address"], values["zone"]
-    state, slots = values["state"], values["slots"]
-    cold_ms, born = values.get("cold_left_ms", 0), values.get("born", 0)
-    are_texts_valid = all(isinstance(text, str) and text for text in (service, zone))
-    if not are_texts_valid or state not in _ENDPOINT_STATES:
-        raise ValueError("service, zone or state is of no known form")
-    numbers = (slots, cold_ms, born)
-    if not all(
-        isinstance(number, int | float) and not isinstance(number, bool)
-        for number in numbers
-    ):
-        raise ValueError("slots, cold_left_ms or born is no number")
-    host, _, port = str(address).rpartition(":")
-    if not host or not 0 < int(port) < 65_536:
-        raise ValueError("address is no IP:PORT")
+    cold_ms = _read_number(values.get("cold_left_ms", 0))
+    if values["state"] not in _ENDPOINT_STATES:
+        raise ValueError("state is of no known form")
     return Incarnation(
         name=name,
-        service=service,
-        address=address,
-        data_centre=zone,
-        slots=max(1, int(slots)),
-        leaving=state == "draining",
+        service=_read_text(values["service"]),
+        address=_read_address(values["address"]),
+        data_centre=_read_text(values["zone"]),
+        slots=max(1, int(_read_number(values["slots"]))),
+        leaving=values["state"] == "draining",
         cold_until=now + cold_ms / MILLISECONDS if cold_ms > 0 else 0.0,
-        started_at_ms=int(born),
+        started_at_ms=int(_read_number(values.get("born", 0))),
         assignment=_read_assignment(values),
     )
 
@@ -134,9 +133,46 @@
     if not isinstance(group, dict):
         return None
     return RankAssignment(
-        group=f"{values['service']}/{group['name']}",
-        epoch=int(group["epoch"]),
-        rank=int(group["rank"]),
-        size=int(values["size"]),
+        group=f"{values['service']}/{_read_text(group['name'])}",
+        epoch=int(_read_number(group["epoch"])),
+        rank=int(_read_number(group["rank"])),
+        size=int(_read_number(values["size"])),
         is_open=group["state"] == "open",
     )
+
+
+def _read_text(value: Any) -> str:
+    """Return a text that isn't empty.
+
+    Raises:
+        ValueError: It is no such text, or can't be encoded for peers.
+    """
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"no text: {value!r}")
+    value.encode()
+    return value
+
+
+def _read_number(value: Any) -> float:
+    """Return a number that a double represents exactly.
+
+    Raises:
+        ValueError: It is no such number.
+    """
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not abs(value) <= _MAX_NUMBER:
+        raise ValueError(f"no number: {value!r}")
+    return float(value)
+
+
+def _read_address(value: Any) -> str:
+    """Return an address of the form ``IP:PORT``.
+
+    Raises:
+        ValueError: It is of another form.
+    """
+    host, _, port = _read_text(value).rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"no port: {port!r}")
+    return str(value)
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -13,6 +13,7 @@
     RankReport,
 )
 from mintsaddle.rank_agent import NO_RESPONSE, RankCall, RankResponse
+from mintsaddle.values import DECODING_ERRORS
 
 CALL_TIMEOUT_SECONDS = 0.4
 """Timeout for an engine's response. Such a call occupies no slot of the
@@ -158,7 +159,7 @@
                 queued=int(values.get("queue_depth") or 0),
             )
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Failure(repr(error))
 
 
@@ -167,7 +168,7 @@
         # The platform calls a layer a set.
         experts = json.loads(body)["map"]["experts"]
         return Success(tuple(tuple(map(int, layer)) for layer in experts))
-    except (ValueError, TypeError, KeyError) as error:
+    except DECODING_ERRORS as error:
         return Failure(repr(error))
 
 
@@ -182,7 +183,7 @@
                 for layer in range(layers)
             ]
         decoded = tuple(tuple(map(int, layer)) for layer in counts)
-    except (ValueError, TypeError, KeyError) as error:
+    except DECODING_ERRORS as error:
         return Failure(repr(error))
     if [len(layer) for layer in decoded] != [experts] * layers:
         return Failure("counts of another shape")
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.decisions.direct import PublishedItem, StoreResponse
-from mintsaddle.values import MILLISECONDS
+from mintsaddle.values import DECODING_ERRORS, MILLISECONDS
 
 READ_TIMEOUT_SECONDS = 1.0
 """Timeout for one response: 250 times the usual 4 ms, so that a slow store has
@@ -157,7 +157,7 @@
             return Failure(StoreProblem.REFUSED)
         try:
             decoded = json.loads(body)
-        except ValueError:
+        except DECODING_ERRORS:
             decoded = None
         if not isinstance(decoded, dict):
             self.close()
@@ -207,7 +207,7 @@
         return None
     try:
         return tuple(_decode_item(value) for value in values)
-    except (ValueError, TypeError, KeyError):
+    except DECODING_ERRORS:
         return None
 
 
--- /dev/null
+++ b/mintsaddle/platform/tests/test_unreadable_items.py
@@ -0,0 +1,188 @@
+"""Items of other writers that can't be read."""
+
+import asyncio
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from mintsaddle.decisions.direct import (
+    EndpointPublished,
+    EndpointRemoved,
+    PublishedItem,
+    preferred_data_centres,
+)
+from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._peer_start import run_forever
+from mintsaddle.direct._rank_groups import find_rank_groups
+from mintsaddle.platform import (
+    decode_expert_counts,
+    decode_items,
+    decode_rank_experts,
+    decode_rank_report,
+)
+from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests.standins import Site, make_configuration, wait_for
+from mintsaddle.platform.tests.test_taking_items import ANNOUNCED, SETTINGS, apply
+from mintsaddle.rank_agent import RankResponse
+
+NESTED = b"[" * 20_000
+RANK = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
+
+
+def announce(**overrides: object) -> bytes:
+    return json.dumps({**json.loads(ANNOUNCED), **overrides}).encode()
+
+
+UNREADABLE = {
+    "empty": b"",
+    "nested-lists": NESTED,
+    "nested-objects": b'{"a":' * 20_000,
+    "no-object": b"[]",
+    "no-text": b"\xff\xfe",
+    "infinite-start": ANNOUNCED.replace(b'"born":5', b'"born":1e999'),
+    "start-beyond-doubles": announce(born=10**400),
+    "long-digits": ANNOUNCED.replace(b'"born":5', b'"born":' + b"9" * 5_000),
+    "infinite-slots": announce(slots=float("inf")),
+    "no-number-slots": announce(slots=float("nan")),
+    "cold-for-good": announce(cold_left_ms=float("inf")),
+    "cold-beyond-doubles": announce(cold_left_ms=10**400),
+    "surrogate-zone": announce(zone="\ud800"),
+    "surrogate-service": announce(service="\ud800"),
+    "host-name": announce(address="somewhere.example:80"),
+    "unclosed-host": announce(address="[::1:80"),
+    "port-beyond-range": announce(address="10.0.0.9:65536"),
+    "number-as-address": announce(address=80),
+    "infinite-epoch": announce(group={**RANK, "epoch": float("inf")}, size=1),
+    "surrogate-group": announce(group={**RANK, "name": "\ud800"}, size=1),
+    "list-as-state": announce(state=["ready"]),
+}
+
+ODD_NUMBERS = st.sampled_from([1e999, -1e999, 10**400, -1, 0, 2**64, 10**9])
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | ODD_NUMBERS | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*RANK, "x"]), inner, max_size=4)
+    ),
+    max_leaves=6,
+)
+FIELDS = ("service", "address", "zone", "slots", "state", "cold_left_ms", "born")
+VALUES = st.binary(max_size=60) | st.dictionaries(
+    st.sampled_from([*FIELDS, "group", "size"]), JSON_VALUES, max_size=5
+).map(lambda overrides: announce(**overrides))
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    yield from standins.run_site(tmp_path)
+
+
+class TestDecoding:
+    @pytest.mark.parametrize("value", UNREADABLE.values(), ids=UNREADABLE)
+    def test_an_unreadable_item_costs_only_itself(self, value: bytes) -> None:
+        """Guards against engines that are lost with another writer's item."""
+        items = [
+            PublishedItem("servers/i-0", 1, value),
+            PublishedItem("servers/i-1", 2, ANNOUNCED),
+        ]
+        removed, published = decode_items(items, now=100.0)
+        assert removed == EndpointRemoved("i-0")
+        assert isinstance(published, EndpointPublished)
+
+    @pytest.mark.parametrize(
+        "value", [NESTED, b'{"version": 1e999, "routes": [], "services": []}']
+    )
+    def test_an_unreadable_table_costs_only_itself(self, value: bytes) -> None:
+        """Guards against a start that fails for good by one configuration."""
+        items = [
+            PublishedItem("op/config", 1, value),
+            PublishedItem("servers/i-1", 2, ANNOUNCED),
+        ]
+        (published,) = decode_items(items, now=100.0)
+        assert isinstance(published, EndpointPublished)
+
+
+class TestReports:
+    @pytest.mark.parametrize(
+        "body", [NESTED.decode(), '{"step": 1e999, "group": {"epoch": 1}}', "[]"]
+    )
+    def test_an_unreadable_one_is_a_failure(self, body: str) -> None:
+        """Guards against calls and coordinators that one engine ends."""
+        response = RankResponse(200, body)
+        assert isinstance(decode_rank_report(response, 0), Failure)
+        assert isinstance(decode_rank_experts(response), Failure)
+        assert isinstance(decode_expert_counts(response, 1, 4), Failure)
+
+
+class TestSnapshots:
+    @given(value=VALUES)
+    def test_others_serve_beside_an_item_of_any_form(self, value: bytes) -> None:
+        """Guards against an entry that one item of any writer keeps down."""
+        gateway = Gateway(SETTINGS)
+        configuration = json.dumps(make_configuration()).encode()
+        apply(
+            gateway,
+            PublishedItem("servers/i-0", 1, value),
+            PublishedItem("op/config", 2, configuration),
+            PublishedItem("servers/i-1", 3, ANNOUNCED),
+        )
+        assert gateway.is_initialized
+        assert "i-1" in gateway.directory.endpoints
+        with gateway.lock:
+            assert gateway.has_available("desk")
+        find_rank_groups(gateway.directory)
+        for name in preferred_data_centres(gateway.directory).values():
+            name.encode()
+
+    def test_a_rank_of_a_huge_group_costs_nothing(self) -> None:
+        """Guards against memory that is used up by the size of a group."""
+        gateway = Gateway(SETTINGS)
+        service = {"name": "desk", "engine": ENGINE}
+        table = json.dumps(make_configuration(services=[service])).encode()
+        apply(
+            gateway,
+            PublishedItem("op/config", 1, table),
+            PublishedItem("servers/i-0", 2, announce(group=RANK, size=2**53)),
+        )
+        assert find_rank_groups(gateway.directory) == []
+
+
+ENGINE = {"experts": 4, "sets": 1, "places": 2, "spare": 1}
+
+
+class TestEntry:
+    def test_it_starts_beside_unreadable_items(self, site: Site) -> None:
+        """Guards against entries that never start again after a power loss."""
+        site.store.put("servers/i-0", NESTED)
+        site.store.put("servers/i-9", UNREADABLE["infinite-start"])
+        entry = site.add_entry(site.store.address)
+        wait_for(entry.is_ready, "ready entry")
+        assert entry.call("GET", "/lookup/1")[0] == 200
+
+    def test_it_applies_changes_beside_an_unreadable_one(self, site: Site) -> None:
+        """Guards against changes that are lost with an unreadable one."""
+        with site.store.changed:
+            site.store.put("servers/i-0", NESTED)
+            site.store.put("op/config", make_configuration(version=7))
+        wait_for(lambda: "version=7" in site.entry.log(), "the new configuration")
+
+
+class TestJobs:
+    def test_one_that_raises_starts_again(self) -> None:
+        """Guards against gossip that ends for good by one message."""
+        runs: list[int] = []
+
+        async def job() -> None:
+            runs.append(len(runs))
+            if len(runs) < 3:
+                raise RecursionError
+            raise asyncio.CancelledError
+
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(run_forever(job, 0.0))
+        assert runs == [0, 1, 2]
--- a/mintsaddle/rank_agent/_engine.py
+++ b/mintsaddle/rank_agent/_engine.py
@@ -44,12 +44,12 @@
 
     def _send(self, call: RankCall) -> RankResponse:
         headers = {"Content-Type": "application/json"} if call.body else {}
-        body = call.body.encode() or None
         try:
+            body = call.body.encode() or None
             self._connection.request(call.method, call.path, body, headers)
             response = self._connection.getresponse()
             text = response.read(_MAX_RESPONSE_BYTES).decode()
-        except (OSError, http.client.HTTPException, UnicodeDecodeError):
+        except (OSError, http.client.HTTPException, ValueError):
             # Not an error of the agent: callers check ``is_reachable``.
             self._connection.close()
             return NO_RESPONSE
--- a/mintsaddle/rank_agent/_messages.py
+++ b/mintsaddle/rank_agent/_messages.py
@@ -11,6 +11,8 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+from mintsaddle.values import DECODING_ERRORS
+
 MAX_MESSAGE_BYTES = 1_048_576
 """Maximum size of a decompressed message. Guards against a datagram that would
 decompress to more than the VM's memory."""
@@ -73,7 +75,7 @@
     sequence_number, rows = _decode(data)
     try:
         calls = tuple(RankCall(*map(str, row)) for row in rows)
-    except TypeError as error:
+    except DECODING_ERRORS as error:
         raise AgentMessageError(f"invalid calls: {error}") from error
     return AgentRequest(sequence_number, calls)
 
@@ -92,7 +94,7 @@
     sequence_number, rows = _decode(data)
     try:
         responses = tuple(RankResponse(int(status), str(body)) for status, body in rows)
-    except (TypeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise AgentMessageError(f"invalid responses: {error}") from error
     return AgentReply(sequence_number, responses)
 
@@ -108,7 +110,7 @@
         sequence_number, rows = json.loads(
             decompressor.decompress(data, MAX_MESSAGE_BYTES)
         )
-    except (zlib.error, ValueError, TypeError) as error:
+    except (zlib.error, *DECODING_ERRORS) as error:
         raise AgentMessageError(f"not compressed JSON: {error}") from error
     if not isinstance(sequence_number, int) or not isinstance(rows, list):
         raise AgentMessageError("not a sequence number followed by a list")
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -48,6 +48,26 @@
     return AgentClient("127.0.0.1", TIMEOUT)
 
 
+class TestOddCalls:
+    @pytest.mark.parametrize(
+        "call",
+        [
+            RankCall("GET", "/rank/\ud800"),
+            RankCall("GET", "/rank/\n"),
+            RankCall("G\nET", "/rank/report"),
+            RankCall("POST", "/rank/order", "\ud800"),
+        ],
+    )
+    def test_one_that_cannot_be_sent_leaves_the_agent_running(
+        self, agent: RankAgent, client: AgentClient, call: RankCall
+    ) -> None:
+        """Guards against an agent that one datagram ends."""
+        answers = client.ask({agent.address: [call]})
+        assert answers == {agent.address: (NO_RESPONSE,)}
+        (response,) = client.ask({agent.address: [REPORT]})[agent.address]
+        assert response.status == 200
+
+
 class TestCalls:
     def test_calls_are_made_in_order_on_one_connection(
         self, engine: FakeEngine, agent: RankAgent, client: AgentClient
--- a/mintsaddle/rank_agent/tests/test_messages.py
+++ b/mintsaddle/rank_agent/tests/test_messages.py
@@ -51,6 +51,8 @@
             zlib.compress(b"[1,2]"),
             zlib.compress(b"[1,[7]]"),
             zlib.compress(b'[1,[["GET","/a","b","c"]]]'),
+            zlib.compress(b'[1,[[1e999,"a","b","c"]]]'),
+            zlib.compress(b"[" * 20_000),
             encode_request(AgentRequest(1, ()))[:-6],
         ],
     )
--- a/mintsaddle/values/__init__.py
+++ b/mintsaddle/values/__init__.py
@@ -1,5 +1,6 @@
 """Immutable value types that all other packages share."""
 
+from mintsaddle.values._decoding import DECODING_ERRORS
 from mintsaddle.values._findings import Finding, Findings, render_findings
 from mintsaddle.values._hashing import hash_score, rank_by_score, stable_hash
 from mintsaddle.values._keys import (
@@ -18,6 +19,7 @@
 
 __all__ = [
     "BOOT_BITS",
+    "DECODING_ERRORS",
     "HOME_BITS",
     "MILLISECONDS",
     "Boot",
