Bound what an endpoint can send without end

Cause: a body was read to its end, whatever came, and a length or chunk size was allocated unread. http.client bounds a head to 6.5 MB, and neither interim responses nor trailers.

Change: answers share a fifth of the VM's memory and each takes a quarter of that at most; when it is short, the largest one that isn't whole is abandoned, which is one without end. Blocks are reused, as freed buffers of many sizes would stay with the allocator. Heads, trailers, events, parts in a second, unread and unsent bytes are bounded as well. All of these are broken answers: another attempt, a 502 or 504, or a stream that is broken off. A head that is too large isn't requested again, two lengths or an unknown coding are refused. Endpoint daemons get the same bounds.

Ruled out on the way: pacing alone. With 150 calls of chunks of one byte others waited for ten seconds, as the kernel held 6 MB for each connection and the reader worked through them after the abort.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -9,6 +9,8 @@
     with_slot,
     within_ramp,
 )
+from mintsaddle.decisions.direct._answer_memory import AnswerMemory
+from mintsaddle.decisions.direct._answer_pace import BURST_PARTS, AnswerPace
 from mintsaddle.decisions.direct._calls import (
     NEVER_RAN,
     DirectCall,
@@ -124,6 +126,7 @@
 
 __all__ = [
     "ALIVE_SECONDS",
+    "BURST_PARTS",
     "CALL_INTERVAL_FRACTION",
     "DEFAULT_SLOTS",
     "ENDPOINTS_PER_CHECK",
@@ -143,6 +146,8 @@
     "STALE_AFTER_FRACTION",
     "WATCH_WAIT_FRACTION",
     "AdmissionLimits",
+    "AnswerMemory",
+    "AnswerPace",
     "CallerLimits",
     "ColdStartLimiter",
     "DataCentreEvacuated",
--- a/mintsaddle/direct/_answers.py
+++ b/mintsaddle/direct/_answers.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple, TypeAlias
 
 from mintsaddle.decisions.direct import GiveUp
+from mintsaddle.direct._answer_buffers import AnswerBuffer
 
 
 class CallerRequest(NamedTuple):
@@ -22,7 +23,8 @@
 
     status: int
     headers: list[tuple[str, str]]
-    body: bytes
+    body: AnswerBuffer
+    """Has to be closed."""
 
 
 class StreamAnswer(NamedTuple):
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -18,8 +18,8 @@
 from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._calls import find_key_holder, make_call
 from mintsaddle.direct._closing_body import ClosingBody
-from mintsaddle.direct._exchange import StreamCutError
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._reading import StreamCutError
 from mintsaddle.direct._runner import CallRunner
 from mintsaddle.direct._timing import StreamTiming
 from mintsaddle.direct._watchdog import Watchdog
@@ -152,8 +152,12 @@
                 self._record(call, Measure.TOTAL_TIME)
                 self._log_end(runner.call, "answered", status)
                 length = ("Content-Length", str(len(body)))
-                start_response(f"{status} From endpoint", [*headers, length])
-                return [body]
+                try:
+                    start_response(f"{status} From endpoint", [*headers, length])
+                except BaseException:
+                    body.close()
+                    raise
+                return body
             case StreamAnswer(status, headers, events):
                 start_response(f"{status} From endpoint", headers)
                 return self._stream(runner, events)
--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -10,6 +10,7 @@
 from mintsaddle.direct._exchange import Exchange
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._watchdog import WatchedExchange
+from mintsaddle.engines import StrictResponse
 from mintsaddle.platform import ResponseHead, make_endpoint_headers, read_response_head
 from mintsaddle.values import Instant
 
@@ -25,7 +26,7 @@
     endpoint: Incarnation
     exchange: Exchange
     watched: WatchedExchange
-    response: http.client.HTTPResponse
+    response: StrictResponse
     head: ResponseHead
     begun_at: Instant
     """When the head of the answer arrived."""
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -5,11 +5,17 @@
 run the request.
 """
 
+import contextlib
 import http.client
 import socket
-from collections.abc import Callable, Iterable, Iterator
-
-from mintsaddle.engines import StrictResponse, is_readable, shut_down
+from collections.abc import Callable, Iterable
+
+from mintsaddle.engines import (
+    OversizedHeadError,
+    StrictResponse,
+    is_readable,
+    shut_down,
+)
 from mintsaddle.values import MILLISECONDS
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -21,42 +27,8 @@
 """Seconds within which an endpoint's host has to acknowledge data on a reused
 connection, whose peer may have become unreachable while it was idle."""
 
-_READ_BYTES = 65_536
-_EVENT_END = b"\n\n"
-_ID_FIELD = b"id:"
-
-
-class StreamCutError(ConnectionError):
-    """An event stream ended early.
-
-    It is a ConnectionError so that the server closes the caller's connection
-    without a traceback and without the last chunk: a truncated stream never
-    looks complete.
-    """
-
-
-class AbortedError(ConnectionError):
-    """This entry aborted the exchange before the answer's end was certain."""
-
-
-class Event:
-    """One complete event of a stream, as raw bytes."""
-
-    def __init__(self, data: bytes) -> None:
-        self._data = data
-
-    @property
-    def data(self) -> bytes:
-        """The event, including the blank line that ends it."""
-        return self._data
-
-    def read_id(self) -> int | None:
-        """Return the event's id; None if it has none or isn't numeric."""
-        for line in self._data.split(b"\n"):
-            if line.startswith(_ID_FIELD):
-                text = line[len(_ID_FIELD) :].strip()
-                return int(text) if text.isdigit() else None
-        return None
+RECEIVE_BUFFER_BYTES = 262_144
+"""Bytes of an answer that may arrive before they are read."""
 
 
 class Exchange:
@@ -68,7 +40,7 @@
         )
         self._connection.response_class = StrictResponse
         self._socket: socket.socket | None = None
-        self._response: http.client.HTTPResponse | None = None
+        self._response: StrictResponse | None = None
         self._aborted = False
         self._is_reused = False
 
@@ -110,6 +82,11 @@
         # http.client drops its socket once an answer without a length has
         # begun, but aborting a stream needs it.
         self._socket = self._connection.sock
+        # Bytes that have arrived and aren't read take memory, too.
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         return not self._aborted
 
     def send(
@@ -120,7 +97,7 @@
         body: bytes,
         seconds: float,
         may_resend: Callable[[], bool] = lambda: True,
-    ) -> http.client.HTTPResponse:
+    ) -> StrictResponse:
         """Send the request and return the answer, whose head has been read.
 
         If a reused connection breaks before an answer, the request is sent
@@ -142,6 +119,9 @@
         """
         try:
             self._response = self._send(method, target, headers, body, seconds)
+        except OversizedHeadError:
+            # The endpoint has answered; it would do so again.
+            raise
         except (OSError, http.client.HTTPException):
             if not self._is_reused or self._aborted or not may_resend():
                 raise
@@ -159,7 +139,7 @@
         headers: Iterable[tuple[str, str]],
         body: bytes,
         seconds: float,
-    ) -> http.client.HTTPResponse:
+    ) -> StrictResponse:
         connection = self._connection
         assert self._socket is not None
         self._socket.settimeout(seconds)
@@ -178,13 +158,13 @@
             connection.putheader(name, value)
         if body or method not in ("GET", "HEAD"):
             connection.putheader("Content-Length", str(len(body)))
-        try:
+        # An endpoint may refuse a long body before it has read all of it; its
+        # answer may be in the receive buffer already.
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
             connection.endheaders(body or None)
-        except (BrokenPipeError, ConnectionResetError):
-            # An endpoint may refuse a long body before it has read all of it;
-            # its answer may be in the receive buffer already.
-            return connection.getresponse()
-        return connection.getresponse()
+        response = connection.getresponse()
+        assert isinstance(response, StrictResponse)
+        return response
 
     def abort(self) -> None:
         """Shut the connection down, which tells the endpoint to stop."""
@@ -196,67 +176,3 @@
         self._connection.close()
         if self._socket is not None:
             self._socket.close()
-
-
-def read_body(
-    response: http.client.HTTPResponse, is_aborted: Callable[[], bool]
-) -> bytes:
-    """Return a complete body.
-
-    Args:
-        response: The answer, whose head has been read.
-        is_aborted: Returns whether this entry has aborted the exchange.
-
-    Raises:
-        OSError: The connection broke, or was aborted before a body that only
-            ends with it was complete.
-        http.client.HTTPException: The body is shorter than announced.
-    """
-    has_marked_end = _has_marked_end(response)
-    body = response.read()
-    if response.length:
-        raise http.client.IncompleteRead(body, response.length)
-    # An abort ends the connection in the same way as a complete answer.
-    if not has_marked_end and is_aborted():
-        raise AbortedError
-    return body
-
-
-def read_events(
-    response: http.client.HTTPResponse, is_aborted: Callable[[], bool]
-) -> Iterator[Event]:
-    """Yield each complete event as it arrives.
-
-    Args:
-        response: The answer, whose head has been read.
-        is_aborted: Returns whether this entry has aborted the exchange.
-
-    Raises:
-        OSError: The connection broke, or was aborted before a stream that only
-            ends with it was complete.
-        http.client.HTTPException: The body ended early.
-        StreamCutError: The body ended in the middle of an event, or before
-            its first event with nothing that marks the end.
-    """
-    has_marked_end = _has_marked_end(response)
-    has_event = False
-    partial = b""
-    while True:
-        block = response.read1(_READ_BYTES)
-        if not block:
-            break
-        *complete, partial = (partial + block).split(_EVENT_END)
-        has_event = has_event or bool(complete)
-        for data in complete:
-            yield Event(data + _EVENT_END)
-    if response.length:
-        raise http.client.IncompleteRead(partial, response.length)
-    if not has_marked_end and is_aborted():
-        raise AbortedError
-    if partial.strip() or not (has_event or has_marked_end):
-        raise StreamCutError
-
-
-def _has_marked_end(response: http.client.HTTPResponse) -> bool:
-    """Return whether the end of the body doesn't depend on the connection."""
-    return response.chunked or response.length is not None
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -33,6 +33,7 @@
     record_finished,
     record_sent,
 )
+from mintsaddle.direct._answer_buffers import AnswerBuffers
 from mintsaddle.direct._endpoint_limits import EndpointLimits
 from mintsaddle.direct._endpoint_waits import EndpointWaits
 from mintsaddle.direct._metrics import Metrics
@@ -114,6 +115,7 @@
         self._waits = EndpointWaits(self._lock, self.now, self._rng)
         self._overload = OverloadControl(self._workspace_use)
         self._pool = ConnectionPool(self.now)
+        self._answers = AnswerBuffers(settings.memory_megabytes)
         self._probe = LoadProbe(settings, self.now)
         self._metrics = Metrics()
         self._quarantine = FeatureQuarantine(
@@ -211,6 +213,11 @@
         """Idle connections to endpoints."""
         return self._pool
 
+    @property
+    def answers(self) -> AnswerBuffers:
+        """Memory for answers that are being read or passed on."""
+        return self._answers
+
     @property
     def probe(self) -> LoadProbe:
         """Reads engine loads from agents; call it without holding the lock."""
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -171,6 +171,7 @@
         lines += render_overload(gateway.overload, gateway.now())
     lines += gateway.quarantine.render()
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
+    lines.append(f"mintsaddle_answer_bytes {gateway.answers.used_bytes}")
     return "200 OK", "\n".join(sorted(lines)) + "\n"
 
 
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -37,14 +37,10 @@
 )
 from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._broken_answers import record_broken_answer
-from mintsaddle.direct._exchange import (
-    Exchange,
-    StreamCutError,
-    read_body,
-    read_events,
-)
+from mintsaddle.direct._exchange import Exchange
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._pauses import make_pause_recorder
+from mintsaddle.direct._reading import StreamCutError, read_body, read_events
 from mintsaddle.direct._trial_passage import TrialPassage
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
 from mintsaddle.observe import fields, make_logger
@@ -91,6 +87,21 @@
         Raises:
             CallerDisconnectedError: The caller has disconnected.
         """
+        answer: CallAnswer | None = None
+        try:
+            answer = self._run_attempts()
+            return answer
+        finally:
+            if self._failed_answer is not answer:
+                self._keep_failed(None)
+
+    def _keep_failed(self, answer: BufferedAnswer | None) -> None:
+        """Keep an endpoint's own error in place of the one before."""
+        if self._failed_answer is not None:
+            self._failed_answer.body.close()
+        self._failed_answer = answer
+
+    def _run_attempts(self) -> CallAnswer:
         while True:
             result = self._try_endpoint()
             if isinstance(result, GiveUp):
@@ -148,8 +159,9 @@
         """Read a complete answer; None if another endpoint may be tried."""
         ending = Ending.BROKEN
         is_complete = False
+        buffer = self._gateway.answers.open(attempt.exchange.abort)
         try:
-            body = read_body(attempt.response, attempt.is_aborted)
+            body = read_body(attempt.response, buffer, attempt.is_aborted)
         except (OSError, http.client.HTTPException) as error:
             self._record_broken(attempt, error)
         else:
@@ -160,7 +172,7 @@
             repeat = self._call.route.repeat
             if attempt.head.status < _SERVER_ERROR or repeat is Repeat.ONCE:
                 return answer
-            self._failed_answer = answer
+            self._keep_failed(answer)
             ending = Ending.FAILED
         finally:
             self._finish(attempt, is_complete=is_complete)
@@ -197,8 +209,9 @@
         record_event = make_pause_recorder(
             self._gateway, self._call, attempt.endpoint.assignment
         )
+        buffer = self._gateway.answers.open(attempt.exchange.abort)
         try:
-            for event in read_events(attempt.response, attempt.is_aborted):
+            for event in read_events(attempt.response, buffer, attempt.is_aborted):
                 number = event.read_id()
                 if number is not None:
                     self._call = self._call._replace(last_event=number)
@@ -218,6 +231,7 @@
         finally:
             # Also runs when the caller disconnects: the server closes the
             # iterator.
+            buffer.close()
             self._finish(attempt, is_complete=is_complete)
         return True
 
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -41,6 +41,10 @@
 MAX_CONNECTIONS_SHARE = 0.8
 """Share of the connections above which idle ones are closed."""
 
+MAX_UNSENT_BYTES = 131_072
+"""Bytes for a caller above which the next part of its answer waits. A caller
+that doesn't read must not fill memory."""
+
 _BACKLOG = 1024
 _CLEANUP_SECONDS = 1
 _READ_BYTES = 65_536
@@ -107,6 +111,7 @@
             connection_limit=max_connections,
             cleanup_interval=_CLEANUP_SECONDS,
             recv_bytes=_READ_BYTES,
+            outbuf_high_watermark=MAX_UNSENT_BYTES,
             channel_request_lookahead=1,
             asyncore_use_poll=True,
             ident=None,
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -13,8 +13,10 @@
     Incarnation,
     idle_limit_seconds,
 )
-from mintsaddle.direct._exchange import Exchange, read_body
+from mintsaddle.direct._answer_buffers import AnswerBuffers
+from mintsaddle.direct._exchange import Exchange
 from mintsaddle.direct._pool import ConnectionPool
+from mintsaddle.direct._reading import read_body
 from mintsaddle.direct.tests.clocks import Clock
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -86,7 +88,8 @@
 def send_request(exchange: Exchange) -> bytes:
     assert exchange.connect()
     response = exchange.send("GET", "/x", [], b"", TIMEOUT)
-    return read_body(response, lambda: exchange.aborted)
+    buffer = AnswerBuffers(1.0).open(exchange.abort)
+    return b"".join(read_body(response, buffer, lambda: exchange.aborted))
 
 
 def wait_readable(exchange: Exchange) -> None:
--- a/mintsaddle/engines/__init__.py
+++ b/mintsaddle/engines/__init__.py
@@ -8,7 +8,7 @@
     EngineRequest,
 )
 from mintsaddle.engines._probe import EngineStatus, probe_engine, send_group_order
-from mintsaddle.engines._responses import StrictResponse
+from mintsaddle.engines._responses import OversizedHeadError, StrictResponse
 from mintsaddle.engines._sockets import is_readable, shut_down
 
 __all__ = [
@@ -18,6 +18,7 @@
     "EngineHead",
     "EngineRequest",
     "EngineStatus",
+    "OversizedHeadError",
     "StrictResponse",
     "probe_engine",
     "send_group_order",
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -10,6 +10,12 @@
 
 EVENT_STREAM = "text/event-stream"
 
+MAX_BODY_BYTES = 16 * 1_048_576
+"""Largest body that isn't a stream."""
+
+MAX_EVENT_BYTES = 262_144
+"""Largest event. An event holds what an engine generates in one step."""
+
 _BLOCK_BYTES = 65_536
 _EVENT_SEPARATOR = b"\n\n"
 _END_EVENT_PREFIX = b"event: end\n"
@@ -127,10 +133,12 @@
     if content_type.startswith(EVENT_STREAM):
         yield from _read_events(response)
         return
-    block = response.read(_BLOCK_BYTES)
-    while block:
+    size = 0
+    while block := response.read(_BLOCK_BYTES):
+        size += len(block)
+        if size > MAX_BODY_BYTES:
+            return
         yield block
-        block = response.read(_BLOCK_BYTES)
     # When reading in blocks, http.client doesn't report a truncated body; the
     # remaining length shows it. Cancelling also ends the connection.
     if not response.length and (has_marked_end or not is_cancelled()):
@@ -149,6 +157,8 @@
         if not block:
             return
         *events, rest = (rest + block).split(_EVENT_SEPARATOR)
+        if len(rest) > MAX_EVENT_BYTES:
+            return
         for event in events:
             if event.startswith((_END_EVENT_PREFIX, _DONE_EVENT_PREFIX)):
                 yield None
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -1,61 +1,113 @@
-"""HTTP responses that end early without looking complete.
+"""HTTP responses that end early or never end.
 
 ``http.client`` accepts a head or a line of a chunked body that is cut off by
-the end of the connection.
+the end of the connection, any number of interim responses and of trailers, and
+takes a length that it can't read for none.
 """
 
 import http.client
+from collections.abc import Callable
 from typing import Any, BinaryIO
 
+MAX_HEAD_BYTES = 65_536
+"""Largest head, with all interim responses before it. Trailers and the lines
+between two parts of a chunked body are limited alike."""
+
+_CHUNKED = "chunked"
+
+
+class OversizedHeadError(http.client.HTTPException):
+    """A head, or the trailers of a body, are too large."""
+
+
+class FramingError(http.client.HTTPException):
+    """It can't be told where a body ends."""
+
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response whose head and chunk sizes have to be complete.
+    """A response with a bounded and complete head, and a body with one end.
 
     Set as ``response_class`` of a connection.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self._reader = _LineReader(self.fp)
+        self._reader = _BoundedReader(self.fp)
         self.fp: Any = self._reader
 
+    def on_chunk(self, callback: Callable[[], None]) -> None:
+        """Call a function before each line between parts of the body."""
+        self._reader.before_line = callback
+
     def begin(self) -> None:
         """Read the head.
 
         Raises:
             OSError: The connection broke.
-            http.client.HTTPException: The head is invalid or ended early.
+            http.client.HTTPException: The head is invalid, too large or ended
+                early.
         """
         super().begin()
         self._reader.end_head()
+        lengths = set(self.headers.get_all("Content-Length", ()))
+        codings = self.headers.get_all("Transfer-Encoding", ())
+        if any(coding.strip().lower() != _CHUNKED for coding in codings):
+            raise FramingError(f"transfer coding {codings!r}")
+        is_length = all(text.isascii() and text.isdigit() for text in lengths)
+        if len(lengths) > 1 or len(codings) > 1 or not is_length:
+            raise FramingError(f"length {sorted(lengths)!r}")
 
 
-class _LineReader:
-    """The file of a response; lines without an end raise an error."""
+class _BoundedReader:
+    """The file of a response; its lines have an end and are limited."""
 
     def __init__(self, file: BinaryIO) -> None:
         self._file = file
-        self._has_begun = False
+        self._line_bytes = 0
         self._is_in_head = True
-        self.read = file.read
-        self.read1 = file.read1  # type: ignore[attr-defined]
-        self.readinto = file.readinto  # type: ignore[attr-defined]
+        self.before_line: Callable[[], None] = lambda: None
         self.flush = file.flush
         self.close = file.close
 
     def end_head(self) -> None:
         """Allow the connection to end before a line, as after a last chunk."""
         self._is_in_head = False
+        self._line_bytes = 0
 
     def readline(self, limit: int) -> bytes:
         """Return a line.
 
         Raises:
+            OversizedHeadError: There are too many bytes of lines in a row.
+            FramingError: It is a negative chunk size.
             http.client.IncompleteRead: It has no end.
         """
+        self.before_line()
         line = self._file.readline(limit)
-        is_cut = bool(line) or (self._is_in_head and self._has_begun)
-        if is_cut and not line.endswith(b"\n") and len(line) < limit:
+        has_begun = self._line_bytes > 0
+        self._line_bytes += len(line)
+        if self._line_bytes > MAX_HEAD_BYTES:
+            raise OversizedHeadError
+        is_cut = bool(line) or (self._is_in_head and has_begun)
+        if is_cut and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
-        self._has_begun = True
+        if not self._is_in_head and line.startswith(b"-"):
+            raise FramingError(f"chunk size {line!r}")
         return line
+
+    def read(self, size: int = -1) -> bytes:
+        """Return bytes of the body."""
+        self._line_bytes = 0
+        return self._file.read(size)
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return bytes of the body that have arrived."""
+        self._line_bytes = 0
+        data: bytes = self._file.read1(size)  # type: ignore[attr-defined]
+        return data
+
+    def readinto(self, buffer: memoryview) -> int:
+        """Fill a buffer with bytes of the body."""
+        self._line_bytes = 0
+        count: int = self._file.readinto(buffer)  # type: ignore[attr-defined]
+        return count
--- a/mintsaddle/engines/tests/test_calls.py
+++ b/mintsaddle/engines/tests/test_calls.py
@@ -3,11 +3,12 @@
 import socket
 import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import pytest
 
 from mintsaddle.engines import EngineCall, EngineCallResult, EngineHead, EngineRequest
+from mintsaddle.engines._calls import MAX_BODY_BYTES, MAX_EVENT_BYTES
 
 REQUEST = EngineRequest("POST", "/draft", {}, b"{}", 5.0)
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Boot: 7\r\n"
@@ -29,7 +30,8 @@
         connection, _ = listener.accept()
         with connection:
             _read_request(connection)
-            connection.sendall(response)
+            with suppress(OSError):
+                connection.sendall(response)
             if keeps_open:
                 closing.wait(5.0)
 
@@ -146,6 +148,42 @@
             result, _, _ = run(address)
         assert (result.reached, result.is_complete) == (True, False)
 
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_BODY_BYTES + 1),
+            b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 70_000 + b"\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n" + b"X-More: y\r\n" * 200 + b"\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 4_000,
+            STREAM + b"x" * (MAX_EVENT_BYTES + 65_537) + b"\n\nevent: end\n\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5, 3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nabc",
+        ],
+        ids=[
+            "body",
+            "header",
+            "headers",
+            "interim",
+            "event",
+            "two-lengths-in-one",
+            "two-lengths",
+            "negative-length",
+            "other-coding",
+            "negative-chunk",
+        ],
+    )
+    def test_response_without_a_certain_end_is_not_complete(
+        self, response: bytes
+    ) -> None:
+        """Guards against memory, and parts seen as whole, of odd answers."""
+        with engine(response) as address:
+            result, _, chunks = run(address)
+        assert (result.reached, result.is_complete) == (True, False)
+        assert sum(map(len, chunks)) <= MAX_BODY_BYTES
+
     def test_cancelled_before_the_first_byte_reached_nothing(self) -> None:
         with engine(b"") as address:
             call = EngineCall(address, REQUEST)
--- a/mintsaddle/platform/tests/test_broken_answers.py
+++ b/mintsaddle/platform/tests/test_broken_answers.py
@@ -10,8 +10,9 @@
 from mintsaddle.decisions.direct.tests.samples import ROUTE
 from mintsaddle.decisions.quarantine import SURVIVAL_SECONDS, Verdict, extract_features
 from mintsaddle.direct._broken_answers import record_broken_answer
-from mintsaddle.direct._exchange import Exchange, StreamCutError
+from mintsaddle.direct._exchange import Exchange
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.direct._reading import StreamCutError
 from mintsaddle.direct._watchdog import WatchedExchange
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.test_taking_items import SETTINGS, apply
