Let an odd head of an answer cost only its own request

One answer whose X-Mintsaddle-Server-Load has 400 digits made all later requests of its service get a 500 from that entry. A folded line, or a load of 5,000 digits, gave a 500 and took one of the entry's places for callers for good. A line without a colon hid the length, so that a whole answer ended in a 504.

Cause: loads weren't bounded, and each choice of an endpoint divides them; waitress refuses a header with a line break, and int() one of over 4,300 digits; an exception that nothing expects left the call counted as open, its exchange watched and its endpoint's count raised; http.client's parser drops all lines after one without a colon.

Change: counts in a load have nine digits at most, folded values are put on one line, a head with lost lines is a broken answer, and any exception in a call gives back what the call holds.

--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -74,7 +74,11 @@
         with self._lock:
             self._open_calls += 1
             is_full = self._open_calls > self._max_calls
-        answer = self._answer(environ, start_response, is_full=is_full)
+        try:
+            answer = self._answer(environ, start_response, is_full=is_full)
+        except BaseException:
+            self._record_closed()
+            raise
         return ClosingBody(answer, self._record_closed)
 
     def _record_closed(self) -> None:
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -134,9 +134,13 @@
         expires_at = until + DEADLINE_GRACE_SECONDS
         watched = WatchedExchange(exchange, self._must_abort, expires_at)
         self._watchdog.add(watched)
-        ending, attempt = send_request(
-            self._gateway, self._call, self._request, endpoint, watched
-        )
+        try:
+            ending, attempt = send_request(
+                self._gateway, self._call, self._request, endpoint, watched
+            )
+        except BaseException:
+            self._discard(endpoint, exchange, watched)
+            raise
         if attempt is not None:
             self._has_begun = True
             return attempt
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -5,6 +5,7 @@
 takes a length that it can't read for none.
 """
 
+import email.errors
 import http.client
 from collections.abc import Callable
 from typing import Any, BinaryIO
@@ -14,6 +15,11 @@
 between two parts of a chunked body are limited alike."""
 
 _CHUNKED = "chunked"
+_LOST_LINES = (
+    email.errors.MissingHeaderBodySeparatorDefect,
+    email.errors.FirstHeaderLineIsContinuationDefect,
+)
+"""Defects of a head whose lines from some line on have been dropped."""
 
 
 class OversizedHeadError(http.client.HTTPException):
@@ -49,6 +55,8 @@
         """
         super().begin()
         self._reader.end_head()
+        if any(isinstance(one, _LOST_LINES) for one in self.headers.defects):
+            raise FramingError(f"head {self.headers.defects!r}")
         lengths = set(self.headers.get_all("Content-Length", ()))
         codings = self.headers.get_all("Transfer-Encoding", ())
         if any(coding.strip().lower() != _CHUNKED for coding in codings):
--- a/mintsaddle/platform/_responses.py
+++ b/mintsaddle/platform/_responses.py
@@ -31,6 +31,7 @@
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 _TIMEOUT_REASONS = frozenset({Reason.TOO_LATE, Reason.SILENT})
+_MAX_COUNT_DIGITS = 9
 _MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -106,12 +107,17 @@
     listed = response.headers.get("Connection", "").split(",")
     dropped = {name.strip().lower() for name in listed} | _REMOVED_RESPONSE_HEADERS
     return [
-        (name, value)
+        (name, _unfold(value))
         for name, value in response.headers.items()
         if name.lower() not in dropped
     ]
 
 
+def _unfold(value: str) -> str:
+    """Return a header's value on one line, as callers may not accept more."""
+    return " ".join(value.split()) if "\n" in value or "\r" in value else value
+
+
 def make_refusal(
     outcome: Outcome, reason: Reason, request_id: str, retry_after: float
 ) -> tuple[str, list[tuple[str, str]]]:
@@ -176,10 +182,14 @@
     return any(value.strip() == "1" for value in values)
 
 
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
+
+
 def _read_load(text: str, slots: int) -> Load | None:
     """Return the load from ``RUNNING,QUEUED[,SLOTS]``."""
     parts = [part.strip() for part in text.split(",")]
-    if len(parts) < 2 or not all(part.isdecimal() for part in parts):
+    if len(parts) < 2 or not all(map(_is_count, parts)):
         return None
     limit = int(parts[2]) if len(parts) > 2 else slots
     return Load(int(parts[0]), limit, int(parts[1]), leaving=False)
