Bound the time of whole answers to an entry's own calls

A server that sends a byte now and then, or interim responses without end, held a call to a rank, the store or a probe for good, and with it the thread: the store's poller, or the coordinator of all maps.

Cause: the timeout of a socket holds for each read, and http.client skips any number of interim responses.

Change: these calls use a connection whose responses have four times the timeout as a whole, and the bounded heads of calls to endpoints. Four, since a slow link delivers a page of the store in several parts.

--- a/mintsaddle/engines/__init__.py
+++ b/mintsaddle/engines/__init__.py
@@ -8,7 +8,11 @@
     EngineRequest,
 )
 from mintsaddle.engines._probe import EngineStatus, probe_engine, send_group_order
-from mintsaddle.engines._responses import OversizedHeadError, StrictResponse
+from mintsaddle.engines._responses import (
+    BoundedConnection,
+    OversizedHeadError,
+    StrictResponse,
+)
 from mintsaddle.engines._sockets import is_readable, shut_down
 
 __all__ = [
@@ -18,6 +22,7 @@
     "EngineHead",
     "EngineRequest",
     "EngineStatus",
+    "BoundedConnection",
     "OversizedHeadError",
     "StrictResponse",
     "probe_engine",
--- a/mintsaddle/engines/_probe.py
+++ b/mintsaddle/engines/_probe.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from mintsaddle.engines._responses import BoundedConnection
 from mintsaddle.values import DECODING_ERRORS
 
 PROBE_TIMEOUT_SECONDS = 0.4
@@ -33,7 +34,7 @@
         which means that its process is gone, or with False if it only didn't
         respond.
     """
-    connection = http.client.HTTPConnection(address, timeout=PROBE_TIMEOUT_SECONDS)
+    connection = BoundedConnection(address, timeout=PROBE_TIMEOUT_SECONDS)
     try:
         connection.request("GET", "/status")
         response = connection.getresponse()
@@ -51,7 +52,7 @@
     address: str, action: str, order: dict[str, Any]
 ) -> Result[dict[str, Any], str]:
     """Send a group order to a rank's engine and return its response."""
-    connection = http.client.HTTPConnection(address, timeout=PROBE_TIMEOUT_SECONDS * 5)
+    connection = BoundedConnection(address, timeout=PROBE_TIMEOUT_SECONDS * 5)
     try:
         connection.request("POST", f"/group/{action}", json.dumps(order))
         response = connection.getresponse()
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -7,13 +7,21 @@
 
 import email.errors
 import http.client
+import io
+import socket
+import time
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from mintsaddle.values import Instant
+
 MAX_HEAD_BYTES = 65_536
 """Largest head, with all interim responses before it. Trailers and the lines
 between two parts of a chunked body are limited alike."""
 
+TIMEOUTS_PER_RESPONSE = 4
+"""A slow link delivers a large response in several parts."""
+
 _CHUNKED = "chunked"
 _LOST_LINES = (
     email.errors.MissingHeaderBodySeparatorDefect,
@@ -36,9 +44,24 @@
     Set as ``response_class`` of a connection.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self._reader = _BoundedReader(self.fp)
+    def __init__(
+        self, sock: socket.socket, *, ends_at: Instant | None = None, **kwargs: Any
+    ) -> None:
+        """Set up the response.
+
+        Args:
+            sock: The connection's socket.
+            ends_at: When reading fails, by the monotonic clock; None if only
+                the socket's timeout holds, for each read.
+            kwargs: As for the base class.
+        """
+        super().__init__(sock, **kwargs)
+        file: BinaryIO = self.fp
+        if ends_at is not None:
+            file.close()
+            raw = sock.makefile("rb", buffering=0)
+            file = io.BufferedReader(_TimedFile(sock, raw, ends_at))
+        self._reader = _BoundedReader(file)
         self.fp: Any = self._reader
 
     def on_chunk(self, callback: Callable[[], None]) -> None:
@@ -66,6 +89,56 @@
             raise FramingError(f"length {sorted(lengths)!r}")
 
 
+class BoundedConnection(http.client.HTTPConnection):
+    """A connection whose timeout also bounds the time of a whole response.
+
+    A server that sends a byte now and then never reaches the timeout of a
+    single read.
+    """
+
+    def __init__(self, address: str, timeout: float) -> None:
+        """Set up the connection.
+
+        Args:
+            address: IP and port.
+            timeout: Seconds for each read; a whole response has
+                ``TIMEOUTS_PER_RESPONSE`` times as long.
+        """
+        super().__init__(address, timeout=timeout)
+        self.response_class = self._make_response  # type: ignore[assignment]
+
+    def _make_response(self, sock: socket.socket, **kwargs: Any) -> StrictResponse:
+        seconds = sock.gettimeout() or 0.0
+        ends_at = time.monotonic() + seconds * TIMEOUTS_PER_RESPONSE
+        return StrictResponse(sock, ends_at=ends_at, **kwargs)
+
+
+class _TimedFile(io.RawIOBase):
+    """Reads a socket until an instant."""
+
+    def __init__(self, sock: socket.socket, raw: Any, ends_at: Instant) -> None:
+        self._socket = sock
+        self._raw = raw
+        self._ends_at = ends_at
+        self._read_timeout = sock.gettimeout() or 0.0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        left = self._ends_at - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("response took too long")
+        if left < self._read_timeout:
+            self._socket.settimeout(left)
+        count: int = self._raw.readinto(buffer)
+        return count
+
+    def close(self) -> None:
+        self._raw.close()
+        super().close()
+
+
 class _BoundedReader:
     """The file of a response; its lines have an end and are limited."""
 
--- a/mintsaddle/platform/_client.py
+++ b/mintsaddle/platform/_client.py
@@ -12,6 +12,7 @@
 
 from returns.result import Failure, Result, Success
 
+from mintsaddle.engines import BoundedConnection
 from mintsaddle.values import DECODING_ERRORS
 
 MAX_RESPONSE_BYTES = 4 * 1_048_576
@@ -43,9 +44,7 @@
         The newer value, or None if there is none; a failure with a message if
         the platform is unreachable or its response is invalid.
     """
-    connection = http.client.HTTPConnection(
-        address, timeout=wait + _TIMEOUT_SLACK_SECONDS
-    )
+    connection = BoundedConnection(address, timeout=wait + _TIMEOUT_SLACK_SECONDS)
     try:
         connection.request("GET", f"/v1/values/{name}?after={after}&wait={wait:g}")
         response = connection.getresponse()
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -12,6 +12,7 @@
     OrderOutcome,
     RankReport,
 )
+from mintsaddle.engines import BoundedConnection
 from mintsaddle.rank_agent import NO_RESPONSE, RankCall, RankResponse
 from mintsaddle.values import DECODING_ERRORS
 
@@ -100,7 +101,7 @@
 def call_rank(address: str, call: RankCall) -> RankResponse:
     """Call a rank's engine over the network, on a new connection."""
     timeout_seconds = ORDER_TIMEOUT_SECONDS if call.body else CALL_TIMEOUT_SECONDS
-    connection = http.client.HTTPConnection(address, timeout=timeout_seconds)
+    connection = BoundedConnection(address, timeout=timeout_seconds)
     headers = {"Content-Type": "application/json"} if call.body else {}
     try:
         body = call.body.encode() or None
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.decisions.direct import PublishedItem, StoreResponse
+from mintsaddle.engines import BoundedConnection
 from mintsaddle.values import DECODING_ERRORS, MILLISECONDS
 
 READ_TIMEOUT_SECONDS = 1.0
@@ -127,9 +128,7 @@
     ) -> Result[_Page, StoreProblem]:
         connection = self._connection
         if connection is None:
-            connection = http.client.HTTPConnection(
-                self._address, timeout=timeout_seconds
-            )
+            connection = BoundedConnection(self._address, timeout=timeout_seconds)
             self._connection = connection
         try:
             if connection.sock is None:
