--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -9,7 +9,6 @@
     GiveUp,
     KeyHolder,
     Route,
-    advise_retry,
     match_route,
 )
 from mintsaddle.decisions.quarantine import extract_features
@@ -20,6 +19,7 @@
 from mintsaddle.direct._closing_body import ClosingBody
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._reading import StreamCutError
+from mintsaddle.direct._retry_advice import recommend_wait
 from mintsaddle.direct._runner import CallRunner
 from mintsaddle.direct._timing import StreamTiming
 from mintsaddle.direct._watchdog import Watchdog
@@ -37,19 +37,6 @@
 _DEFAULT_WAIT_SECONDS = 3.0
 """Seconds that a caller is assumed to wait if it sends no deadline."""
 
-_USUAL_RETRY_SECONDS = 0.5
-"""Seconds until a slot is free after most refusals: a stream ends every 0.3 s
-on a dozen engines of six slots."""
-
-_RETRY_SECONDS = {
-    # A lost rank is away for seconds; then the group re-forms in 0.6 s.
-    Reason.GROUP_DOWN: 4.0,
-    # The first endpoint of a service takes over a second to announce itself.
-    Reason.NO_ENDPOINT: 1.5,
-    # A trial ends once an engine has survived for a second.
-    Reason.ON_TRIAL: 1.0,
-}
-
 _log = make_logger("calls")
 
 
@@ -200,7 +187,7 @@
         self._log_end(call, f"{outcome.value}:{reason.value}", 0)
         self._gateway.metrics.count(f"given_up_{reason.value}")
         left = call.deadline - self._gateway.now()
-        retry_after = self._retry_after(left, reason, call.service, call)
+        retry_after = recommend_wait(self._gateway, left, reason, call.service, call)
         status, headers = make_refusal(outcome, reason, call.request_id, retry_after)
         start_response(status, [*headers, ("Content-Length", "0")])
         return ()
@@ -214,7 +201,7 @@
             "Refused %s.", fields(request=head.request_id or "-", reason=reason.value)
         )
         left = head.seconds_left or _DEFAULT_WAIT_SECONDS
-        retry_after = self._retry_after(left, reason)
+        retry_after = recommend_wait(self._gateway, left, reason)
         status, headers = make_refusal(
             Outcome.NOT_RUN, reason, head.request_id, retry_after
         )
@@ -241,42 +228,6 @@
         start_response(status, [("Content-Length", "0")])
         return ()
 
-    def _retry_after(
-        self,
-        seconds_left: float,
-        reason: Reason,
-        service: str = "",
-        call: DirectCall | None = None,
-    ) -> float:
-        gateway = self._gateway
-        preferred = _RETRY_SECONDS.get(reason, _USUAL_RETRY_SECONDS)
-        if call is not None and reason is Reason.FULL:
-            with gateway.lock:
-                now = gateway.now()
-                expected_at = gateway.overload.expected_at(call, now)
-            preferred = expected_at - now if expected_at is not None else preferred
-        opens_at = gateway.first_wait_end(service)
-        if reason is Reason.RATE_LIMITED:
-            opens_at = opens_at or gateway.next_permit_at(service)
-        if opens_at is not None:
-            preferred = opens_at - gateway.now()
-        if reason is Reason.QUARANTINED and call is not None:
-            return self._seconds_quarantined(call)
-        if reason is Reason.ISOLATED:
-            preferred = max(_USUAL_RETRY_SECONDS, gateway.reach.failover_seconds_left)
-        with gateway.lock:
-            return advise_retry(
-                seconds_left,
-                preferred,
-                gateway.rng,
-                is_minimum=opens_at is not None,
-            )
-
-    def _seconds_quarantined(self, call: DirectCall) -> float:
-        """Return after how many seconds its features are tried again."""
-        until = self._gateway.quarantine.judge(call.features).quarantined_until
-        return max(0.0, (until or 0.0) - self._gateway.now())
-
     def _record(self, call: DirectCall, measure: Measure) -> None:
         key = HistogramKey(call.workspace or "none", call.route.name, measure)
         self._gateway.metrics.record(key, self._gateway.now() - call.arrived_at)
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -10,18 +10,12 @@
     Incarnation,
     Repeat,
     attempt_until,
-    decide_next,
     give_up,
     idle_limit_seconds,
-    record_attempt,
 )
 from mintsaddle.decisions.quarantine import SURVIVAL_SECONDS
 from mintsaddle.decisions.routing import (
-    may_retry,
-    record_failed,
     record_finished,
-    record_turned_away,
-    spend_retry,
 )
 from mintsaddle.direct._answers import (
     BufferedAnswer,
@@ -37,23 +31,19 @@
 )
 from mintsaddle.direct._availability import CallerDisconnectedError
 from mintsaddle.direct._broken_answers import record_broken_answer
+from mintsaddle.direct._endings import record_ending
 from mintsaddle.direct._exchange import Exchange
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._pauses import make_pause_recorder
 from mintsaddle.direct._reading import StreamCutError, read_body, read_events
 from mintsaddle.direct._trial_passage import TrialPassage
 from mintsaddle.direct._watchdog import Watchdog, WatchedExchange
-from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import (
     make_response_headers,
 )
-from mintsaddle.values import Instant, Reason
+from mintsaddle.values import Reason
 
 _SERVER_ERROR = 500
-_SAYS_NOTHING = frozenset({Ending.FAILED, Ending.GROUP_DOWN, Ending.WITHDRAWN})
-"""Endings that don't speak against the endpoint."""
-
-_log = make_logger("calls")
 
 
 class CallRunner:
@@ -262,31 +252,10 @@
         """Record a failed attempt; return a GiveUp, or None to try again."""
         if self._is_disconnected():
             raise CallerDisconnectedError
-        gateway = self._gateway
-        self._call = record_attempt(self._call, endpoint.name, ending)
-        now: Instant = gateway.now()
-        with gateway.lock:
-            if ending is Ending.NOT_RUN:
-                record_turned_away(gateway.routing, endpoint.name, now)
-            elif ending not in _SAYS_NOTHING:
-                record_failed(gateway.routing, endpoint.name, now)
-            has_budget = may_retry(gateway.routing)
-            decision = decide_next(self._call, ending, has_budget=has_budget, now=now)
-            if not isinstance(decision, GiveUp) and ending is not Ending.NOT_SENT:
-                spend_retry(gateway.routing)
-        gateway.metrics.count(f"attempt_{ending.value}")
-        _log.info(
-            "Attempt failed %s.",
-            fields(
-                request=self._call.request_id,
-                endpoint=endpoint.name,
-                ending=ending.value,
-                sends=self._call.sends,
-                budget=has_budget,
-                next="stop" if isinstance(decision, GiveUp) else "again",
-            ),
+        self._call, decision = record_ending(
+            self._gateway, self._call, endpoint, ending
         )
-        return decision if isinstance(decision, GiveUp) else None
+        return decision
 
     def _finish(self, attempt: Attempt, *, is_complete: bool) -> None:
         """Pool the connection if the answer is complete, else close it."""
