Share the head of a stand-in's answer and the run of its site

The doc comment of FramingError used a word of no field.

Change: begin_head and run in the stand-ins; assertions are as they were.

--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -35,7 +35,7 @@
 
 
 class FramingError(http.client.HTTPException):
-    """It can't be told where a body ends."""
+    """A head doesn't determine where the body ends."""
 
 
 class StrictResponse(http.client.HTTPResponse):
--- a/mintsaddle/platform/tests/pouring_endpoints.py
+++ b/mintsaddle/platform/tests/pouring_endpoints.py
@@ -51,10 +51,7 @@
 
 def pour(endpoint: Endpoint, handler: Any, *, answer: Pour) -> None:
     """Send an answer until the caller closes the connection."""
-    attempt = "X-Mintsaddle-Attempt-Id"
-    handler.send_response(200)
-    handler.send_header(attempt, handler.headers[attempt])
-    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    standins.begin_head(endpoint, handler)
     handler.flush_headers()
     handler.wfile.write(answer.head)
     handler.close_connection = True
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -18,7 +18,7 @@
 from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import parse_qs, urlsplit
 
 WAIT_SECONDS = 10.0
@@ -271,14 +271,19 @@
         responder(self, handler)
 
 
-def _send_head(
-    endpoint: Endpoint, handler: _Handler, status: int, **headers: str
-) -> None:
+def begin_head(endpoint: Endpoint, handler: _Handler, status: int = 200) -> None:
+    """Begin the head of an answer that counts as the endpoint's own."""
     handler.send_response(status)
     handler.send_header(
         "X-Mintsaddle-Attempt-Id", handler.headers["X-Mintsaddle-Attempt-Id"]
     )
     handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+
+
+def _send_head(
+    endpoint: Endpoint, handler: _Handler, status: int, **headers: str
+) -> None:
+    begin_head(endpoint, handler, status)
     if endpoint.rate_limit is not None:
         handler.send_header("X-Mintsaddle-Server-Limit", endpoint.rate_limit)
     if endpoint.load is not None:
@@ -660,6 +665,14 @@
     """
     site = Site(folder)
     site.store.sends_era = sends_era
+    yield from run(site)
+
+
+_AnySite = TypeVar("_AnySite", bound=Site)
+
+
+def run(site: _AnySite) -> Iterator[_AnySite]:
+    """Start a site, yield it, and stop its processes afterwards."""
     try:
         site.start()
         yield site
--- a/mintsaddle/platform/tests/test_answers_without_length.py
+++ b/mintsaddle/platform/tests/test_answers_without_length.py
@@ -44,10 +44,7 @@
 
 def send_part_of_head(endpoint: Endpoint, handler: Any, *, end: Ending) -> None:
     """Send a head that lacks the line with the length, and its end."""
-    handler.send_response(200)
-    attempt = "X-Mintsaddle-Attempt-Id"
-    handler.send_header(attempt, handler.headers[attempt])
-    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    standins.begin_head(endpoint, handler)
     handler.flush_headers()
     handler.wfile.flush()
     end(handler)
@@ -60,10 +57,7 @@
 def respond(
     endpoint: Endpoint, handler: Any, *, body: bytes, kind: str, end: Ending
 ) -> None:
-    handler.send_response(200)
-    attempt = "X-Mintsaddle-Attempt-Id"
-    handler.send_header(attempt, handler.headers[attempt])
-    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    standins.begin_head(endpoint, handler)
     handler.send_header("Content-Type", kind)
     handler.end_headers()
     handler.wfile.write(body)
--- a/mintsaddle/platform/tests/test_endless_answers.py
+++ b/mintsaddle/platform/tests/test_endless_answers.py
@@ -65,13 +65,7 @@
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[WellSite]:
-    site = WellSite(tmp_path)
-    try:
-        site.start()
-        yield site
-    finally:
-        for entry in site.entries:
-            entry.stop()
+    yield from standins.run(WellSite(tmp_path))
 
 
 @contextmanager
@@ -163,10 +157,7 @@
 
 def respond_large(endpoint: Endpoint, handler: Any, *, size: int) -> None:
     """Send a large answer with a length."""
-    handler.send_response(200)
-    attempt = "X-Mintsaddle-Attempt-Id"
-    handler.send_header(attempt, handler.headers[attempt])
-    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    standins.begin_head(endpoint, handler)
     handler.send_header("Content-Length", str(size))
     handler.end_headers()
     handler.wfile.write(b"y" * size)
--- a/mintsaddle/platform/tests/test_odd_heads.py
+++ b/mintsaddle/platform/tests/test_odd_heads.py
@@ -21,10 +21,7 @@
 
 def respond_with(endpoint: Endpoint, handler: Any, *, line: bytes) -> None:
     """Send a whole answer with one more line in its head."""
-    handler.send_response(200)
-    attempt = "X-Mintsaddle-Attempt-Id"
-    handler.send_header(attempt, handler.headers[attempt])
-    handler.send_header("X-Mintsaddle-Response-Stamp", f"by-{endpoint.name}")
+    standins.begin_head(endpoint, handler)
     handler.flush_headers()
     handler.wfile.write(line + b"\r\nContent-Length: 5\r\n\r\nwhole")
 
