Don't follow keys that can't be sent to peers

A key of the store with a lone surrogate ended each exchange of an entry with its peers, and so the gossip of all entries that had read it.

Found by reading related paths.

Change: such keys aren't followed, as they can name no engine. A logged problem has 200 characters at most, since it repeats a value of any size.

Both new cases failed before with UnicodeEncodeError and pass; 101 tests of unreadable items, translation and restored stores pass.

--- a/mintsaddle/platform/_items.py
+++ b/mintsaddle/platform/_items.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import re
 from collections.abc import Iterable
 from typing import Any
 
@@ -31,8 +32,10 @@
 _TABLE_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _ENDPOINT_STATES = frozenset({"ready", "draining"})
+_SURROGATES = re.compile("[\ud800-\udfff]")
 _MAX_NUMBER = 2**53
 _MAX_PORT = 65_535
+_MAX_PROBLEM_LENGTH = 200
 _log = make_logger("platform")
 
 
@@ -40,9 +43,12 @@
     """Return whether entries act on a key.
 
     Items of other users of the store would fill the replica and every message
-    to peers.
+    to peers, and a message can't have a key that can't be encoded.
     """
-    return key == _TABLE_KEY or key.startswith((_EVACUATION_PREFIX, _ENDPOINT_PREFIX))
+    if key == _TABLE_KEY:
+        return True
+    is_known = key.startswith((_EVACUATION_PREFIX, _ENDPOINT_PREFIX))
+    return is_known and not _SURROGATES.search(key)
 
 
 def decode_items(items: Iterable[PublishedItem], now: Instant) -> list[DirectoryUpdate]:
@@ -60,7 +66,11 @@
             # Whatever one item raises, all others are applied.
             _log.warning(
                 "Item unreadable %s.",
-                fields(key=item.key, revision=item.revision, problem=repr(error)),
+                fields(
+                    key=item.key,
+                    revision=item.revision,
+                    problem=repr(error)[:_MAX_PROBLEM_LENGTH],
+                ),
             )
             update = _remove_endpoint(item)
         if update is not None:
--- a/mintsaddle/platform/tests/test_unreadable_items.py
+++ b/mintsaddle/platform/tests/test_unreadable_items.py
@@ -13,12 +13,14 @@
 from mintsaddle.decisions.direct import (
     EndpointPublished,
     EndpointRemoved,
+    Position,
     PublishedItem,
     preferred_data_centres,
 )
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._peer_start import run_forever
 from mintsaddle.direct._rank_groups import find_rank_groups
+from mintsaddle.direct._relay import ReplicaRelay
 from mintsaddle.platform import (
     decode_expert_counts,
     decode_items,
@@ -29,6 +31,7 @@
 from mintsaddle.platform.tests.standins import Site, make_configuration, wait_for
 from mintsaddle.platform.tests.test_taking_items import ANNOUNCED, SETTINGS, apply
 from mintsaddle.rank_agent import RankResponse
+from mintsaddle.transport.proto import peer_pb2 as pb
 
 NESTED = b"[" * 20_000
 RANK = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
@@ -139,6 +142,21 @@
         for name in preferred_data_centres(gateway.directory).values():
             name.encode()
 
+    @pytest.mark.parametrize("prefix", ["servers/", "op/evacuate/"])
+    def test_a_key_that_cannot_be_encoded_is_not_sent_to_peers(
+        self, prefix: str
+    ) -> None:
+        """Guards against gossip that one key ends at all entries."""
+        gateway = Gateway(SETTINGS)
+        apply(
+            gateway,
+            PublishedItem(f"{prefix}\ud800", 1, ANNOUNCED),
+            PublishedItem("servers/i-1", 2, ANNOUNCED),
+        )
+        hello = pb.EntryHello(vm="entry-2")
+        update, _ = ReplicaRelay(gateway).make_update(hello, Position())
+        assert [item.key for item in update.items] == ["servers/i-1"]
+
     def test_a_rank_of_a_huge_group_costs_nothing(self) -> None:
         """Guards against memory that is used up by the size of a group."""
         gateway = Gateway(SETTINGS)
