Read a length with space around it

Cause: the check of lengths compared the text as it came; http.client strips it, and HTTP allows space around a value.

Change: the text is stripped before it is compared.

--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -80,7 +80,8 @@
         self._reader.end_head()
         if any(isinstance(one, _LOST_LINES) for one in self.headers.defects):
             raise FramingError(f"head {self.headers.defects!r}")
-        lengths = set(self.headers.get_all("Content-Length", ()))
+        values = self.headers.get_all("Content-Length", ())
+        lengths = {value.strip() for value in values}
         codings = self.headers.get_all("Transfer-Encoding", ())
         if any(coding.strip().lower() != _CHUNKED for coding in codings):
             raise FramingError(f"transfer coding {codings!r}")
--- a/mintsaddle/platform/tests/test_odd_heads.py
+++ b/mintsaddle/platform/tests/test_odd_heads.py
@@ -48,6 +48,12 @@
 
 
 class TestSoundHeads:
+    @pytest.mark.parametrize("text", ["Content-Length: 5 ", "content-length:\t5"])
+    def test_a_length_may_have_space_around_it(self, site: Site, text: str) -> None:
+        """Guards against sound answers refused for how a length is written."""
+        site.script(line(text))
+        assert site.entry.call("POST", "/order/1")[::2] == (200, b"whole")
+
     @pytest.mark.parametrize("kind", ["multipart/mixed; boundary=b", "message/rfc822"])
     def test_any_type_of_body_is_passed_on(self, site: Site, kind: str) -> None:
         site.script(line(f"Content-Type: {kind}"))
