Record connections that close before their requests are answered

Cause: neither log nor metrics told a request that a closing connection loses from one that its caller abandons, nor what a stopping process leaves behind. Change: callers' connections have a module of their own; each close names its reason, and one with an unanswered request or unsent bytes is logged and counted. The last log line says what the connections still held. The idle limit is applied here instead of in waitress, with the same condition. No decision changes.

--- /dev/null
+++ b/mintsaddle/direct/_connections.py
@@ -0,0 +1,85 @@
+"""Connections of callers, as waitress serves them."""
+
+import enum
+from typing import NamedTuple
+
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
+
+from mintsaddle.platform import read_request_head
+
+
+class CloseReason(enum.Enum):
+    """Why a connection is closed."""
+
+    CALLER = "caller"
+    """The caller has closed or reset it."""
+
+    IDLE = "idle"
+    """Nothing was sent or received for as long as the table allows."""
+
+    CROWDED = "crowded"
+    """Too many connections are open."""
+
+    ELSEWHERE = "elsewhere"
+    """Callers are served better by other entries."""
+
+
+class CutConnection(NamedTuple):
+    """A connection that was closed before its requests were answered."""
+
+    reason: CloseReason
+    requests: int
+    """Number of complete requests without a complete answer."""
+
+    unsent_bytes: int
+    """Bytes of answers that had not been sent."""
+
+    request_id: str
+    """The id of the first of these requests; empty if there is none."""
+
+
+class ClosingTask(WSGITask):  # type: ignore[misc]
+    """Sends `Connection: close` if callers should use another entry."""
+
+    def build_response_header(self) -> bytes:
+        """Return the head of the answer."""
+        server = self.channel.server
+        if server.should_close_connections() or server.is_crowded():
+            self.request.headers["CONNECTION"] = "close"
+        head: bytes = super().build_response_header()
+        return head
+
+
+class CallerChannel(HTTPChannel):  # type: ignore[misc]
+    """The connection of one caller."""
+
+    task_class = ClosingTask
+    close_reason = CloseReason.CALLER
+
+    def is_idle(self) -> bool:
+        """Return whether the connection has no request."""
+        return not self.requests and self.request is None
+
+    def close_for(self, reason: CloseReason) -> None:
+        """Close the connection in the server's loop."""
+        self.close_reason = reason
+        self.will_close = True
+
+    def handle_close(self) -> None:
+        """Close the connection, and record it if an answer is cut."""
+        if self.connected and (self.requests or self.total_outbufs_len):
+            self.server.record_cut(self._describe_cut())
+        super().handle_close()
+
+    def _describe_cut(self) -> CutConnection:
+        # The caller's thread may end the last request meanwhile.
+        requests = list(self.requests)
+        request_id = ""
+        if requests:
+            headers = requests[0].headers.items()
+            environ = {f"HTTP_{name}": value for name, value in headers}
+            request_id = read_request_head(environ).request_id
+        return CutConnection(
+            self.close_reason, len(requests), self.total_outbufs_len, request_id
+        )
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -4,10 +4,12 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
+from mintsaddle.direct._connections import CutConnection
 from mintsaddle.direct._follow import start_store_polling
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_group_checks
@@ -69,6 +71,7 @@
         should_close_connections,
         callers,
         max_connections(settings),
+        partial(_record_cut, gateway),
     )
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
@@ -97,7 +100,10 @@
     _log.info("Started %s.", fields(vm=settings.vm, callers=settings.callers))
     _wait_for_stop(gateway, signals, reload)
     _drain(gateway, app, server)
-    _log.info("Stopped %s.", fields(vm=settings.vm, open=app.open_calls))
+    _log.info(
+        "Stopped %s.",
+        fields(vm=settings.vm, open=app.open_calls, **server.load._asdict()),
+    )
     return 0
 
 
@@ -159,6 +165,19 @@
         server.close_idle()
 
 
+def _record_cut(gateway: Gateway, cut: CutConnection) -> None:
+    gateway.metrics.count(f"connections_cut_{cut.reason.value}")
+    _log.info(
+        "Connection cut %s.",
+        fields(
+            request=cut.request_id or "-",
+            reason=cut.reason.value,
+            unanswered=cut.requests,
+            unsent_bytes=cut.unsent_bytes,
+        ),
+    )
+
+
 def _render_readiness(gateway: Gateway) -> tuple[str, str]:
     if gateway.leaving or not gateway.is_initialized or gateway.is_cut_off():
         return "503 Service Unavailable", "not serving\n"
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -2,13 +2,12 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
-from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer, create_server
-from waitress.task import WSGITask
 
 from mintsaddle.decisions.direct import CallerLimits
+from mintsaddle.direct._connections import CallerChannel, CloseReason, CutConnection
 from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.settings import DirectSettings
 
@@ -50,21 +49,6 @@
 _READ_BYTES = 65_536
 
 
-class _ClosingTask(WSGITask):  # type: ignore[misc]
-    """Sends `Connection: close` if callers should use another entry."""
-
-    def build_response_header(self) -> bytes:
-        server = self.channel.server
-        if server.should_close_connections() or server.is_crowded():
-            self.request.headers["CONNECTION"] = "close"
-        head: bytes = super().build_response_header()
-        return head
-
-
-class _CallerChannel(HTTPChannel):  # type: ignore[misc]
-    task_class = _ClosingTask
-
-
 def max_callers(settings: DirectSettings) -> int:
     """Return how many concurrent callers the VM has resources for."""
     by_memory = settings.memory_megabytes * CALLER_MEMORY_SHARE / CALLER_MEGABYTES
@@ -79,6 +63,23 @@
     return max(1, min(MAX_CONNECTIONS, int(left)))
 
 
+class ServerLoad(NamedTuple):
+    """What the connections of a server hold."""
+
+    connections: int
+    waiting: int
+    """Number of requests that wait for a thread."""
+
+    unanswered: int
+    """Number of complete requests without a complete answer."""
+
+    arriving: int
+    """Number of requests that have not arrived completely."""
+
+    unsent_bytes: int
+    """Bytes of answers that have not been sent."""
+
+
 class CallerServer:
     """Accepts callers' connections and serves their requests."""
 
@@ -89,6 +90,7 @@
         should_close_connections: Callable[[], bool],
         max_callers: int,
         max_connections: int,
+        record_cut: Callable[[CutConnection], None],
     ) -> None:
         """Create the server.
 
@@ -99,14 +101,16 @@
                 their next request to another entry.
             max_callers: How many requests are served concurrently.
             max_connections: How many connections are open at the same time.
+            record_cut: Called with each connection that is closed before its
+                requests were answered.
         """
         self._max_connections = max_connections
-        dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
-        dispatcher.set_thread_count(INITIAL_THREADS)
+        self._dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
+        self._dispatcher.set_thread_count(INITIAL_THREADS)
         self._server: TcpWSGIServer = create_server(
             app,
             listen=address,
-            _dispatcher=dispatcher,
+            _dispatcher=self._dispatcher,
             backlog=_BACKLOG,
             connection_limit=max_connections,
             cleanup_interval=_CLEANUP_SECONDS,
@@ -119,12 +123,24 @@
             # The app logs truncated streams and callers that disconnect.
             log_socket_errors=False,
         )
-        self._server.channel_class = _CallerChannel
+        self._server.channel_class = CallerChannel
         self._server.should_close_connections = should_close_connections
         self._server.is_crowded = self._is_crowded
-        self._close_expired = self._server.maintenance
+        self._server.record_cut = record_cut
         self._server.maintenance = self._maintain
 
+    @property
+    def load(self) -> ServerLoad:
+        """What the connections hold now."""
+        channels = self._channels()
+        return ServerLoad(
+            len(channels),
+            len(self._dispatcher.queue),
+            sum(len(channel.requests) for channel in channels),
+            sum(channel.request is not None for channel in channels),
+            sum(channel.total_outbufs_len for channel in channels),
+        )
+
     def start(self) -> None:
         """Start serving in a separate thread."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
@@ -142,7 +158,7 @@
 
     def close_idle(self) -> None:
         """Close connections without a request; callers open new ones."""
-        self._close(self._idle_channels())
+        self._close(self._idle_channels(), CloseReason.ELSEWHERE)
 
     def _maintain(self, now: float) -> None:
         """Close idle connections; called in the server's loop.
@@ -153,6 +169,13 @@
         self._close_expired(now)
         self._close_excess()
 
+    def _close_expired(self, now: float) -> None:
+        """Close connections that have been inactive for too long."""
+        cutoff = now - self._server.adj.channel_timeout
+        for channel in self._channels():
+            if not channel.requests and channel.last_activity < cutoff:
+                channel.close_for(CloseReason.IDLE)
+
     def _close_excess(self) -> None:
         """Close the connections that were idle for longest if many are open.
 
@@ -163,23 +186,22 @@
         excess = len(self._server.active_channels) - allowed
         if excess > 0:
             idle = sorted(self._idle_channels(), key=lambda one: one.last_activity)
-            self._close(idle[:excess])
+            self._close(idle[:excess], CloseReason.CROWDED)
 
     def _is_crowded(self) -> bool:
         """Return whether callers should close their connections."""
         kept = self._max_connections * KEPT_CONNECTIONS_SHARE
         return len(self._server.active_channels) > kept
 
-    def _idle_channels(self) -> list[Any]:
-        return [
-            channel
-            for channel in tuple(self._server.active_channels.values())
-            if not channel.requests and channel.request is None
-        ]
+    def _channels(self) -> tuple[CallerChannel, ...]:
+        return tuple(self._server.active_channels.values())
+
+    def _idle_channels(self) -> list[CallerChannel]:
+        return [channel for channel in self._channels() if channel.is_idle()]
 
-    def _close(self, channels: Iterable[Any]) -> None:
+    def _close(self, channels: Iterable[CallerChannel], reason: CloseReason) -> None:
         for channel in channels:
-            channel.will_close = True
+            channel.close_for(reason)
         self._server.pull_trigger()
 
 
