--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -441,6 +441,9 @@
     }
 
 
+ENTRY_MODULE = "mintsaddle.platform"
+"""The module that runs an entry."""
+
 FIRST_PORT, LAST_PORT = 10_000, 32_000
 """Ports for processes that bind them later; below the ephemeral range.
 
@@ -479,6 +482,7 @@
         store: str,
         seeds: list[str] | None = None,
         agent_port: int | None = None,
+        module: str = ENTRY_MODULE,
     ) -> None:
         front, ready, control, metrics = free_ports(4)
         self.front, self.ready, self.metrics = front, ready, metrics
@@ -500,7 +504,7 @@
         self._log_path = folder / f"{name}.log"
         self._log = self._log_path.open("a")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "mintsaddle.platform"],
+            [sys.executable, "-m", module],
             env={**os.environ, "MINTSADDLE_NODE_FILE": str(settings)},
             stdout=self._log,
             stderr=subprocess.STDOUT,
@@ -609,6 +613,7 @@
         self.store = Store()
         self.endpoints = [Endpoint("e-1"), Endpoint("e-2")]
         self.entries: list[Entry] = []
+        self.module = ENTRY_MODULE
 
     @property
     def entry(self) -> Entry:
@@ -636,7 +641,7 @@
     def add_entry(self, store: str, seeds: list[str] | None = None) -> Entry:
         """Start one more entry."""
         name = f"entry-{len(self.entries) + 1}"
-        entry = Entry(self._folder, name, store, seeds)
+        entry = Entry(self._folder, name, store, seeds, module=self.module)
         self.entries.append(entry)
         return entry
 
