Keep connections with unsent bytes of an answer

Callers saw: the head and the first part of an answer, then the end of the connection, while the entry stopped, was crowded, or had got a shorter idle limit. Cause: a connection without a request counted as idle, whatever of its last answer was unsent; what the kernel doesn't take at once waits in the server. Change: such a connection is not idle. It is closed only if nothing of the answer has moved for the idle limit and for 15 s at least. The loop sees that close even if the caller reads nothing; before, the connection stayed open until it did.

--- a/mintsaddle/direct/_connections.py
+++ b/mintsaddle/direct/_connections.py
@@ -6,9 +6,13 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from mintsaddle.engines import is_readable
+from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.platform import read_request_head
 
+MIN_UNSENT_SECONDS = 15.0
+"""Shortest time without progress after which an answer that its caller doesn't
+read is abandoned."""
+
 
 class CloseReason(enum.Enum):
     """Why a connection is closed."""
@@ -17,7 +21,7 @@
     """The caller has closed or reset it."""
 
     IDLE = "idle"
-    """Nothing was sent or received for as long as the table allows."""
+    """Nothing was sent or received for too long."""
 
     CROWDED = "crowded"
     """Too many connections are open."""
@@ -60,8 +64,26 @@
     _close_reason = CloseReason.CALLER
 
     def is_idle(self) -> bool:
-        """Return whether the connection has no request."""
-        return not self.requests and self.request is None
+        """Return whether nothing is arriving, being answered or being sent."""
+        return not self.has_answer() and self.request is None
+
+    def has_answer(self) -> bool:
+        """Return whether an answer is due or has not been sent completely."""
+        return bool(self.requests or self.total_outbufs_len)
+
+    def is_inactive(self, now: float, idle_seconds: float) -> bool:
+        """Return whether nothing has moved for too long.
+
+        Args:
+            now: The wall clock, as waitress records activity by it.
+            idle_seconds: How long a connection without an answer is kept.
+        """
+        if self.requests:
+            return False
+        allowed = idle_seconds
+        if self.total_outbufs_len:
+            allowed = max(idle_seconds, MIN_UNSENT_SECONDS)
+        return bool(self.last_activity < now - allowed)
 
     def request_close(self, reason: CloseReason) -> None:
         """Close the connection if it is idle when the server's loop sees it.
@@ -88,16 +110,29 @@
 
     def handle_close(self) -> None:
         """Close the connection, and record it if an answer is cut."""
-        if self.connected and (self.requests or self.total_outbufs_len):
+        if self.connected and self.has_answer():
             self.server.record_cut(self._describe_cut())
         super().handle_close()
 
+    def abandon(self) -> None:
+        """Close an inactive connection, even if its caller reads nothing.
+
+        The loop has to see the end: it would wait for room to send otherwise.
+        """
+        if not self.total_outbufs_len:
+            self.request_close(CloseReason.IDLE)
+            return
+        self._close_reason = CloseReason.IDLE
+        shut_down(self.socket)
+
     def _may_close(self, reason: CloseReason) -> bool:
         """Return whether no caller loses an answer by the close.
 
         A request that has stopped arriving may be dropped.
         """
-        return self.is_idle() or (reason is CloseReason.IDLE and not self.requests)
+        if reason is CloseReason.IDLE:
+            return not self.has_answer()
+        return self.is_idle()
 
     def _describe_cut(self) -> CutConnection:
         # The caller's thread may end the last request meanwhile.
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -167,10 +167,10 @@
 
     def _close_expired(self, now: float) -> None:
         """Close connections that have been inactive for too long."""
-        cutoff = now - self._server.adj.channel_timeout
+        idle_seconds = self._server.adj.channel_timeout
         for channel in self._channels():
-            if not channel.requests and channel.last_activity < cutoff:
-                channel.request_close(CloseReason.IDLE)
+            if channel.is_inactive(now, idle_seconds):
+                channel.abandon()
 
     def _close_excess(self) -> None:
         """Close the connections that were idle for longest if many are open.
--- a/mintsaddle/direct/tests/test_server.py
+++ b/mintsaddle/direct/tests/test_server.py
@@ -13,6 +13,7 @@
 import pytest
 
 from mintsaddle.decisions.direct import CallerLimits
+from mintsaddle.direct import _connections
 from mintsaddle.direct._server import CallerServer
 from mintsaddle.platform.tests.standins import free_ports, wait_for
 
@@ -219,6 +220,18 @@
 
             self.check_whole(crowd)
 
+    def test_a_caller_that_reads_nothing_is_abandoned(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against connections that stay open for ever."""
+        monkeypatch.setattr(_connections, "MIN_UNSENT_SECONDS", 0.5)
+        running = RunningServer(answer_until_unsent)
+        running.server.set_limits(LIMITS._replace(idle_seconds=0.5))
+        with running.connect(receive_bytes=16_384) as connection:
+            connection.sendall(request_bytes("/large"))
+            assert running.ended.wait(10.0)
+            wait_for(lambda: not running.server.load.connections, "closed connection")
+
 
 class TestLongBodies:
     def test_a_long_body_needs_no_file(self, monkeypatch: pytest.MonkeyPatch) -> None:
