End a drain with the connections, not with the calls

Callers saw, from an entry that stopped: an answer without its last part, a request whose body was still arriving without any, and new connections that were never read and ended with the process. Cause: the drain counted calls. A call ends when its answer has been handed to the server; a request that waits for a thread or is still arriving has none; the listening socket stayed open, so that the kernel went on accepting. Change: the schedule is a decision (plan_drain). After the balancer's time the server's loop accepts what waits and closes the listening socket; the process exits once no connection is left, or at 0.95 of the stop time. It was 5/6, at which answers that were being sent were cut, too.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -30,6 +30,7 @@
     preferred_data_centres,
     usable_endpoints,
 )
+from mintsaddle.decisions.direct._drain import DrainSchedule, plan_drain
 from mintsaddle.decisions.direct._first_map import EntryShare
 from mintsaddle.decisions.direct._groups import (
     GroupAvailability,
@@ -157,6 +158,7 @@
     "DirectService",
     "Directory",
     "DirectoryUpdate",
+    "DrainSchedule",
     "Ending",
     "EndpointPublished",
     "EndpointRemoved",
@@ -214,6 +216,7 @@
     "may_wait_for_slot",
     "must_poll",
     "place_at",
+    "plan_drain",
     "prefer_proven",
     "prefer_quick_groups",
     "preferred_data_centres",
--- /dev/null
+++ b/mintsaddle/decisions/direct/_drain.py
@@ -0,0 +1,43 @@
+"""Schedule of an entry that has been told to stop.
+
+Load pattern: callers use their kept connections until these close, and the
+balancer sends new ones until it has seen readiness fail twice. Most requests
+end within a second. The few that don't, and callers that read slowly, decide
+how long the process stays; the platform kills it at the end of the stop time.
+"""
+
+from typing import NamedTuple
+
+from mintsaddle.values import Instant
+
+ACCEPT_SECONDS = 3.0
+"""Seconds for which new connections are accepted. The balancer checks
+readiness every second and stops sending after two failed checks."""
+
+MAX_ACCEPT_FRACTION = 0.5
+"""Fraction of a short stop time for which they are accepted at most."""
+
+EXIT_FRACTION = 0.95
+"""Fraction of the stop time after which the process exits; a killed one could
+not write its log."""
+
+
+class DrainSchedule(NamedTuple):
+    """What an entry does until which instant once it has to stop."""
+
+    accept_until: Instant
+    """Until when new connections are accepted."""
+
+    exit_at: Instant
+    """When the process exits, whatever is left."""
+
+
+def plan_drain(now: Instant, stop_seconds: float) -> DrainSchedule:
+    """Return the schedule of an entry that has just been told to stop.
+
+    Args:
+        now: The present instant.
+        stop_seconds: Seconds after which the platform kills the process.
+    """
+    accept_seconds = min(ACCEPT_SECONDS, stop_seconds * MAX_ACCEPT_FRACTION)
+    return DrainSchedule(now + accept_seconds, now + stop_seconds * EXIT_FRACTION)
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -10,6 +10,7 @@
     SETTLE_SECONDS,
     ColdStartLimiter,
     Directory,
+    DrainSchedule,
     EndpointReplaced,
     EndpointSaidLeaving,
     EntryShare,
@@ -23,6 +24,7 @@
     apply_updates,
     drop_expired,
     must_poll,
+    plan_drain,
     preferred_data_centres,
     usable_endpoints,
 )
@@ -121,7 +123,7 @@
         self._quarantine = FeatureQuarantine(
             settings.vm, self._lock, self.now, self._metrics, self._notify_waiting
         )
-        self._leaving = False
+        self._drain_schedule: DrainSchedule | None = None
         self._is_platform_lost = False
         self._is_reader = False
         self._settles_at = self.now() + SETTLE_SECONDS
@@ -236,7 +238,7 @@
     @property
     def leaving(self) -> bool:
         """Whether this process has been told to stop."""
-        return self._leaving
+        return self._drain_schedule is not None
 
     @property
     def is_platform_lost(self) -> bool:
@@ -268,9 +270,11 @@
         """
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
-    def mark_leaving(self) -> None:
+    def begin_drain(self) -> DrainSchedule:
         """Record that this process has been told to stop."""
-        self._leaving = True
+        schedule = plan_drain(self.now(), self._settings.stop_seconds)
+        self._drain_schedule = schedule
+        return schedule
 
     def set_reader(self, is_reader: bool) -> None:
         """Record whether this entry watches the platform for its peers."""
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -10,6 +10,7 @@
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._connections import CutConnection
+from mintsaddle.direct._drain import drain
 from mintsaddle.direct._follow import start_store_polling
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_group_checks
@@ -30,18 +31,9 @@
 
 METRICS_PATH = "/metrics"
 
-DRAIN_ACCEPT_SECONDS = 3.0
-"""Seconds after SIGTERM for which new connections are accepted. The balancer
-checks readiness every second and stops sending after two failed checks."""
-
-DRAIN_FRACTION = 5 / 6
-"""Fraction of the stop time after which the process exits. Requests that an
-endpoint still processes in the last sixth may be aborted."""
-
 RELOAD_INTERVAL_SECONDS = 5.0
 """Interval at which the settings file, which is small, is read again."""
 
-_DRAIN_POLL_SECONDS = 0.05
 _SIGNAL_POLL_SECONDS = 0.25
 _MAINTENANCE_INTERVAL_SECONDS = 0.5
 _log = make_logger("daemon")
@@ -99,7 +91,7 @@
     server.start()
     _log.info("Started %s.", fields(vm=settings.vm, callers=settings.callers))
     _wait_for_stop(gateway, signals, reload)
-    _drain(gateway, app, server)
+    drain(gateway, app, server)
     _log.info(
         "Stopped %s.",
         fields(vm=settings.vm, open=app.open_calls, **server.load._asdict()),
@@ -152,19 +144,6 @@
         _log.info("Reloaded %s.", fields(vm=settings.vm))
 
 
-def _drain(gateway: Gateway, app: DirectApp, server: CallerServer) -> None:
-    """Fail the readiness check, then drain connections and requests."""
-    gateway.mark_leaving()
-    stopped_at = gateway.now()
-    finish_at = stopped_at + gateway.settings.stop_seconds * DRAIN_FRACTION
-    time.sleep(DRAIN_ACCEPT_SECONDS)
-    server.stop_accepting()
-    server.close_idle()
-    while app.open_calls and gateway.now() < finish_at:
-        time.sleep(_DRAIN_POLL_SECONDS)
-        server.close_idle()
-
-
 def _record_cut(gateway: Gateway, cut: CutConnection) -> None:
     gateway.metrics.count(f"connections_cut_{cut.reason.value}")
     _log.info(
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -9,6 +9,7 @@
 from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.direct._connections import CallerChannel, CloseReason, CutConnection
 from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
+from mintsaddle.engines import is_readable
 from mintsaddle.settings import DirectSettings
 
 CALLER_MEGABYTES = 0.2
@@ -105,6 +106,7 @@
                 requests were answered.
         """
         self._max_connections = max_connections
+        self._is_listening = True
         self._dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
         self._dispatcher.set_thread_count(INITIAL_THREADS)
         self._server: TcpWSGIServer = create_server(
@@ -141,6 +143,11 @@
             sum(channel.total_outbufs_len for channel in channels),
         )
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether it listens no longer and all connections have ended."""
+        return not (self._is_listening or self._server.active_channels)
+
     def start(self) -> None:
         """Start serving in a separate thread."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
@@ -152,14 +159,28 @@
         adjustments.max_request_body_size = limits.body_bytes
         adjustments.channel_timeout = limits.idle_seconds
 
-    def stop_accepting(self) -> None:
-        """Accept no further connections."""
-        self._server.accepting = False
+    def stop_listening(self) -> None:
+        """Accept the connections that wait, and refuse all later ones."""
+        self._server.trigger.pull_trigger(self._stop_listening)
 
     def close_idle(self) -> None:
         """Close connections without a request; callers open new ones."""
         self._close(self._channels(), CloseReason.ELSEWHERE)
 
+    def _stop_listening(self) -> None:
+        """Close the listening socket; called in the server's loop.
+
+        Callers whose connections the kernel has accepted may have sent their
+        requests; the others must not wait for the end of the process.
+        """
+        for _ in range(_BACKLOG):
+            if not is_readable(self._server.socket, 0.0):
+                break
+            self._server.handle_accept()
+        self._server.del_channel()
+        self._server.socket.close()
+        self._is_listening = False
+
     def _maintain(self, now: float) -> None:
         """Close idle connections; called in the server's loop."""
         self._close_expired(now)
