Answer requests that a stopping entry can't serve any more

Callers saw: the end of the connection after up to two thirds of the stop time, for requests that waited for an endpoint, or whose endpoint was still at work. Cause: the process exited in the middle of the calls that were left. Change: from 5/6 of the stop time a call without an endpoint is refused (503, not run, back at once, as other entries serve it); from 0.9 on endpoints' answers are no longer awaited, and the caller is told that the outcome is unknown (502).

--- a/mintsaddle/decisions/direct/_drain.py
+++ b/mintsaddle/decisions/direct/_drain.py
@@ -17,6 +17,14 @@
 MAX_ACCEPT_FRACTION = 0.5
 """Fraction of a short stop time for which they are accepted at most."""
 
+REFUSE_FRACTION = 5 / 6
+"""Fraction of the stop time after which a request that no endpoint has yet is
+refused. Another entry serves it; here it would hardly end in time."""
+
+ABORT_FRACTION = 0.9
+"""Fraction of the stop time after which calls are ended, so that their callers
+are told that the outcome is unknown."""
+
 EXIT_FRACTION = 0.95
 """Fraction of the stop time after which the process exits; a killed one could
 not write its log."""
@@ -28,6 +36,12 @@
     accept_until: Instant
     """Until when new connections are accepted."""
 
+    refuse_from: Instant
+    """From when requests are no longer sent to endpoints."""
+
+    abort_from: Instant
+    """From when endpoints' answers are no longer awaited."""
+
     exit_at: Instant
     """When the process exits, whatever is left."""
 
@@ -40,4 +54,9 @@
         stop_seconds: Seconds after which the platform kills the process.
     """
     accept_seconds = min(ACCEPT_SECONDS, stop_seconds * MAX_ACCEPT_FRACTION)
-    return DrainSchedule(now + accept_seconds, now + stop_seconds * EXIT_FRACTION)
+    return DrainSchedule(
+        accept_until=now + accept_seconds,
+        refuse_from=now + stop_seconds * REFUSE_FRACTION,
+        abort_from=now + stop_seconds * ABORT_FRACTION,
+        exit_at=now + stop_seconds * EXIT_FRACTION,
+    )
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -240,6 +240,18 @@
         """Whether this process has been told to stop."""
         return self._drain_schedule is not None
 
+    @property
+    def refuses_calls(self) -> bool:
+        """Whether the process stops too soon to send requests to endpoints."""
+        schedule = self._drain_schedule
+        return schedule is not None and self.now() >= schedule.refuse_from
+
+    @property
+    def aborts_calls(self) -> bool:
+        """Whether the process stops too soon to await endpoints' answers."""
+        schedule = self._drain_schedule
+        return schedule is not None and self.now() >= schedule.abort_from
+
     @property
     def is_platform_lost(self) -> bool:
         """Whether the entry currently gets no data from the platform."""
--- a/mintsaddle/direct/_retry_advice.py
+++ b/mintsaddle/direct/_retry_advice.py
@@ -13,6 +13,8 @@
     Reason.GROUP_DOWN: 4.0,
     # The first endpoint of a service takes over a second to announce itself.
     Reason.NO_ENDPOINT: 1.5,
+    # Other entries serve the caller.
+    Reason.LEAVING: 0.1,
     # A trial ends once an engine has survived for a second.
     Reason.ON_TRIAL: 1.0,
 }
--- a/mintsaddle/direct/_runner.py
+++ b/mintsaddle/direct/_runner.py
@@ -143,7 +143,7 @@
         A request that has been quarantined still ends an engine in whose
         queue it waits.
         """
-        if self._is_disconnected():
+        if self._is_disconnected() or self._gateway.aborts_calls:
             return True
         return not self._has_begun and self._gateway.quarantine.is_quarantined(
             self._call.features
--- a/mintsaddle/direct/_trial_passage.py
+++ b/mintsaddle/direct/_trial_passage.py
@@ -16,8 +16,12 @@
 _log = make_logger("calls")
 
 
-class _CallQuarantinedError(Exception):
-    """A call was quarantined while it waited for an endpoint."""
+class _CallRefusedError(Exception):
+    """A call was refused while it waited for an endpoint."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
 class TrialPassage:
@@ -46,17 +50,21 @@
 
         def is_waiting_in_vain() -> bool:
             if self._gateway.quarantine.is_quarantined(call.features):
-                raise _CallQuarantinedError
+                raise _CallRefusedError(Reason.QUARANTINED)
+            if self._gateway.refuses_calls:
+                raise _CallRefusedError(Reason.LEAVING)
             return is_disconnected()
 
         while True:
-            refusal = self._await_admission(call, is_disconnected)
-            if refusal is not None:
-                return refusal
             try:
+                refusal = self._await_admission(call, is_waiting_in_vain)
+                if refusal is not None:
+                    return refusal
+                if self._gateway.refuses_calls:
+                    return Reason.LEAVING
                 endpoint = choose_endpoint(self._gateway, call, is_waiting_in_vain)
-            except _CallQuarantinedError:
-                return Reason.QUARANTINED
+            except _CallRefusedError as error:
+                return error.reason
             except CallerDisconnectedError:
                 self.end()
                 raise
