Keep request bodies in memory

Callers saw: the end of the connection amid a body above 512 KB, on a host where no temporary file can be written. Cause: waitress moves longer bodies to a temporary file, in the server's loop; an exception there closes the connection. The product is meant to need no disk. Change: the threshold follows the largest body that the table allows.

--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/direct/_server.py
@@ -158,6 +158,8 @@
         adjustments.max_request_header_size = limits.header_bytes
         adjustments.max_request_body_size = limits.body_bytes
         adjustments.channel_timeout = limits.idle_seconds
+        # The VM has no disk. Longer bodies would go to temporary files.
+        adjustments.inbuf_overflow = limits.body_bytes + 1
 
     def stop_listening(self) -> None:
         """Accept the connections that wait, and refuse all later ones."""
