Answer requests that were read behind a closing one

Callers saw: no answer to a request sent right behind another one on the same connection, while the entry stopped or was crowded. Cause: the server reads one request ahead; an answer that says Connection: close drops it, although it has been read completely. Change: the last request that has been read gets that header. Answers without a length still close their connection (waitress does so), with what was read behind them; such requests were never passed on.

--- a/mintsaddle/direct/_connections.py
+++ b/mintsaddle/direct/_connections.py
@@ -50,7 +50,9 @@
     def build_response_header(self) -> bytes:
         """Return the head of the answer."""
         server = self.channel.server
-        if server.should_close_connections() or server.is_crowded():
+        # What has been read behind this request would be dropped.
+        is_last = len(self.channel.requests) == 1
+        if is_last and (server.should_close_connections() or server.is_crowded()):
             self.request.headers["CONNECTION"] = "close"
         head: bytes = super().build_response_header()
         return head
