--- a/mintsaddle/direct/tests/test_server.py
+++ b/mintsaddle/direct/tests/test_server.py
@@ -242,6 +242,7 @@
 
         monkeypatch.setattr(tempfile, "TemporaryFile", refuse_file)
         running = serve_briefly()
+        running.tells_to_close = True
         with running.connect() as connection:
             with contextlib.suppress(ConnectionError):
                 connection.sendall(request_bytes("/long", bytes(3_000_000)))
