--- a/mintsaddle/direct/tests/test_threads.py
+++ b/mintsaddle/direct/tests/test_threads.py
@@ -61,6 +61,28 @@
         dispatcher.shutdown()
 
 
+class TestExhaustion:
+    def test_a_request_waits_while_no_thread_can_be_started(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a connection closed after its request was queued."""
+        dispatcher, release = GrowingDispatcher(20), threading.Event()
+        dispatcher.set_thread_count(INITIAL_THREADS)
+
+        def refuse_thread(*_: object) -> None:
+            raise RuntimeError("can't start new thread")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(threading.Thread, "start", refuse_thread)
+            tasks = add_tasks(dispatcher, INITIAL_THREADS + 2, release)
+            assert all(one.began.wait(WAIT_SECONDS) for one in tasks[:-2])
+        assert len(dispatcher.threads) == INITIAL_THREADS
+        tasks += add_tasks(dispatcher, 1, release)
+        assert all(one.began.wait(WAIT_SECONDS) for one in tasks)
+        release.set()
+        dispatcher.shutdown()
+
+
 class TestBound:
     def test_it_follows_memory_and_descriptors(self) -> None:
         assert max_callers(SETTINGS) == 500
