Count needed threads one request at a time

Cause: found on reading. Two requests that are queued at the same moment, one by the loop and one behind another on its connection, could ask for different numbers of threads; the smaller one, if it came last, stopped a thread, and a request might have waited behind a long stream. Change: the count and its effect are one step. Evidence: none but the reading; the tests of the dispatcher pass.

--- a/mintsaddle/direct/_threads.py
+++ b/mintsaddle/direct/_threads.py
@@ -1,5 +1,6 @@
 """A thread pool for callers that grows on demand."""
 
+import threading
 from typing import Any
 
 from waitress.task import ThreadedTaskDispatcher
@@ -21,6 +22,7 @@
     def __init__(self, max_threads: int) -> None:
         super().__init__()
         self._max_threads = max_threads
+        self._growth = threading.Lock()
         self._starting = 0
         """Number of the thread that was started last."""
 
@@ -42,10 +44,12 @@
 
     def add_task(self, task: Any) -> None:
         """Queue a request for the next idle thread."""
-        with self.lock:
-            self.queue.append(task)
-            self.queue_cv.notify()
-            needed = self.active_count + len(self.queue)
-            is_short = needed > len(self.threads)
-        if is_short:
-            self.set_thread_count(needed)
+        # Without it, a number that is out of date would stop a thread.
+        with self._growth:
+            with self.lock:
+                self.queue.append(task)
+                self.queue_cv.notify()
+                needed = self.active_count + len(self.queue)
+                is_short = needed > len(self.threads)
+            if is_short:
+                self.set_thread_count(needed)
