--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -235,6 +235,7 @@
     def __init__(self, name: str, host: str = "127.0.0.1") -> None:
         self.name = name
         self.responders: list[Responder] = []
+        self.default_responder: Responder = respond_ok
         self.requests: list[dict[str, str]] = []
         self.arrivals: list[float] = []
         self.rate_limit: str | None = None
@@ -267,7 +268,9 @@
             {"target": handler.path, "port": str(port), **dict(handler.headers.items())}
         )
         self.arrivals.append(time.monotonic())
-        responder = self.responders.pop(0) if self.responders else respond_ok
+        responder = (
+            self.responders.pop(0) if self.responders else self.default_responder
+        )
         responder(self, handler)
 
 
--- /dev/null
+++ b/mintsaddle/platform/tests/test_kept_connections.py
@@ -0,0 +1,17 @@
+"""A short soak of real entries beside callers that keep their connections."""
+
+from pathlib import Path
+
+import pytest
+
+from mintsaddle.platform.tests.kept_soak import Plan, run_soak
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_request_ends_without_an_answer(self, seed: int, tmp_path: Path) -> None:
+        """Guards against requests lost in overlapping planned work."""
+        report = run_soak(Plan(seed, seconds=15.0), tmp_path)
+        assert report.faults == []
+        assert report.answered > 100
+        assert report.stops > 0
