--- a/mintsaddle/platform/tests/kept_soak.py
+++ b/mintsaddle/platform/tests/kept_soak.py
@@ -17,7 +17,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.kept_callers import (
@@ -136,7 +136,7 @@
 
         return respond
 
-    def _announce(self, endpoint: Endpoint, state: str, **overrides: object) -> None:
+    def _announce(self, endpoint: Endpoint, state: str, **overrides: Any) -> None:
         item = standins.make_announcement(
             endpoint, "desk", state=state, slots=200, **overrides
         )
