Read a rank engine's answer to its end

Cause: it happens in rank agents. http.client takes the end of the connection for the end of the head, so that 'HTTP/1.1 200' alone counted as an obeyed order; a body read up to a limit isn't checked against its length. Change: agents use the bounded connection with strict responses, and the body has to be whole. That also bounds the time of a whole answer. Evidence: test_no_part_of_an_answer_counts_as_one cuts the answer at each byte; both cases fail before.

--- a/mintsaddle/rank_agent/_engine.py
+++ b/mintsaddle/rank_agent/_engine.py
@@ -2,6 +2,7 @@
 
 import http.client
 
+from mintsaddle.engines import BoundedConnection
 from mintsaddle.rank_agent._messages import NO_RESPONSE, RankCall, RankResponse
 
 CALL_TIMEOUT_SECONDS = 0.04
@@ -19,7 +20,7 @@
     def __init__(
         self, address: str, call_timeout: float = CALL_TIMEOUT_SECONDS
     ) -> None:
-        self._connection = http.client.HTTPConnection(address, timeout=call_timeout)
+        self._connection = BoundedConnection(address, call_timeout)
         self._is_reachable = True
 
     @property
@@ -49,6 +50,8 @@
             self._connection.request(call.method, call.path, body, headers)
             response = self._connection.getresponse()
             text = response.read(_MAX_RESPONSE_BYTES).decode()
+            if response.length or not response.isclosed():
+                raise http.client.IncompleteRead(b"")
         except (OSError, http.client.HTTPException, ValueError):
             # Not an error of the agent: callers check ``is_reachable``.
             self._connection.close()
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -143,6 +143,33 @@
             assert client.ask({address: [REPORT]}) == {}
 
 
+WHOLE_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 11\r\n"
+    b"\r\n" + b'{"step": 1}'
+)
+
+
+class TestCutAnswers:
+    @pytest.mark.parametrize("call", [REPORT, ORDER], ids=["report", "order"])
+    def test_no_part_of_an_answer_counts_as_one(self, call: RankCall) -> None:
+        """Guards against orders that count as obeyed by half a head."""
+        with socket.create_server(("127.0.0.1", 0)) as engine:
+
+            def answer_in_part(size: int) -> None:
+                connection, _ = engine.accept()
+                with connection:
+                    connection.recv(65_536)
+                    connection.sendall(WHOLE_ANSWER[:size])
+
+            host, port = engine.getsockname()
+            for size in range(len(WHOLE_ANSWER)):
+                threading.Thread(
+                    target=answer_in_part, args=(size,), daemon=True
+                ).start()
+                connection = EngineConnection(f"{host}:{port}", TIMEOUT)
+                assert connection.call(call) is NO_RESPONSE, WHOLE_ANSWER[:size]
+
+
 class TestProgram:
     def test_it_serves_until_sigterm(self, engine: FakeEngine) -> None:
         process = subprocess.Popen(
