Let an odd address of a peer cost only itself

Report of other operators: odd entries, among them ports out of range, ended the machines that read them, or stopped them from following. Cause here: a seed of the settings without a port ('nowhere', ':') ended the round of gossip; the job started again, round after round, with a traceback each. Change: opening the channel is part of the exchange that may fail. Tried further, harmless: 28 unreadable items at once, one in place of a sound endpoint's, nestings of 880 to 1,020 in each field, ports of seeds out of range. Evidence: two of the five cases of TestPeers fail before; all tests pass.

--- a/mintsaddle/direct/_peers.py
+++ b/mintsaddle/direct/_peers.py
@@ -205,9 +205,9 @@
     async def _follow(self, upstream: KnownEntry) -> None:
         """Follow an entry until it fails, leaves or ends the stream."""
         gateway = self._gateway
-        stub = EntryPeersStub(self._channels.open(upstream.address))
         hello = self._hellos.make()
         try:
+            stub = EntryPeersStub(self._channels.open(upstream.address))
             async with contextlib.aclosing(
                 self._relay.receive_updates(stub, hello)
             ) as updates:
@@ -232,8 +232,8 @@
             await asyncio.sleep(HOLDER_CHECK_INTERVAL_SECONDS)
 
     async def _exchange_with(self, address: str) -> None:
-        stub = EntryPeersStub(self._channels.open(address))
         try:
+            stub = EntryPeersStub(self._channels.open(address))
             update = await stub.Exchange(
                 self._hellos.make(), timeout=EXCHANGE_TIMEOUT_SECONDS
             )
--- a/mintsaddle/platform/tests/test_unreadable_items.py
+++ b/mintsaddle/platform/tests/test_unreadable_items.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -80,6 +81,12 @@
 ).map(lambda overrides: announce(**overrides))
 
 
+def nest(field: str, depth: int) -> bytes:
+    """Return an announcement with a nested list in one field."""
+    nested = "[" * depth + "]" * depth
+    return announce(**{field: "NESTED"}).replace(b'"NESTED"', nested.encode())
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
     yield from standins.run_site(tmp_path)
@@ -109,6 +116,18 @@
         (published,) = decode_items(items, now=100.0)
         assert isinstance(published, EndpointPublished)
 
+    def test_nesting_at_the_limit_of_a_thread_costs_only_itself(self) -> None:
+        """Guards against a value that is read but can't be handled further."""
+        depths = range(sys.getrecursionlimit() - 120, sys.getrecursionlimit() + 20)
+        items = [
+            PublishedItem(f"servers/odd-{field}-{depth}", 1, nest(field, depth))
+            for depth in depths
+            for field in (*FIELDS, "group", "other")
+        ]
+        items.append(PublishedItem("servers/i-1", 2, ANNOUNCED))
+        *_, published = decode_items(items, now=100.0)
+        assert isinstance(published, EndpointPublished)
+
 
 class TestReports:
     @pytest.mark.parametrize(
@@ -189,6 +208,41 @@
             site.store.put("op/config", make_configuration(version=7))
         wait_for(lambda: "version=7" in site.entry.log(), "the new configuration")
 
+    def test_it_serves_beside_many_at_once(self, site: Site) -> None:
+        """Guards against entries that odd items end or stop from following."""
+        with site.store.changed:
+            for number, value in enumerate(UNREADABLE.values()):
+                site.store.put(f"servers/odd-{number}", value)
+            for depth in range(900, 1_010, 10):
+                site.store.put(f"servers/nested-{depth}", nest("slots", depth))
+            # It replaces the item of an endpoint that serves.
+            site.store.put("servers/e-1", UNREADABLE["nested-lists"])
+            site.store.put("op/evacuate/" + "x" * 10_000, {})
+            site.store.put("op/config", make_configuration(version=7))
+        wait_for(lambda: "version=7" in site.entry.log(), "the new configuration")
+        statuses = [site.entry.call("GET", "/lookup/1")[0] for _ in range(20)]
+        assert statuses == [200] * 20
+        site.store.put("op/config", make_configuration(version=8))
+        wait_for(lambda: "version=8" in site.entry.log(), "later changes")
+        entry = site.add_entry(site.store.address, [site.entry.control])
+        wait_for(entry.is_ready, "ready entry")
+        assert site.entry.process.poll() is None
+
+
+class TestPeers:
+    @pytest.mark.parametrize(
+        "address", ["nowhere", "127.0.0.1:99999", "127.0.0.1:-1", "[::1", ":"]
+    )
+    def test_an_odd_address_costs_only_itself(self, site: Site, address: str) -> None:
+        """Guards against rounds of gossip that one address ends."""
+        unavailable_store = standins.Store()
+        unavailable_store.is_down = True
+        other = site.add_entry(unavailable_store.address, [address, site.entry.control])
+        wait_for(other.is_ready, "entry updated by a peer")
+        site.store.put("op/config", make_configuration(version=9))
+        wait_for(lambda: "version=9" in other.log(), "relayed table")
+        assert "Traceback" not in other.log()
+
 
 class TestJobs:
     def test_one_that_raises_starts_again(self) -> None:
