Let callers of the soak meet the close of idle connections

Change: half of the callers pause for up to 4 s; answers of 1 MB are read slowly from entries with a small send buffer.

--- a/mintsaddle/platform/tests/kept_callers.py
+++ b/mintsaddle/platform/tests/kept_callers.py
@@ -80,12 +80,16 @@
 
 
 class KeptCaller(threading.Thread):
-    """One caller; it sends its next request on the connection that it has."""
+    """One caller; it sends its next request on the connection that it has.
 
-    def __init__(self, balancer: Balancer, name: str, seed: int) -> None:
+    It pauses for up to a number of seconds between two requests.
+    """
+
+    def __init__(self, balancer: Balancer, name: str, seed: int, pause: float) -> None:
         super().__init__(name=name, daemon=True)
         self._balancer = balancer
         self._rng = random.Random(f"{seed} {name}")
+        self._pause = pause
         self._must_stop = threading.Event()
         self._attempts = itertools.count()
         self.ended: list[Ended] = []
@@ -119,7 +123,7 @@
             self.ended.append(ended)
             if ended.status == 0 or connection.sock is None:
                 return
-            self._must_stop.wait(self._rng.choice((0.0, 0.0, 0.01, 0.2)))
+            self._must_stop.wait(self._rng.uniform(0.0, self._pause))
 
     def _call(self, connection: http.client.HTTPConnection, entry: int) -> Ended:
         kind = self._rng.choice(_KINDS)
--- a/mintsaddle/platform/tests/kept_soak.py
+++ b/mintsaddle/platform/tests/kept_soak.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests import narrow_entry, standins
 from mintsaddle.platform.tests.kept_callers import (
     BALANCER_SECONDS,
     Balancer,
@@ -29,7 +29,11 @@
 from mintsaddle.platform.tests.standins import Endpoint, Entry, Site, wait_for
 
 MIN_RUNNING = 2
-LARGE_BYTES = 400_000
+PAUSES = (0.0, 0.2, 4.0, 4.0)
+"""Longest pauses between two requests of a connection, in seconds. Callers
+with the long ones meet the close of idle connections."""
+
+LARGE_BYTES = 1_000_000
 STOP_SECONDS = 8.0
 FIRST_START_MS = 1_700_000_000_000
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -66,6 +70,7 @@
         self._plan = plan
         self._rng = random.Random(plan.seed)
         self._site = Site(folder)
+        self._site.module = narrow_entry.__name__
         self._site.endpoints = [
             Endpoint(f"e-{number}") for number in range(plan.endpoints)
         ]
@@ -90,7 +95,12 @@
             for _ in range(plan.entries):
                 self._add_entry()
             callers = [
-                KeptCaller(self._balancer, f"c{number}", plan.seed)
+                KeptCaller(
+                    self._balancer,
+                    f"c{number}",
+                    plan.seed,
+                    PAUSES[number % len(PAUSES)],
+                )
                 for number in range(plan.callers)
             ]
             self._ends_at = time.monotonic() + plan.seconds
