Stop entries before endpoint daemons without losing a request, too

Callers saw: the end of the connection while a body arrived at an entry that stopped. Cause: the same as in direct entries. This entry counted calls and closed its server as soon as none was open, with whatever its connections held. Change: both kinds of entry use one server for callers (mintsaddle/callers), moved from direct/ with its tests. This entry stops to listen after its grace period and exits once no connection is left, ten seconds after the last call at the latest. Pages and the sizes of a VM have modules of their own in direct/. Evidence: test_stop_answers_a_request_that_is_arriving fails before and passes; the tests of both entries pass.

--- a/fakes/tests/test_processes.py
+++ b/fakes/tests/test_processes.py
@@ -219,6 +219,22 @@
         assert running.site.wait_for_exit("b-orders") == 0
         assert time.monotonic() - started < WATCH_SECONDS / 2
 
+    def test_stop_answers_a_request_that_is_arriving(
+        self, running: RunningSite
+    ) -> None:
+        """Guards against an entry that exits while a body arrives."""
+        connection = http.client.HTTPConnection(running.site.http["a-entry"])
+        connection.putrequest("POST", "/redirections/new")
+        for name, value in {**HEADERS, "Content-Length": "12"}.items():
+            connection.putheader(name, value)
+        connection.endheaders()
+        connection.send(b'{"pace"')
+        running.site.signal("a-entry", signal.SIGTERM)
+        time.sleep(1.5)
+        connection.send(b": 0} ")
+        assert connection.getresponse().status == 503
+        assert running.site.wait_for_exit("a-entry") == 0
+
     def test_kill_never_runs_an_order_twice(self, running: RunningSite) -> None:
         """Guards against an order that another entry runs a second time."""
         key = uuid7()
--- a/mintsaddle/direct/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -7,7 +7,6 @@
 from waitress.task import WSGITask
 
 from mintsaddle.engines import is_readable, shut_down
-from mintsaddle.platform import read_request_head
 
 MIN_UNSENT_SECONDS = 15.0
 """Shortest time without progress after which an answer that its caller doesn't
@@ -40,8 +39,8 @@
     unsent_bytes: int
     """Bytes of answers that had not been sent."""
 
-    request_id: str
-    """The id of the first of these requests; empty if there is none."""
+    environ: dict[str, str]
+    """Headers of the first of these requests, in their WSGI form."""
 
 
 class ClosingTask(WSGITask):  # type: ignore[misc]
@@ -139,11 +138,8 @@
     def _describe_cut(self) -> CutConnection:
         # The caller's thread may end the last request meanwhile.
         requests = list(self.requests)
-        request_id = ""
-        if requests:
-            headers = requests[0].headers.items()
-            environ = {f"HTTP_{name}": value for name, value in headers}
-            request_id = read_request_head(environ).request_id
+        headers = requests[0].headers if requests else {}
+        environ = {f"HTTP_{name}": value for name, value in headers.items()}
         return CutConnection(
-            self._close_reason, len(requests), self.total_outbufs_len, request_id
+            self._close_reason, len(requests), self.total_outbufs_len, environ
         )
--- a/mintsaddle/direct/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -1,4 +1,4 @@
-"""The HTTP servers of a direct entry, based on waitress."""
+"""The HTTP server for callers, based on waitress."""
 
 import threading
 from collections.abc import Callable, Iterable
@@ -6,34 +6,14 @@
 
 from waitress.server import TcpWSGIServer, create_server
 
+from mintsaddle.callers._connections import CallerChannel, CloseReason, CutConnection
+from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.decisions.direct import CallerLimits
-from mintsaddle.direct._connections import CallerChannel, CloseReason, CutConnection
-from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.engines import is_readable
-from mintsaddle.settings import DirectSettings
-
-CALLER_MEGABYTES = 0.2
-"""Memory per caller, in MB: thread stack, request body and answer. Twice what
-a stream needs."""
-
-CALLER_MEMORY_SHARE = 0.5
-"""Share of the VM's memory for callers. The balancer may send the callers of a
-whole region to one entry."""
-
-CALLER_DESCRIPTORS = 3
-"""File descriptors per caller: its connection, the one to its endpoint, and
-one that is being closed."""
-
-RESERVED_DESCRIPTORS = 300
-"""File descriptors for files, peers, agents and the platform."""
 
 _REFUSAL_THREADS = 4
 """Threads in addition to one per caller; they refuse excess requests."""
 
-MAX_CONNECTIONS = 1500
-"""Connections at which no further one is accepted. The server's loop checks
-each of them after each block that it sends."""
-
 KEPT_CONNECTIONS_SHARE = 0.5
 """Share of the connections above which answers tell callers to close theirs.
 Idle ones would use up the limit if most callers came to this entry."""
@@ -50,20 +30,6 @@
 _READ_BYTES = 65_536
 
 
-def max_callers(settings: DirectSettings) -> int:
-    """Return how many concurrent callers the VM has resources for."""
-    by_memory = settings.memory_megabytes * CALLER_MEMORY_SHARE / CALLER_MEGABYTES
-    descriptors = settings.descriptors - RESERVED_DESCRIPTORS
-    return max(1, int(min(by_memory, descriptors / CALLER_DESCRIPTORS)))
-
-
-def max_connections(settings: DirectSettings) -> int:
-    """Return how many connections of callers the VM has resources for."""
-    exchanges = (CALLER_DESCRIPTORS - 1) * max_callers(settings)
-    left = settings.descriptors - RESERVED_DESCRIPTORS - exchanges
-    return max(1, min(MAX_CONNECTIONS, int(left)))
-
-
 class ServerLoad(NamedTuple):
     """What the connections of a server hold."""
 
@@ -220,23 +186,3 @@
         for channel in channels:
             channel.request_close(reason)
         self._server.pull_trigger()
-
-
-def serve_pages(
-    addresses: Iterable[str], pages: dict[str, Callable[[], tuple[str, str]]]
-) -> None:
-    """Serve small pages, such as readiness, in a separate thread.
-
-    Args:
-        addresses: IP and port of each listener.
-        pages: For each path, a function that returns status line and text.
-    """
-
-    def app(environ: dict[str, Any], start: Any) -> list[bytes]:
-        page = pages.get(environ["PATH_INFO"])
-        status, text = page() if page else ("404 Not Found", "no such page\n")
-        start(status, [("Content-Type", "text/plain; charset=utf-8")])
-        return [text.encode()]
-
-    server = create_server(app, listen=" ".join(addresses), threads=1, ident=None)
-    threading.Thread(target=server.run, name="pages", daemon=True).start()
--- a/mintsaddle/direct/tests/test_server.py
+++ b/mintsaddle/callers/tests/test_server.py
@@ -12,9 +12,9 @@
 
 import pytest
 
+from mintsaddle.callers import _connections
+from mintsaddle.callers._server import CallerServer
 from mintsaddle.decisions.direct import CallerLimits
-from mintsaddle.direct import _connections
-from mintsaddle.direct._server import CallerServer
 from mintsaddle.platform.tests.standins import free_ports, wait_for
 
 LIMITS = CallerLimits(
--- a/mintsaddle/direct/tests/test_threads.py
+++ b/mintsaddle/callers/tests/test_threads.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from mintsaddle.direct._server import (
+from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
+from mintsaddle.direct._capacity import (
     CALLER_DESCRIPTORS,
     MAX_CONNECTIONS,
     RESERVED_DESCRIPTORS,
     max_callers,
     max_connections,
 )
-from mintsaddle.direct._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.platform.tests.test_taking_items import SETTINGS
 
 WAIT_SECONDS = 10.0
--- a/mintsaddle/direct/_drain.py
+++ b/mintsaddle/direct/_drain.py
@@ -2,9 +2,9 @@
 
 import time
 
+from mintsaddle.callers import CallerServer
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.direct._server import CallerServer
 
 _POLL_SECONDS = 0.05
 
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -7,26 +7,22 @@
 from functools import partial
 from typing import NamedTuple
 
+from mintsaddle.callers import CallerServer, CutConnection
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
-from mintsaddle.direct._connections import CutConnection
+from mintsaddle.direct._capacity import max_callers, max_connections
 from mintsaddle.direct._drain import drain
 from mintsaddle.direct._follow import start_store_polling
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._groups import start_group_checks
 from mintsaddle.direct._maps import MapCoordinator
 from mintsaddle.direct._overload_metrics import render_overload
+from mintsaddle.direct._pages import serve_pages
 from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peer_start import start_peer_exchange
-from mintsaddle.direct._server import (
-    CallerServer,
-    max_callers,
-    max_connections,
-    serve_pages,
-)
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.platform import READY_PATH
+from mintsaddle.platform import READY_PATH, read_request_head
 from mintsaddle.settings import DirectSettings
 
 METRICS_PATH = "/metrics"
@@ -149,7 +145,7 @@
     _log.info(
         "Connection cut %s.",
         fields(
-            request=cut.request_id or "-",
+            request=read_request_head(cut.environ).request_id or "-",
             reason=cut.reason.value,
             unanswered=cut.requests,
             unsent_bytes=cut.unsent_bytes,
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -1,18 +1,16 @@
 """Startup, service and graceful shutdown of an entry daemon."""
 
 import asyncio
-import threading
 import time
 from collections.abc import Callable
 
-from waitress.server import create_server
-
+from mintsaddle.callers import CallerServer, CutConnection
 from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
 from mintsaddle.decisions.configuration import is_out
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_load
 from mintsaddle.entry._calls import unknown_homes
 from mintsaddle.entry._http import EntryApp
-from mintsaddle.observe import make_logger
+from mintsaddle.observe import fields, make_logger
 from mintsaddle.settings import Settings
 from mintsaddle.transport import LoopThread, read_load, read_stamp, write_stamp
 from mintsaddle.transport.proto import peer_pb2 as pb
@@ -22,7 +20,11 @@
 _DRAIN_POLL_SECONDS = 0.05
 _HOME_POLL_SECONDS = 0.5
 _HOME_POLL_TIMEOUT_SECONDS = 1.0
-_BACKLOG = 1024
+_MAX_LINGER_SECONDS = 10.0
+"""Seconds after the last call for which a caller may still send its request or
+read its answer."""
+
+_CONNECTIONS_PER_THREAD = 4
 _log = make_logger("entry")
 
 
@@ -32,29 +34,37 @@
     node = DaemonNode(settings, loop_thread)
     routing = RoutingState(settings.vm, settings.data_centre)
     app = EntryApp(node, routing)
-    server = create_server(
+    server = CallerServer(
         app,
-        listen=settings.http,
-        threads=settings.threads,
-        backlog=_BACKLOG,
-        connection_limit=4 * settings.threads,
-        channel_request_lookahead=1,
-        ident=None,
-        clear_untrusted_proxy_headers=True,
+        settings.http,
+        lambda: node.leaving,
+        settings.threads,
+        _CONNECTIONS_PER_THREAD * settings.threads,
+        _log_cut,
     )
     loop_thread.start()
     loop_thread.submit(_start(node, routing, app)).result()
-    threading.Thread(target=server.run, name="http", daemon=True).start()
+    server.start()
     _log.info("Serving HTTP at %s.", settings.http)
     wait_for_stop()
-    _drain(node, app)
-    server.close()
+    _drain(node, app, server)
     loop_thread.stop()
     _log.info("Stopped after all calls ended.")
     return 0
 
 
-def _drain(node: DaemonNode, app: EntryApp) -> None:
+def _log_cut(cut: CutConnection) -> None:
+    _log.info(
+        "Connection cut %s.",
+        fields(
+            reason=cut.reason.value,
+            unanswered=cut.requests,
+            unsent_bytes=cut.unsent_bytes,
+        ),
+    )
+
+
+def _drain(node: DaemonNode, app: EntryApp, server: CallerServer) -> None:
     """Fail the health check, serve for the grace period, finish open calls.
 
     The HTTP load balancer notices the failed check with a delay. Requests that
@@ -63,8 +73,16 @@
     node.mark_leaving()
     refuse_at = node.now() + node.settings.grace
     app.refuse_after(refuse_at)
-    while node.now() < refuse_at or app.open_calls:
+    time.sleep(node.settings.grace)
+    server.stop_listening()
+    last_call_at = node.now()
+    while not server.is_drained or app.open_calls:
+        server.close_idle()
         time.sleep(_DRAIN_POLL_SECONDS)
+        if app.open_calls:
+            last_call_at = node.now()
+        elif node.now() - last_call_at >= _MAX_LINGER_SECONDS:
+            return
 
 
 async def _start(node: DaemonNode, routing: RoutingState, app: EntryApp) -> None:
--- a/mintsaddle/platform/tests/test_connection_crowd.py
+++ b/mintsaddle/platform/tests/test_connection_crowd.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mintsaddle.direct._server import MAX_CONNECTIONS
+from mintsaddle.direct._capacity import MAX_CONNECTIONS
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.standins import Site, wait_for
 
