Wake a rank agent for signals while it waits for datagrams

Cause: a signal between the interpreter's check and recvfrom doesn't interrupt it. Change: the agent waits for the socket and a descriptor that signals write to.

--- a/mintsaddle/rank_agent/__main__.py
+++ b/mintsaddle/rank_agent/__main__.py
@@ -7,6 +7,7 @@
 PREFIX are rejected.
 """
 
+import os
 import signal
 import sys
 
@@ -30,6 +31,9 @@
         print(__doc__, file=sys.stderr)
         return _EXIT_USAGE
     listen, engine, prefix = arguments
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     # SIGHUP means "reload the settings file", which only entries have.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -37,7 +41,7 @@
     agent = RankAgent(listen, engine, prefix)
     _log.info("Started %s.", fields(listen=listen, engine=engine))
     try:
-        agent.serve()
+        agent.serve(reader)
     finally:
         _log.info("Stopped %s.", fields(listen=listen))
         stop_logging()
--- a/mintsaddle/rank_agent/_agent.py
+++ b/mintsaddle/rank_agent/_agent.py
@@ -1,5 +1,7 @@
 """Single-threaded UDP server that handles requests from entries."""
 
+import os
+import select
 import socket
 from typing import NoReturn
 
@@ -17,6 +19,7 @@
 )
 
 _MAX_DATAGRAM_BYTES = 65_535
+_MAX_SIGNALS = 1_024
 _READ_METHOD = "GET"
 _log = make_logger("agent")
 
@@ -53,10 +56,27 @@
         host, port = self._socket.getsockname()
         return f"{host}:{port}"
 
-    def serve(self) -> NoReturn:
-        """Handle requests until the process exits."""
+    def serve(self, wakeup: int | None = None) -> NoReturn:
+        """Handle requests until the process exits.
+
+        Args:
+            wakeup: A descriptor that becomes readable when a signal arrives.
+                Without it, one that arrives just before the wait for the next
+                datagram is handled only after that datagram.
+        """
         while True:
-            self.serve_one()
+            if wakeup is None or self.wait_for_datagram(wakeup):
+                self.serve_one()
+
+    def wait_for_datagram(self, wakeup: int) -> bool:
+        """Wait for a datagram or a signal; return whether it is a datagram."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        poll.register(wakeup, select.POLLIN)
+        ready = {descriptor for descriptor, _ in poll.poll()}
+        if wakeup in ready:
+            os.read(wakeup, _MAX_SIGNALS)
+        return self._socket.fileno() in ready
 
     def serve_one(self) -> None:
         """Wait for one datagram and reply to it."""
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -1,11 +1,13 @@
 """Rank agents that serve entries, with fake engines behind them."""
 
+import os
 import signal
 import socket
 import subprocess
 import sys
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -25,6 +27,8 @@
 REPORT = RankCall("GET", "/rank/report")
 ORDER = RankCall("POST", "/rank/order", '{"op":"go"}')
 
+STOPS = 40
+STOPS_AT_ONCE = 8
 TIMEOUT = 3.0
 """Seconds to wait for expected responses, enough for a busy machine."""
 
@@ -191,6 +195,42 @@
         assert "[agent] Stopped" in process.stdout.read()
         assert process.wait(10) == 0
 
+    def test_a_signal_just_before_a_wait_ends_it(self, engine: FakeEngine) -> None:
+        """Guards against an agent that runs on until the next datagram."""
+        agent = RankAgent("127.0.0.1:0", engine.address, "/rank/")
+        reader, writer = os.pipe()
+        os.write(writer, b"\0")
+        waiting = threading.Thread(target=agent.wait_for_datagram, args=(reader,))
+        waiting.start()
+        waiting.join(TIMEOUT)
+        assert not waiting.is_alive()
+        os.close(reader)
+        os.close(writer)
+
+    def test_stops_right_after_the_start_are_obeyed(self, engine: FakeEngine) -> None:
+        """Guards against agents that miss a signal between check and wait."""
+        arguments = ["127.0.0.1:0", engine.address, "/rank/"]
+
+        def stop_at_once(_: int) -> int:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "mintsaddle.rank_agent", *arguments],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            assert process.stdout is not None
+            with process.stdout:
+                process.stdout.readline()
+                process.send_signal(signal.SIGTERM)
+                try:
+                    return process.wait(10)
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    return process.wait()
+
+        with ThreadPoolExecutor(STOPS_AT_ONCE) as pool:
+            codes = list(pool.map(stop_at_once, range(STOPS)))
+        assert codes == [0] * STOPS
+
     def test_invalid_arguments_print_usage(self) -> None:
         done = subprocess.run(
             [sys.executable, "-m", "mintsaddle.rank_agent", "only-one"],
