Measure the activity of connections by a clock that doesn't step

Callers saw: the end of the connection amid a request that was still arriving, when the wall clock stepped forward by the idle limit. Cause: waitress records activity by the wall clock. Change: the connection records it by the monotonic clock, whatever waitress sets. Evidence: test_a_step_of_the_wall_clock_closes_nothing fails before and passes.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -1,12 +1,14 @@
 """Connections of callers, as waitress serves them."""
 
 import enum
+import time
 from typing import NamedTuple
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
 from mintsaddle.engines import is_readable, shut_down
+from mintsaddle.values import Instant
 
 MIN_UNSENT_SECONDS = 15.0
 """Shortest time without progress after which an answer that its caller doesn't
@@ -63,6 +65,17 @@
     task_class = ClosingTask
     _requested: CloseReason | None = None
     _close_reason = CloseReason.CALLER
+    _last_active_at: Instant = 0.0
+
+    @property
+    def last_activity(self) -> Instant:
+        """When something was last sent or received, or a request ended."""
+        return self._last_active_at
+
+    @last_activity.setter
+    def last_activity(self, _: float) -> None:
+        # waitress sets the wall clock, which may step.
+        self._last_active_at = time.monotonic()
 
     def is_idle(self) -> bool:
         """Return whether nothing is arriving, being answered or being sent."""
@@ -72,11 +85,10 @@
         """Return whether an answer is due or has not been sent completely."""
         return bool(self.requests or self.total_outbufs_len)
 
-    def is_inactive(self, now: float, idle_seconds: float) -> bool:
+    def is_inactive(self, idle_seconds: float) -> bool:
         """Return whether nothing has moved for too long.
 
         Args:
-            now: The wall clock, as waitress records activity by it.
             idle_seconds: How long a connection without an answer is kept.
         """
         if self.requests:
@@ -84,7 +96,7 @@
         allowed = idle_seconds
         if self.total_outbufs_len:
             allowed = max(idle_seconds, MIN_UNSENT_SECONDS)
-        return bool(self.last_activity < now - allowed)
+        return time.monotonic() - self._last_active_at > allowed
 
     def request_close(self, reason: CloseReason) -> None:
         """Close the connection if it is idle when the server's loop sees it.
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -149,16 +149,16 @@
         self._server.socket.close()
         self._is_listening = False
 
-    def _maintain(self, now: float) -> None:
+    def _maintain(self, _: float) -> None:
         """Close idle connections; called in the server's loop."""
-        self._close_expired(now)
+        self._close_expired()
         self._close_excess()
 
-    def _close_expired(self, now: float) -> None:
+    def _close_expired(self) -> None:
         """Close connections that have been inactive for too long."""
         idle_seconds = self._server.adj.channel_timeout
         for channel in self._channels():
-            if channel.is_inactive(now, idle_seconds):
+            if channel.is_inactive(idle_seconds):
                 channel.abandon()
 
     def _close_excess(self) -> None:
--- a/mintsaddle/callers/tests/test_server.py
+++ b/mintsaddle/callers/tests/test_server.py
@@ -233,6 +233,25 @@
             wait_for(lambda: not running.server.load.connections, "closed connection")
 
 
+class TestClock:
+    def test_a_step_of_the_wall_clock_closes_nothing(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests dropped as if they had stopped arriving."""
+        running = serve_briefly()
+        running.tells_to_close = True
+        with running.connect() as connection:
+            whole = request_bytes("/1", b"body")
+            connection.sendall(whole[:-2])
+            wait_for(lambda: running.server.load.arriving == 1, "first part")
+            step = 10 * LIMITS.idle_seconds
+            real_time = time.time
+            monkeypatch.setattr(time, "time", lambda: real_time() + step)
+            time.sleep(1.5)
+            connection.sendall(whole[-2:])
+            assert read_all(connection).startswith(b"HTTP/1.1 200 OK")
+
+
 class TestLongBodies:
     def test_a_long_body_needs_no_file(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against connections dropped where no file can be written."""
