Let the soak's store be slow, too

Cause: a store that is slow excuses no lost request, and no test tried it. Change: one more event of the soak.

--- a/mintsaddle/platform/tests/kept_soak.py
+++ b/mintsaddle/platform/tests/kept_soak.py
@@ -173,7 +173,7 @@
             self._drain_endpoint,
         ]
         if self._plan.has_pauses:
-            events += [self._pause_entry, self._fail_store]
+            events += [self._pause_entry, self._fail_store, self._slow_store]
         while time.monotonic() < self._ends_at:
             self._rng.choice(events)()
             time.sleep(self._rng.choice((0.0, 0.1, 0.5, 1.0)))
@@ -224,6 +224,12 @@
         seconds = self._rng.uniform(0.5, 3.0)
         threading.Timer(seconds, setattr, (store, "is_down", False)).start()
 
+    def _slow_store(self) -> None:
+        store = self._site.store
+        store.delay = self._rng.uniform(0.2, 2.0)
+        seconds = self._rng.uniform(0.5, 3.0)
+        threading.Timer(seconds, setattr, (store, "delay", 0.0)).start()
+
     def _check_end(self, entry: Entry, told_at: float) -> None:
         left = max(0.1, told_at + STOP_SECONDS + 1.0 - time.monotonic())
         try:
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -84,6 +84,9 @@
         self.sends_era = True
         self.history_from = 0
         self.is_down = False
+        self.delay = 0.0
+        """Seconds before each call is handled."""
+
         self.open_watches = 0
         self.full_reads = 0
         """Number of range reads, counted at their first page."""
@@ -158,6 +161,7 @@
             self.changed.notify_all()
 
     def handle(self, handler: _Handler) -> None:
+        time.sleep(self.delay)
         if self.is_down:
             handler.close_connection = True
             return
