--- a/mintsaddle/platform/tests/kept_soak.py
+++ b/mintsaddle/platform/tests/kept_soak.py
@@ -10,6 +10,7 @@
 import argparse
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -28,6 +29,9 @@
 )
 from mintsaddle.platform.tests.standins import Endpoint, Entry, Site, wait_for
 
+STILL_RUNNING = -1_000
+"""Stands for the exit code of an entry that hasn't ended in time."""
+
 MIN_RUNNING = 2
 PAUSES = (0.0, 0.2, 4.0, 4.0)
 """Longest pauses between two requests of a connection, in seconds. Callers
@@ -234,11 +238,11 @@
         left = max(0.1, told_at + STOP_SECONDS + 1.0 - time.monotonic())
         try:
             code = entry.process.wait(left)
-        except TimeoutError:
-            code = -1
-        if code != 0:
-            self._faults.append(f"entry ended with {code}")
+        except subprocess.TimeoutExpired:
+            code = STILL_RUNNING
         log = entry.log()
+        if code != 0:
+            self._faults.append(f"entry ended with {code}: {log[-1_500:]}")
         if "Exception in thread" in log or "uncaptured python exception" in log:
             self._faults.append(f"an entry failed: {log[-2_000:]}")
 
