Receive signals without taking a lock

Python runs a handler between any two steps of the main thread, so also while that thread holds the event's lock to wait for it; the handler then waits for its own thread for good. Change: SignalReceiver records signals in a deque and waits for a descriptor that they write to; entries of both kinds and endpoint daemons use it.

--- a/mintsaddle/daemon/_serve.py
+++ b/mintsaddle/daemon/_serve.py
@@ -1,7 +1,6 @@
 """Start of the gRPC server, and the wait for a stop signal."""
 
 import signal
-import threading
 from collections.abc import Sequence
 from typing import Any
 
@@ -10,6 +9,7 @@
 from mintsaddle.daemon._follow import follow_configuration
 from mintsaddle.daemon._node import DaemonNode
 from mintsaddle.observe import make_logger
+from mintsaddle.process import SignalReceiver
 
 _SIGNAL_POLL_SECONDS = 0.5
 _log = make_logger("daemon")
@@ -27,10 +27,7 @@
 
 def wait_for_stop() -> None:
     """Block until SIGTERM or SIGINT; must run in the main thread."""
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    # A wait without a timeout would keep Python from running the handler.
-    while not stop.wait(_SIGNAL_POLL_SECONDS):
+    receiver = SignalReceiver(signal.SIGTERM, signal.SIGINT)
+    while not receiver.wait(_SIGNAL_POLL_SECONDS):
         pass
     _log.info("Received a stop signal.")
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import NamedTuple
 
 from mintsaddle.callers import CallerServer, CutConnection
 from mintsaddle.decisions.direct import Membership
@@ -23,6 +22,7 @@
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import READY_PATH, read_request_head
+from mintsaddle.process import SignalReceiver
 from mintsaddle.settings import DirectSettings
 
 METRICS_PATH = "/metrics"
@@ -30,6 +30,7 @@
 RELOAD_INTERVAL_SECONDS = 5.0
 """Interval at which the settings file, which is small, is read again."""
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _SIGNAL_POLL_SECONDS = 0.25
 _MAINTENANCE_INTERVAL_SECONDS = 0.5
 _log = make_logger("daemon")
@@ -44,7 +45,8 @@
         settings: The settings at startup.
         reload: Reads the settings again; returns None if they are invalid.
     """
-    signals = _catch_signals()
+    # Without a handler, SIGHUP ends the process.
+    signals = SignalReceiver(*_STOP_SIGNALS, signal.SIGHUP)
     gateway = Gateway(settings)
     watchdog = Watchdog(gateway.now)
     callers = max_callers(settings)
@@ -95,40 +97,23 @@
     return 0
 
 
-class _Signals(NamedTuple):
-    """Signals that the process has received."""
-
-    stop: threading.Event
-    changed: threading.Event
-    """Set by SIGHUP: the settings file may have changed."""
-
-
-def _catch_signals() -> _Signals:
-    """Install handlers at startup; without one, SIGHUP ends the process."""
-    signals = _Signals(threading.Event(), threading.Event())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: signals.stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: signals.changed.set())
-    return signals
-
-
 def _wait_for_stop(
-    gateway: Gateway, signals: _Signals, reload: Callable[[], DirectSettings | None]
+    gateway: Gateway,
+    signals: SignalReceiver,
+    reload: Callable[[], DirectSettings | None],
 ) -> None:
     """Wait for a stop signal, and reload the settings meanwhile.
 
     The settings file may also change without a signal.
     """
     read_at = gateway.now()
-    # Python runs no signal handlers during a wait without a timeout.
-    while not signals.stop.wait(_SIGNAL_POLL_SECONDS):
-        if (
-            signals.changed.is_set()
-            or gateway.now() - read_at >= RELOAD_INTERVAL_SECONDS
-        ):
-            signals.changed.clear()
+    received: frozenset[int] = frozenset()
+    while received.isdisjoint(_STOP_SIGNALS):
+        is_due = gateway.now() - read_at >= RELOAD_INTERVAL_SECONDS
+        if is_due or signal.SIGHUP in received:
             read_at = gateway.now()
             _reload(gateway, reload)
+        received = signals.wait(_SIGNAL_POLL_SECONDS)
 
 
 def _reload(gateway: Gateway, reload: Callable[[], DirectSettings | None]) -> None:
