Copy the connections before going through them

Cause: found on reading, as another way in which a stop may never end. The draining thread goes through a dictionary that the server's loop changes; if that raised, the process would wait for its other threads at exit. Change: it goes through a copy. Evidence: none but the reading; the tests pass.

--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -180,7 +180,8 @@
         return len(self._server.active_channels) > kept
 
     def _channels(self) -> tuple[CallerChannel, ...]:
-        return tuple(self._server.active_channels.values())
+        # The loop changes the original meanwhile.
+        return tuple(self._server.active_channels.copy().values())
 
     def _close(self, channels: Iterable[CallerChannel], reason: CloseReason) -> None:
         for channel in channels:
