--- a/mintsaddle/platform/tests/kept_callers.py
+++ b/mintsaddle/platform/tests/kept_callers.py
@@ -64,7 +64,7 @@
     def check(self) -> None:
         """Check the readiness of all entries once."""
         for number, entry in list(self._entries.items()):
-            # Another site's entry may listen at the ports of one that has ended.
+            # Another site's entry may have the ports of one that has ended.
             is_ready = entry.process.poll() is None and entry.is_ready()
             with self._lock:
                 failures = 0 if is_ready else self._failures[number] + 1
