Keep the ports of one test process from all others

Four of the five are traced: 'Address already in use' at the start of an entry, answers and orders of another site's callers with the same names (136 orders 'twice', 23 requests instead of 2). Processes chose ports by their ids, and runs side by side met. Change: a chosen port is kept by a socket at an address that nothing else uses.

--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -458,6 +458,11 @@
 process binds it; the process then exits at startup.
 """
 
+_GUARD_HOST = "127.0.0.2"
+_guards: list[socket.socket] = []
+"""Sockets that keep ports from other test processes, which may run beside this
+one. Nothing else is bound at their address."""
+
 _next_port = itertools.count(os.getpid() * 2_503)
 
 
@@ -472,10 +477,15 @@
 
 
 def _is_free(port: int) -> bool:
+    """Return whether a port is free; no other test process uses it then."""
+    guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
+        guard.bind((_GUARD_HOST, port))
         socket.create_server(("127.0.0.1", port)).close()
     except OSError:
+        guard.close()
         return False
+    _guards.append(guard)
     return True
 
 
