Handle a thread that can't be started where it is started

The failure was caught one level up, which needed the number of the thread as state and the lock a second time. Change: start_new_thread takes the failed thread back itself. Measured: test_a_request_waits_while_no_thread_can_be_started and the other tests of the dispatcher pass.

--- a/mintsaddle/callers/_threads.py
+++ b/mintsaddle/callers/_threads.py
@@ -23,25 +23,25 @@
         super().__init__()
         self._max_threads = max_threads
         self._growth = threading.Lock()
-        self._starting = 0
-        """Number of the thread that was started last."""
 
     def set_thread_count(self, count: int) -> None:
         """Set the number of threads, up to the limit."""
+        super().set_thread_count(min(count, self._max_threads))
+
+    def start_new_thread(self, target: Any, thread_no: int) -> None:
+        """Start a thread if the host allows one; called with the lock held.
+
+        Otherwise, the request that needs it waits for the others. An exception
+        would close its caller's connection.
+        """
         try:
-            super().set_thread_count(min(count, self._max_threads))
+            super().start_new_thread(target, thread_no)
         except RuntimeError:
-            # The host may allow no further thread. The request is queued for
-            # the others; the caller's connection must not fail for it.
-            with self.lock:
-                self.threads.discard(self._starting)
+            # The caller counts it as active from now on.
+            self.active_count -= 1
+            self.threads.discard(thread_no)
             _log.warning("No thread started %s.", fields(threads=len(self.threads)))
 
-    def start_new_thread(self, target: Any, thread_no: int) -> None:
-        """Start a thread; called with the lock held."""
-        self._starting = thread_no
-        super().start_new_thread(target, thread_no)
-
     def add_task(self, task: Any) -> None:
         """Queue a request for the next idle thread."""
         # Without it, a number that is out of date would stop a thread.
