Share the wake-up descriptor of signals, and poll it with one object

Rank agents and SignalReceiver each made the pipe and read it, and an agent built a new poll object for each datagram. Change: open_wakeup and clear_wakeup serve both; each poll is built once. The test of a signal before a wait gives the descriptor to the agent's constructor; what it asserts is the same.

--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -1,5 +1,5 @@
 """What all long-running processes share."""
 
-from mintsaddle.process._signals import SignalReceiver
+from mintsaddle.process._signals import SignalReceiver, clear_wakeup, open_wakeup
 
-__all__ = ["SignalReceiver"]
+__all__ = ["SignalReceiver", "clear_wakeup", "open_wakeup"]
--- a/mintsaddle/process/_signals.py
+++ b/mintsaddle/process/_signals.py
@@ -10,6 +10,23 @@
 _MAX_SIGNALS = 1_024
 
 
+def open_wakeup() -> int:
+    """Return a descriptor that becomes readable when a signal arrives.
+
+    A wait for it also ends for a signal that arrives just before the wait.
+    Call it in the main thread.
+    """
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+    return reader
+
+
+def clear_wakeup(reader: int) -> None:
+    """Read what has made such a descriptor readable."""
+    os.read(reader, _MAX_SIGNALS)
+
+
 class SignalReceiver:
     """Receives signals for a main thread that waits in ``wait``.
 
@@ -21,11 +38,9 @@
     def __init__(self, *numbers: signal.Signals) -> None:
         """Install handlers; call it in the main thread."""
         self._received: collections.deque[int] = collections.deque()
-        # A signal just before the wait ends it, too.
-        self._reader, writer = os.pipe()
-        os.set_blocking(self._reader, False)
-        os.set_blocking(writer, False)
-        signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+        self._wakeup = open_wakeup()
+        self._poll = select.poll()
+        self._poll.register(self._wakeup, select.POLLIN)
         for number in numbers:
             signal.signal(number, self._record)
 
@@ -35,10 +50,8 @@
         Args:
             seconds: How long to wait if there are none.
         """
-        poll = select.poll()
-        poll.register(self._reader, select.POLLIN)
-        if not self._received and poll.poll(max(0.0, seconds) * MILLISECONDS):
-            os.read(self._reader, _MAX_SIGNALS)
+        if not self._received and self._poll.poll(max(0.0, seconds) * MILLISECONDS):
+            clear_wakeup(self._wakeup)
         received = set()
         while self._received:
             received.add(self._received.popleft())
--- a/mintsaddle/rank_agent/__main__.py
+++ b/mintsaddle/rank_agent/__main__.py
@@ -7,11 +7,11 @@
 PREFIX are rejected.
 """
 
-import os
 import signal
 import sys
 
 from mintsaddle.observe import fields, make_logger, start_logging, stop_logging
+from mintsaddle.process import open_wakeup
 from mintsaddle.rank_agent._agent import RankAgent
 
 _EXIT_USAGE = 2
@@ -31,17 +31,15 @@
         print(__doc__, file=sys.stderr)
         return _EXIT_USAGE
     listen, engine, prefix = arguments
-    reader, writer = os.pipe()
-    os.set_blocking(writer, False)
-    signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+    wakeup = open_wakeup()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     # SIGHUP means "reload the settings file", which only entries have.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     start_logging("INFO")
-    agent = RankAgent(listen, engine, prefix)
+    agent = RankAgent(listen, engine, prefix, wakeup=wakeup)
     _log.info("Started %s.", fields(listen=listen, engine=engine))
     try:
-        agent.serve(reader)
+        agent.serve()
     finally:
         _log.info("Stopped %s.", fields(listen=listen))
         stop_logging()
--- a/mintsaddle/rank_agent/_agent.py
+++ b/mintsaddle/rank_agent/_agent.py
@@ -1,11 +1,11 @@
 """Single-threaded UDP server that handles requests from entries."""
 
-import os
 import select
 import socket
 from typing import NoReturn
 
 from mintsaddle.observe import fields, make_logger
+from mintsaddle.process import clear_wakeup
 from mintsaddle.rank_agent._engine import CALL_TIMEOUT_SECONDS, EngineConnection
 from mintsaddle.rank_agent._messages import (
     NO_RESPONSE,
@@ -19,7 +19,6 @@
 )
 
 _MAX_DATAGRAM_BYTES = 65_535
-_MAX_SIGNALS = 1_024
 _READ_METHOD = "GET"
 _log = make_logger("agent")
 
@@ -33,6 +32,7 @@
         engine: str,
         prefix: str,
         call_timeout: float = CALL_TIMEOUT_SECONDS,
+        wakeup: int | None = None,
     ) -> None:
         """Bind the UDP socket.
 
@@ -42,6 +42,9 @@
             prefix: Required prefix of each call's path. Without it, inference
                 requests could reach the engine past all admission limits.
             call_timeout: Seconds to wait for a response from the engine.
+            wakeup: A descriptor that becomes readable when a signal arrives.
+                Without it, one that arrives just before the wait for the next
+                datagram is handled only after that datagram.
         """
         host, _, port = listen.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -49,6 +52,11 @@
         self._engine = EngineConnection(engine, call_timeout)
         self._prefix = prefix
         self._was_reachable = True
+        self._wakeup = wakeup
+        self._poll = select.poll()
+        self._poll.register(self._socket, select.POLLIN)
+        if wakeup is not None:
+            self._poll.register(wakeup, select.POLLIN)
 
     @property
     def address(self) -> str:
@@ -56,26 +64,17 @@
         host, port = self._socket.getsockname()
         return f"{host}:{port}"
 
-    def serve(self, wakeup: int | None = None) -> NoReturn:
-        """Handle requests until the process exits.
-
-        Args:
-            wakeup: A descriptor that becomes readable when a signal arrives.
-                Without it, one that arrives just before the wait for the next
-                datagram is handled only after that datagram.
-        """
+    def serve(self) -> NoReturn:
+        """Handle requests until the process exits."""
         while True:
-            if wakeup is None or self.wait_for_datagram(wakeup):
+            if self.wait_for_datagram():
                 self.serve_one()
 
-    def wait_for_datagram(self, wakeup: int) -> bool:
+    def wait_for_datagram(self) -> bool:
         """Wait for a datagram or a signal; return whether it is a datagram."""
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        poll.register(wakeup, select.POLLIN)
-        ready = {descriptor for descriptor, _ in poll.poll()}
-        if wakeup in ready:
-            os.read(wakeup, _MAX_SIGNALS)
+        ready = {descriptor for descriptor, _ in self._poll.poll()}
+        if self._wakeup is not None and self._wakeup in ready:
+            clear_wakeup(self._wakeup)
         return self._socket.fileno() in ready
 
     def serve_one(self) -> None:
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -197,10 +197,10 @@
 
     def test_a_signal_just_before_a_wait_ends_it(self, engine: FakeEngine) -> None:
         """Guards against an agent that runs on until the next datagram."""
-        agent = RankAgent("127.0.0.1:0", engine.address, "/rank/")
         reader, writer = os.pipe()
+        agent = RankAgent("127.0.0.1:0", engine.address, "/rank/", wakeup=reader)
         os.write(writer, b"\0")
-        waiting = threading.Thread(target=agent.wait_for_datagram, args=(reader,))
+        waiting = threading.Thread(target=agent.wait_for_datagram)
         waiting.start()
         waiting.join(TIMEOUT)
         assert not waiting.is_alive()
