Drain both kinds of entry with one loop, and render a cut once

Direct entries and entries before endpoint daemons each had the same loop over one server's methods, and the same log line. Change: CallerServer.drain and render_cut serve both; what differs, the end, is passed in. An entry before endpoint daemons that has nothing left exits after one more poll of 50 ms; all else is the same.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -8,6 +8,7 @@
 from waitress.task import WSGITask
 
 from mintsaddle.engines import is_readable, shut_down
+from mintsaddle.observe import fields
 from mintsaddle.values import Instant
 
 MIN_UNSENT_SECONDS = 15.0
@@ -45,6 +46,15 @@
     """Headers of the first of these requests, in their WSGI form."""
 
 
+def render_cut(cut: CutConnection) -> str:
+    """Return what was cut, as ``key=value`` pairs for the log."""
+    return fields(
+        reason=cut.reason.value,
+        unanswered=cut.requests,
+        unsent_bytes=cut.unsent_bytes,
+    )
+
+
 class ClosingTask(WSGITask):  # type: ignore[misc]
     """Sends `Connection: close` if callers should use another entry."""
 
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers, based on waitress."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -28,6 +29,7 @@
 _BACKLOG = 1024
 _CLEANUP_SECONDS = 1
 _READ_BYTES = 65_536
+_DRAIN_POLL_SECONDS = 0.05
 
 
 class ServerLoad(NamedTuple):
@@ -109,11 +111,6 @@
             sum(channel.total_outbufs_len for channel in channels),
         )
 
-    @property
-    def is_drained(self) -> bool:
-        """Whether it listens no longer and all connections have ended."""
-        return not (self._is_listening or self._server.active_channels)
-
     def start(self) -> None:
         """Start serving in a separate thread."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
@@ -127,9 +124,25 @@
         # The VM has no disk. Longer bodies would go to temporary files.
         adjustments.inbuf_overflow = limits.body_bytes + 1
 
-    def stop_listening(self) -> None:
-        """Accept the connections that wait, and refuse all later ones."""
+    def drain(
+        self, has_calls: Callable[[], bool], must_end: Callable[[], bool]
+    ) -> None:
+        """Refuse new connections, and wait until all others have ended.
+
+        A connection ends once its answer has been sent completely. A call ends
+        before that, and a request that has been read may have no call yet.
+
+        Args:
+            has_calls: Returns whether the application serves requests.
+            must_end: Returns whether to wait no longer, whatever is left.
+        """
         self._server.trigger.pull_trigger(self._stop_listening)
+        while not must_end():
+            self.close_idle()
+            time.sleep(_DRAIN_POLL_SECONDS)
+            is_drained = not (self._is_listening or self._server.active_channels)
+            if is_drained and not has_calls():
+                return
 
     def close_idle(self) -> None:
         """Close connections without a request; callers open new ones."""
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from mintsaddle.callers import CallerServer, CutConnection
+from mintsaddle.callers import CallerServer, CutConnection, render_cut
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._capacity import max_callers, max_connections
@@ -127,15 +127,8 @@
 
 def _record_cut(gateway: Gateway, cut: CutConnection) -> None:
     gateway.metrics.count(f"connections_cut_{cut.reason.value}")
-    _log.info(
-        "Connection cut %s.",
-        fields(
-            request=read_request_head(cut.environ).request_id or "-",
-            reason=cut.reason.value,
-            unanswered=cut.requests,
-            unsent_bytes=cut.unsent_bytes,
-        ),
-    )
+    request_id = read_request_head(cut.environ).request_id or "-"
+    _log.info("Connection cut %s %s.", fields(request=request_id), render_cut(cut))
 
 
 def _render_readiness(gateway: Gateway) -> tuple[str, str]:
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -4,20 +4,19 @@
 import time
 from collections.abc import Callable
 
-from mintsaddle.callers import CallerServer, CutConnection
+from mintsaddle.callers import CallerServer, CutConnection, render_cut
 from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
 from mintsaddle.decisions.configuration import is_out
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_load
 from mintsaddle.entry._calls import unknown_homes
 from mintsaddle.entry._http import EntryApp
-from mintsaddle.observe import fields, make_logger
+from mintsaddle.observe import make_logger
 from mintsaddle.settings import Settings
 from mintsaddle.transport import LoopThread, read_load, read_stamp, write_stamp
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.transport.proto.peer_grpc import PeerStub
 from mintsaddle.values import Load
 
-_DRAIN_POLL_SECONDS = 0.05
 _HOME_POLL_SECONDS = 0.5
 _HOME_POLL_TIMEOUT_SECONDS = 1.0
 _MAX_LINGER_SECONDS = 10.0
@@ -54,14 +53,7 @@
 
 
 def _log_cut(cut: CutConnection) -> None:
-    _log.info(
-        "Connection cut %s.",
-        fields(
-            reason=cut.reason.value,
-            unanswered=cut.requests,
-            unsent_bytes=cut.unsent_bytes,
-        ),
-    )
+    _log.info("Connection cut %s.", render_cut(cut))
 
 
 def _drain(node: DaemonNode, app: EntryApp, server: CallerServer) -> None:
@@ -74,15 +66,15 @@
     refuse_at = node.now() + node.settings.grace
     app.refuse_after(refuse_at)
     time.sleep(node.settings.grace)
-    server.stop_listening()
     last_call_at = node.now()
-    while not server.is_drained or app.open_calls:
-        server.close_idle()
-        time.sleep(_DRAIN_POLL_SECONDS)
+
+    def must_end() -> bool:
+        nonlocal last_call_at
         if app.open_calls:
             last_call_at = node.now()
-        elif node.now() - last_call_at >= _MAX_LINGER_SECONDS:
-            return
+        return node.now() - last_call_at >= _MAX_LINGER_SECONDS
+
+    server.drain(lambda: app.open_calls > 0, must_end)
 
 
 async def _start(node: DaemonNode, routing: RoutingState, app: EntryApp) -> None:
