Say shutdown where the change said told to stop

Cause: the read-through; 'told' and 'goes on' are no terms of the field here. What the tests ask is the same.

--- a/mintsaddle/decisions/direct/_drain.py
+++ b/mintsaddle/decisions/direct/_drain.py
@@ -1,4 +1,4 @@
-"""Schedule of an entry that has been told to stop.
+"""Schedule of an entry that shuts down.
 
 Load pattern: callers use their kept connections until these close, and the
 balancer sends new ones until it has seen readiness fail twice. Most requests
@@ -22,8 +22,8 @@
 refused. Another entry serves it; here it would hardly end in time."""
 
 ABORT_FRACTION = 0.9
-"""Fraction of the stop time after which calls are ended, so that their callers
-are told that the outcome is unknown."""
+"""Fraction of the stop time after which calls are ended, with an answer that
+says that the outcome is unknown."""
 
 EXIT_FRACTION = 0.95
 """Fraction of the stop time after which the process exits; a killed one could
@@ -31,7 +31,7 @@
 
 
 class DrainSchedule(NamedTuple):
-    """What an entry does until which instant once it has to stop."""
+    """What an entry does until which instant during its shutdown."""
 
     accept_until: Instant
     """Until when new connections are accepted."""
@@ -47,7 +47,7 @@
 
 
 def plan_drain(now: Instant, stop_seconds: float) -> DrainSchedule:
-    """Return the schedule of an entry that has just been told to stop.
+    """Return the schedule of an entry that begins to shut down.
 
     Args:
         now: The present instant.
--- a/mintsaddle/decisions/direct/tests/test_drain.py
+++ b/mintsaddle/decisions/direct/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""The schedule of an entry that has been told to stop."""
+"""The schedule of an entry that shuts down."""
 
 import pytest
 
@@ -9,7 +9,7 @@
 
 class TestSchedule:
     @pytest.mark.parametrize("stop_seconds", [1.0, 3.0, 8.0, 30.0])
-    def test_callers_are_told_before_the_process_exits(
+    def test_callers_are_answered_before_the_process_exits(
         self, stop_seconds: float
     ) -> None:
         """Guards against connections that end without an answer."""
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -237,7 +237,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether this process has been told to stop."""
+        """Whether this process is shutting down."""
         return self._drain_schedule is not None
 
     @property
@@ -283,7 +283,7 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def begin_drain(self) -> DrainSchedule:
-        """Record that this process has been told to stop."""
+        """Record that this process is shutting down."""
         schedule = plan_drain(self.now(), self._settings.stop_seconds)
         self._drain_schedule = schedule
         return schedule
--- a/mintsaddle/process/tests/test_signals.py
+++ b/mintsaddle/process/tests/test_signals.py
@@ -41,7 +41,7 @@
 
 class TestSignals:
     def test_none_is_missed_or_stops_the_main_thread(self) -> None:
-        """Guards against a process that goes on until it is killed."""
+        """Guards against a process that runs until it is killed."""
         with ThreadPoolExecutor(STOPS_AT_ONCE) as pool:
             received = list(pool.map(stop_after_reload, range(STOPS)))
         expected = str([int(signal.SIGHUP), int(signal.SIGTERM)])
