--- a/mintsaddle/platform/tests/kept_callers.py
+++ b/mintsaddle/platform/tests/kept_callers.py
@@ -8,7 +8,7 @@
 import time
 from typing import NamedTuple
 
-from mintsaddle.platform.tests.standins import Entry
+from mintsaddle.platform.tests.standins import Entry, make_caller_headers
 
 LOSS_SLACK_SECONDS = 0.2
 """Seconds from a request's last byte within which a close may cross it."""
@@ -150,13 +150,12 @@
         path = {"slow-body": "order", "slow-read": "lookup"}.get(kind, kind)
         body = b"x" * 600 if method == "POST" else b""
         connection.putrequest(method, f"/{path}/{kind}", skip_host=True)
-        for name, value in {
-            "Host": "desk.example",
-            "Api-Key": "good-key",
-            "X-Mintsaddle-Attempt-Id": attempt,
+        headers = {
+            **make_caller_headers(attempt),
             "X-Mintsaddle-Deadline-Ms": "3000",
             "Content-Length": str(len(body)),
-        }.items():
+        }
+        for name, value in headers.items():
             connection.putheader(name, value)
         connection.endheaders()
         if kind == "slow-body":
--- a/mintsaddle/platform/tests/kept_soak.py
+++ b/mintsaddle/platform/tests/kept_soak.py
@@ -27,6 +27,7 @@
     Ended,
     KeptCaller,
 )
+from mintsaddle.platform.tests.kept_endpoints import make_responder
 from mintsaddle.platform.tests.standins import Endpoint, Entry, Site, wait_for
 
 STILL_RUNNING = -1_000
@@ -37,7 +38,6 @@
 """Longest pauses between two requests of a connection, in seconds. Callers
 with the long ones meet the close of idle connections."""
 
-LARGE_BYTES = 1_000_000
 STOP_SECONDS = 8.0
 FIRST_START_MS = 1_700_000_000_000
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -91,7 +91,7 @@
         """Run the soak."""
         site, plan = self._site, self._plan
         for endpoint in site.endpoints:
-            endpoint.default_responder = self._make_responder(endpoint.name)
+            endpoint.default_responder = make_responder(plan.seed, endpoint.name)
         try:
             site.store.put("op/config", standins.make_configuration())
             for endpoint in site.endpoints:
@@ -117,39 +117,14 @@
                 caller.stop()
             for caller in callers:
                 caller.join(15.0)
-            for entry, told_at in self._stopping:
-                self._check_end(entry, told_at)
+            for entry, stopped_at in self._stopping:
+                self._check_end(entry, stopped_at)
             return self._judge([one for caller in callers for one in caller.ended])
         finally:
             for entry in site.entries:
                 entry.process.send_signal(signal.SIGCONT)
                 entry.stop()
 
-    def _make_responder(self, name: str) -> standins.Responder:
-        rng = random.Random(f"{self._plan.seed} {name}")
-
-        def respond(endpoint: Endpoint, handler: standins._Handler) -> None:
-            attempt = handler.headers["X-Mintsaddle-Attempt-Id"].encode()
-            time.sleep(rng.choice((0.0, 0.0, 0.01, 0.1, 0.6)))
-            standins.begin_head(endpoint, handler)
-            if "letter" in handler.path:
-                handler.send_header("Content-Type", "text/event-stream")
-                handler.send_header("Transfer-Encoding", "chunked")
-                handler.end_headers()
-                for number in range(1, 6):
-                    time.sleep(rng.choice((0.0, 0.02, 0.1)))
-                    event = b"id: %d\ndata: piece\n\n" % number
-                    standins._send_chunk(handler, event)
-                standins._send_chunk(handler, b"id: 6\ndata: " + attempt + b"\n\n")
-                handler.wfile.write(b"0\r\n\r\n")
-                return
-            size = LARGE_BYTES if "slow-read" in handler.path else 200
-            handler.send_header("Content-Length", str(size + len(attempt)))
-            handler.end_headers()
-            handler.wfile.write(b"x" * size + attempt)
-
-        return respond
-
     def _announce(self, endpoint: Endpoint, state: str, **overrides: Any) -> None:
         item = standins.make_announcement(
             endpoint, "desk", state=state, slots=200, **overrides
@@ -234,8 +209,8 @@
         seconds = self._rng.uniform(0.5, 3.0)
         threading.Timer(seconds, setattr, (store, "delay", 0.0)).start()
 
-    def _check_end(self, entry: Entry, told_at: float) -> None:
-        left = max(0.1, told_at + STOP_SECONDS + 1.0 - time.monotonic())
+    def _check_end(self, entry: Entry, stopped_at: float) -> None:
+        left = max(0.1, stopped_at + STOP_SECONDS + 1.0 - time.monotonic())
         try:
             code = entry.process.wait(left)
         except subprocess.TimeoutExpired:
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -448,6 +448,15 @@
     }
 
 
+def make_caller_headers(attempt: str) -> dict[str, str]:
+    """Return the headers that each request of a caller has."""
+    return {
+        "Host": "desk.example",
+        "Api-Key": "good-key",
+        "X-Mintsaddle-Attempt-Id": attempt,
+    }
+
+
 ENTRY_MODULE = "mintsaddle.platform"
 """The module that runs an entry."""
 
@@ -568,12 +577,7 @@
         connection = http.client.HTTPConnection(
             f"127.0.0.1:{self.front}", timeout=WAIT_SECONDS
         )
-        sent = {
-            "Host": "desk.example",
-            "Api-Key": "good-key",
-            "X-Mintsaddle-Attempt-Id": "attempt-1",
-            "X-Mintsaddle-Deadline-Ms": "3000",
-        }
+        sent = {**make_caller_headers("attempt-1"), "X-Mintsaddle-Deadline-Ms": "3000"}
         sent.update({name.replace("_", "-"): value for name, value in headers.items()})
         connection.request(method, path, headers=sent)
         return connection
--- a/mintsaddle/platform/tests/test_drain.py
+++ b/mintsaddle/platform/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""Real entries that are told to stop while callers use their connections."""
+"""Real entries that shut down while callers use their connections."""
 
 import contextlib
 import http.client
@@ -84,14 +84,28 @@
 
 def send_lookup(connection: http.client.HTTPConnection, attempt: str) -> None:
     """Send a request on an open connection."""
-    headers = {
-        "Host": "desk.example",
-        "Api-Key": "good-key",
-        "X-Mintsaddle-Attempt-Id": attempt,
-    }
+    headers = standins.make_caller_headers(attempt)
     connection.request("GET", "/lookup/1", headers=headers)
 
 
+def stop_during_call(site: Site, seconds_left: float) -> http.client.HTTPConnection:
+    """Stop an entry that serves a call; return after the time to accept.
+
+    Args:
+        site: The site.
+        seconds_left: How long the call takes from then on.
+
+    Returns:
+        The caller's connection.
+    """
+    site.script(respond_after(LATE_ACCEPT_SECONDS + seconds_left))
+    connection = open_long(site, "GET", "/lookup/1")
+    wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
+    site.entry.terminate()
+    time.sleep(LATE_ACCEPT_SECONDS)
+    return connection
+
+
 class TestSlowCallers:
     def test_a_caller_that_reads_slowly_gets_its_whole_answer(self, site: Site) -> None:
         """Guards against a process that ends with unsent bytes."""
@@ -112,12 +126,8 @@
         """Guards against a process that ends while a body arrives."""
         connection = http.client.HTTPConnection("127.0.0.1", site.entry.front)
         connection.putrequest("POST", "/order/1", skip_host=True)
-        for name, value in {
-            "Host": "desk.example",
-            "Api-Key": "good-key",
-            "X-Mintsaddle-Attempt-Id": "attempt-1",
-            "Content-Length": "8",
-        }.items():
+        headers = standins.make_caller_headers("attempt-1")
+        for name, value in {**headers, "Content-Length": "8"}.items():
             connection.putheader(name, value)
         connection.endheaders()
         connection.send(b"half")
@@ -133,11 +143,7 @@
 class TestLateCallers:
     def test_a_late_connection_is_not_left_unread(self, site: Site) -> None:
         """Guards against callers that wait for the end of the process."""
-        site.script(respond_after(LATE_ACCEPT_SECONDS + 2.0))
-        slow = open_long(site, "GET", "/lookup/1")
-        wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
-        site.entry.terminate()
-        time.sleep(LATE_ACCEPT_SECONDS)
+        slow = stop_during_call(site, 2.0)
         began_at = time.monotonic()
         with contextlib.suppress(OSError):
             site.entry.call("GET", "/lookup/2")
@@ -171,11 +177,7 @@
 
     def test_nobody_is_accepted_and_left(self, site: Site) -> None:
         """Guards against connections that only the kernel has accepted."""
-        site.script(respond_after(LATE_ACCEPT_SECONDS + 1.0))
-        slow = open_long(site, "GET", "/lookup/1")
-        wait_for(lambda: len(site.requests()) == 1, "request at an endpoint")
-        site.entry.terminate()
-        time.sleep(LATE_ACCEPT_SECONDS)
+        slow = stop_during_call(site, 1.0)
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(("127.0.0.1", site.entry.front), 1.0)
         assert slow.getresponse().status == 200
@@ -194,7 +196,7 @@
         assert response.status == 503
         assert float(response.headers["Retry-After"]) > 0
 
-    def test_an_unanswered_request_is_told_so(self, site: Site) -> None:
+    def test_an_unanswered_request_gets_an_answer(self, site: Site) -> None:
         """Guards against a connection that ends without any answer."""
         site.script(standins.never_respond)
         waiting = open_long(site, "POST", "/order/1")
