--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import hashlib
 import http.client
 import itertools
 import json
@@ -242,6 +243,9 @@
         self.default_responder: Responder = respond_ok
         self.requests: list[dict[str, str]] = []
         self.arrivals: list[float] = []
+        self.body_digests: list[str] = []
+        """SHA-256 of the bodies of its requests."""
+
         self.rate_limit: str | None = None
         self.load: str | None = None
         """Load header of its answers: running, queued, slots."""
@@ -266,12 +270,13 @@
 
     def handle(self, handler: _Handler) -> None:
         length = int(handler.headers.get("Content-Length") or 0)
-        handler.rfile.read(length)
+        body = handler.rfile.read(length)
         _, port = handler.client_address
         self.requests.append(
             {"target": handler.path, "port": str(port), **dict(handler.headers.items())}
         )
         self.arrivals.append(time.monotonic())
+        self.body_digests.append(hashlib.sha256(body).hexdigest())
         responder = (
             self.responders.pop(0) if self.responders else self.default_responder
         )
@@ -460,6 +465,16 @@
 ENTRY_MODULE = "mintsaddle.platform"
 """The module that runs an entry."""
 
+
+class ProcessLimits(NamedTuple):
+    """Limits of an entry's process, under the names of its settings."""
+
+    memory_mb: int = 200
+    max_fds: int = 4100
+
+
+DEFAULT_LIMITS = ProcessLimits()
+
 FIRST_PORT, LAST_PORT = 10_000, 32_000
 """Ports for processes that bind them later; below the ephemeral range.
 
@@ -509,6 +524,8 @@
         seeds: list[str] | None = None,
         agent_port: int | None = None,
         module: str = ENTRY_MODULE,
+        limits: ProcessLimits = DEFAULT_LIMITS,
+        more_settings: str = "",
     ) -> None:
         front, ready, control, metrics = free_ports(4)
         self.front, self.ready, self.metrics = front, ready, metrics
@@ -525,7 +542,9 @@
                 agents=agent_port or metrics,
                 store=store,
                 seeds=json.dumps(seeds or []),
+                **limits._asdict(),
             )
+            + more_settings
         )
         self._log_path = folder / f"{name}.log"
         self._log = self._log_path.open("a")
@@ -619,8 +638,8 @@
 cold_slack = 5
 stall_ms = 1500
 [limits]
-memory_mb = 200
-max_fds = 4100
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [platform]
 address = "{store}"
 """
@@ -635,6 +654,11 @@
         self.endpoints = [Endpoint("e-1"), Endpoint("e-2")]
         self.entries: list[Entry] = []
         self.module = ENTRY_MODULE
+        self.limits = DEFAULT_LIMITS
+        self.more_settings = ""
+        """TOML that is added to the settings of entries."""
+
+        self.configuration = make_configuration()
 
     @property
     def entry(self) -> Entry:
@@ -643,7 +667,7 @@
 
     def start(self) -> None:
         """Publish configuration and endpoints; wait until the entry serves."""
-        self.store.put("op/config", make_configuration())
+        self.store.put("op/config", self.configuration)
         for endpoint in self.endpoints:
             self.store.put(
                 f"servers/{endpoint.name}", make_announcement(endpoint, "desk")
@@ -662,7 +686,15 @@
     def add_entry(self, store: str, seeds: list[str] | None = None) -> Entry:
         """Start one more entry."""
         name = f"entry-{len(self.entries) + 1}"
-        entry = Entry(self._folder, name, store, seeds, module=self.module)
+        entry = Entry(
+            self._folder,
+            name,
+            store,
+            seeds,
+            module=self.module,
+            limits=self.limits,
+            more_settings=self.more_settings,
+        )
         self.entries.append(entry)
         return entry
 
