Let callers read the server's own refusals, and record them

Operators saw nothing.

Cause: waitress answers these itself and closes the connection with unread bytes, which resets it. The application never hears of them, so there was no line in the log, no metric and no mark that the request has not run.

Change: the server asks the application to render and record a refusal (direct/_screening.py, which takes over those by route and key). After it, the server ends its side only, and drops what still comes, for 5 s at most.

X-Mintsaddle-Not-Executed is true: the application has not seen the request.

--- a/mintsaddle/callers/__init__.py
+++ b/mintsaddle/callers/__init__.py
@@ -1,6 +1,16 @@
 """HTTP server for callers that loses no request when it closes connections."""
 
-from mintsaddle.callers._connections import CloseReason, CutConnection, render_cut
+from mintsaddle.callers._cuts import CloseReason, CutConnection, render_cut
+from mintsaddle.callers._refusals import STATUS_LINES, HttpRefusal, RequestFault
 from mintsaddle.callers._server import CallerServer, ServerLoad
 
-__all__ = ["CallerServer", "CloseReason", "CutConnection", "ServerLoad", "render_cut"]
+__all__ = [
+    "STATUS_LINES",
+    "CallerServer",
+    "CloseReason",
+    "CutConnection",
+    "HttpRefusal",
+    "RequestFault",
+    "ServerLoad",
+    "render_cut",
+]
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -1,58 +1,25 @@
 """Connections of callers, as waitress serves them."""
 
-import enum
+import contextlib
+import socket
 import time
-from typing import NamedTuple
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from mintsaddle.callers._cuts import CloseReason, CutConnection
+from mintsaddle.callers._refusals import RefusalTask
 from mintsaddle.engines import is_readable, shut_down
-from mintsaddle.observe import fields
 from mintsaddle.values import Instant
 
 MIN_UNSENT_SECONDS = 15.0
 """Shortest time without progress after which an answer that its caller doesn't
 read is abandoned."""
 
-
-class CloseReason(enum.Enum):
-    """Why a connection is closed."""
-
-    CALLER = "caller"
-    """The caller has closed or reset it."""
-
-    IDLE = "idle"
-    """Nothing was sent or received for too long."""
-
-    CROWDED = "crowded"
-    """Too many connections are open."""
-
-    ELSEWHERE = "elsewhere"
-    """Callers are served better by other entries."""
-
-
-class CutConnection(NamedTuple):
-    """A connection that was closed before its requests were answered."""
-
-    reason: CloseReason
-    requests: int
-    """Number of complete requests without a complete answer."""
-
-    unsent_bytes: int
-    """Bytes of answers that had not been sent."""
-
-    environ: dict[str, str]
-    """Headers of the first of these requests, in their WSGI form."""
-
-
-def render_cut(cut: CutConnection) -> str:
-    """Return what was cut, as ``key=value`` pairs for the log."""
-    return fields(
-        reason=cut.reason.value,
-        unanswered=cut.requests,
-        unsent_bytes=cut.unsent_bytes,
-    )
+LINGER_SECONDS = 5.0
+"""Time for which the rest of a refused request is read and dropped. A close
+with unread bytes would reset the connection before its caller has read the
+refusal."""
 
 
 class ClosingTask(WSGITask):  # type: ignore[misc]
@@ -73,9 +40,18 @@
     """The connection of one caller."""
 
     task_class = ClosingTask
+    error_task_class = RefusalTask
+    close_when_flushed: bool = False
     _requested: CloseReason | None = None
     _close_reason = CloseReason.CALLER
     _last_active_at: Instant = 0.0
+    _must_linger = False
+    _linger_until: Instant | None = None
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether it has been refused, and what still comes is dropped."""
+        return self._linger_until is not None
 
     @property
     def last_activity(self) -> Instant:
@@ -89,7 +65,8 @@
 
     def is_idle(self) -> bool:
         """Return whether nothing is arriving, being answered or being sent."""
-        return not self.has_answer() and self.request is None
+        is_arriving = self.request is not None or self.is_lingering
+        return not self.has_answer() and not is_arriving
 
     def has_answer(self) -> bool:
         """Return whether an answer is due or has not been sent completely."""
@@ -103,6 +80,8 @@
         """
         if self.requests:
             return False
+        if self._linger_until is not None:
+            return time.monotonic() > self._linger_until
         allowed = idle_seconds
         if self.total_outbufs_len:
             allowed = max(idle_seconds, MIN_UNSENT_SECONDS)
@@ -116,13 +95,44 @@
         """
         self._requested = reason
 
+    def linger(self) -> None:
+        """Drop what still comes after the answer, instead of closing at once.
+
+        Any thread may call this before it ends the answer.
+        """
+        self._must_linger = True
+
+    def readable(self) -> bool:
+        """Return whether the loop reads from the connection in this pass."""
+        if self.is_lingering:
+            return True
+        return bool(super().readable())
+
+    def handle_read(self) -> None:
+        """Read a block of requests, or of what is dropped."""
+        if self.is_lingering:
+            self._discard()
+        else:
+            super().handle_read()
+
+    def received(self, data: bytes) -> bool:
+        """Parse what has arrived."""
+        if self.requests and self.requests[-1].error:
+            return False
+        return bool(super().received(data))
+
     def writable(self) -> bool:
         """Return whether the loop has something to send or to close."""
         return self._requested is not None or super().writable()
 
     def handle_write(self) -> None:
         """Send what waits; then close the connection if it was requested."""
+        begins_to_linger = self._must_linger and self.close_when_flushed
+        if begins_to_linger:
+            self.close_when_flushed = False
         super().handle_write()
+        if begins_to_linger and self.connected:
+            self._linger_if_flushed()
         reason, self._requested = self._requested, None
         if reason is None or not self.connected or not self._may_close(reason):
             return
@@ -142,12 +152,28 @@
 
         The loop has to see the end: it would wait for room to send otherwise.
         """
+        if self.is_lingering:
+            self.will_close = True
+            return
         if not self.total_outbufs_len:
             self.request_close(CloseReason.IDLE)
             return
         self._close_reason = CloseReason.IDLE
         shut_down(self.socket)
 
+    def _linger_if_flushed(self) -> None:
+        if self.total_outbufs_len:
+            self.close_when_flushed = True
+            return
+        self._linger_until = time.monotonic() + LINGER_SECONDS
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
+    def _discard(self) -> None:
+        with contextlib.suppress(OSError):
+            # Closes the connection at its end.
+            self.recv(self.adj.recv_bytes)
+
     def _may_close(self, reason: CloseReason) -> bool:
         """Return whether no caller loses an answer by the close.
 
--- /dev/null
+++ b/mintsaddle/callers/_refusals.py
@@ -0,0 +1,85 @@
+"""Requests that the server refuses before an application gets them."""
+
+import enum
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypeAlias
+
+from waitress.task import ErrorTask
+
+_INTERNAL_ERROR = 500
+
+
+class RequestFault(enum.Enum):
+    """Why a request is refused."""
+
+    MALFORMED = "malformed"
+    """It isn't valid HTTP."""
+
+    UNSUPPORTED = "unsupported"
+    """It uses a transfer encoding that isn't supported."""
+
+    LARGE_HEAD = "large-head"
+    """Its head exceeds the operator's limit."""
+
+    LARGE_BODY = "large-body"
+    """Its body exceeds the operator's limit."""
+
+
+STATUS_LINES = {
+    RequestFault.MALFORMED: "400 Bad Request",
+    RequestFault.UNSUPPORTED: "501 Not Implemented",
+    RequestFault.LARGE_HEAD: "431 Request Header Fields Too Large",
+    RequestFault.LARGE_BODY: "413 Content Too Large",
+}
+
+_FAULTS_BY_CODE = {
+    400: RequestFault.MALFORMED,
+    413: RequestFault.LARGE_BODY,
+    431: RequestFault.LARGE_HEAD,
+    501: RequestFault.UNSUPPORTED,
+}
+
+
+class HttpRefusal(NamedTuple):
+    """The answer to a request that is refused."""
+
+    status: str
+    """Status code and reason phrase."""
+
+    headers: list[tuple[str, str]]
+    body: bytes = b""
+
+
+RefuseFault: TypeAlias = Callable[[RequestFault, Mapping[str, str]], HttpRefusal]
+"""Records and renders the refusal of a request, given its WSGI headers."""
+
+
+def refuse_plainly(fault: RequestFault, _: Mapping[str, str]) -> HttpRefusal:
+    """Return a refusal that says nothing but the status."""
+    return HttpRefusal(STATUS_LINES[fault], [])
+
+
+class RefusedError(NamedTuple):
+    """The end of a request whose refusal is known; waitress's form."""
+
+    refusal: HttpRefusal
+
+    def to_response(self, _: str | None) -> HttpRefusal:
+        """Return status line, headers and body."""
+        return self.refusal
+
+
+class RefusalTask(ErrorTask):  # type: ignore[misc]
+    """Answers a request that is refused, and lets its caller read that."""
+
+    def execute(self) -> None:
+        """Write the answer."""
+        error = self.request.error
+        if getattr(error, "code", None) != _INTERNAL_ERROR:
+            self.channel.linger()
+        fault = _FAULTS_BY_CODE.get(getattr(error, "code", _INTERNAL_ERROR))
+        if fault is not None:
+            headers = {f"HTTP_{k}": v for k, v in self.request.headers.items()}
+            refusal = self.channel.server.refuse(fault, headers)
+            self.request.error = RefusedError(refusal)
+        super().execute()
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -2,26 +2,22 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from waitress.server import TcpWSGIServer, create_server
 
-from mintsaddle.callers._connections import CallerChannel, CloseReason, CutConnection
+from mintsaddle.callers._connections import CallerChannel
+from mintsaddle.callers._cuts import CloseReason, CutConnection
+from mintsaddle.callers._refusals import RefuseFault, refuse_plainly
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
+from mintsaddle.callers._upkeep import ConnectionUpkeep
 from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.engines import is_readable
 
 _REFUSAL_THREADS = 4
 """Threads in addition to one per caller; they refuse excess requests."""
 
-KEPT_CONNECTIONS_SHARE = 0.5
-"""Share of the connections above which answers tell callers to close theirs.
-Idle ones would use up the limit if most callers came to this entry."""
-
-MAX_CONNECTIONS_SHARE = 0.8
-"""Share of the connections above which idle ones are closed."""
-
 MAX_UNSENT_BYTES = 131_072
 """Bytes for a caller above which the next part of its answer waits. A caller
 that doesn't read must not fill memory."""
@@ -60,6 +56,7 @@
         max_callers: int,
         max_connections: int,
         record_cut: Callable[[CutConnection], None],
+        refuse: RefuseFault = refuse_plainly,
     ) -> None:
         """Create the server.
 
@@ -72,6 +69,7 @@
             max_connections: How many connections are open at the same time.
             record_cut: Called with each connection that is closed before its
                 requests were answered.
+            refuse: Renders and records the refusals of the server itself.
         """
         self._max_connections = max_connections
         self._is_listening = True
@@ -95,14 +93,16 @@
         )
         self._server.channel_class = CallerChannel
         self._server.should_close_connections = should_close_connections
-        self._server.is_crowded = self._is_crowded
+        self._upkeep = ConnectionUpkeep(self._server, max_connections)
+        self._server.is_crowded = self._upkeep.is_crowded
         self._server.record_cut = record_cut
+        self._server.refuse = refuse
         self._server.maintenance = self._maintain
 
     @property
     def load(self) -> ServerLoad:
         """What the connections hold now."""
-        channels = self._channels()
+        channels = self._upkeep.channels()
         return ServerLoad(
             len(channels),
             len(self._dispatcher.queue),
@@ -146,7 +146,7 @@
 
     def close_idle(self) -> None:
         """Close connections without a request; callers open new ones."""
-        self._close(self._channels(), CloseReason.ELSEWHERE)
+        self._upkeep.close_all(self._upkeep.channels(), CloseReason.ELSEWHERE)
 
     def _stop_listening(self) -> None:
         """Close the listening socket; called in the server's loop.
@@ -164,39 +164,5 @@
 
     def _maintain(self, _: float) -> None:
         """Close idle connections; called in the server's loop."""
-        self._close_expired()
-        self._close_excess()
-
-    def _close_expired(self) -> None:
-        """Close connections that have been inactive for too long."""
-        idle_seconds = self._server.adj.channel_timeout
-        for channel in self._channels():
-            if channel.is_inactive(idle_seconds):
-                channel.abandon()
-
-    def _close_excess(self) -> None:
-        """Close the connections that were idle for longest if many are open.
-
-        Otherwise no further one would be accepted until some of them have
-        reached the idle limit, and callers wait unread.
-        """
-        allowed = int(self._max_connections * MAX_CONNECTIONS_SHARE)
-        excess = len(self._server.active_channels) - allowed
-        if excess > 0:
-            idle = [channel for channel in self._channels() if channel.is_idle()]
-            idle.sort(key=lambda one: one.last_activity)
-            self._close(idle[:excess], CloseReason.CROWDED)
-
-    def _is_crowded(self) -> bool:
-        """Return whether callers should close their connections."""
-        kept = self._max_connections * KEPT_CONNECTIONS_SHARE
-        return len(self._server.active_channels) > kept
-
-    def _channels(self) -> tuple[CallerChannel, ...]:
-        # The loop changes the original meanwhile.
-        return tuple(self._server.active_channels.copy().values())
-
-    def _close(self, channels: Iterable[CallerChannel], reason: CloseReason) -> None:
-        for channel in channels:
-            channel.request_close(reason)
-        self._server.pull_trigger()
+        self._upkeep.close_expired()
+        self._upkeep.close_excess()
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -4,39 +4,28 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, TypeAlias
 
-from mintsaddle.decisions.direct import (
-    DirectCall,
-    GiveUp,
-    KeyHolder,
-    Route,
-    match_route,
-)
+from mintsaddle.callers import HttpRefusal
+from mintsaddle.decisions.direct import DirectCall, GiveUp, KeyHolder, Route
 from mintsaddle.decisions.quarantine import extract_features
 from mintsaddle.decisions.routing import record_request
 from mintsaddle.direct._answers import BufferedAnswer, CallerRequest, StreamAnswer
 from mintsaddle.direct._availability import CallerDisconnectedError
-from mintsaddle.direct._calls import find_key_holder, make_call
+from mintsaddle.direct._calls import make_call
 from mintsaddle.direct._closing_body import ClosingBody
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._reading import StreamCutError
 from mintsaddle.direct._retry_advice import recommend_wait
 from mintsaddle.direct._runner import CallRunner
+from mintsaddle.direct._screening import Screening
 from mintsaddle.direct._timing import StreamTiming
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import HistogramKey, Measure, fields, make_logger
-from mintsaddle.platform import RequestHead, make_refusal, read_request_head
+from mintsaddle.platform import RequestHead, make_refusal
 from mintsaddle.values import Instant, Outcome, Reason
 
 StartResponse: TypeAlias = Any
 _Environ: TypeAlias = dict[str, Any]
 
-TABLE_TRUST_SECONDS = 4.0
-"""Maximum age in seconds of a table by which a key or route is denied; a
-healthy watch confirms the table every 2.5 s."""
-
-_DEFAULT_WAIT_SECONDS = 3.0
-"""Seconds that a caller is assumed to wait if it sends no deadline."""
-
 _log = make_logger("calls")
 
 
@@ -47,6 +36,7 @@
         self._gateway = gateway
         self._watchdog = watchdog
         self._max_calls = max_calls
+        self._screening = Screening(gateway)
         self._open_calls = 0
         self._lock = threading.Lock()
 
@@ -55,6 +45,11 @@
         """Number of requests that are being served."""
         return self._open_calls
 
+    @property
+    def screening(self) -> Screening:
+        """Refusals of requests by what their heads say."""
+        return self._screening
+
     def __call__(
         self, environ: _Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -76,23 +71,12 @@
         self, environ: _Environ, start_response: StartResponse, *, is_full: bool
     ) -> Iterable[bytes]:
         arrived_at = self._gateway.now()
-        head = read_request_head(environ)
-        table = self._gateway.directory.table
-        if table is None:
-            return self._refuse(start_response, head, Reason.BEHIND)
-        if is_full:
-            return self._refuse(start_response, head, Reason.FULL)
-        target = str(environ.get("REQUEST_URI") or environ["PATH_INFO"])
-        host = str(environ.get("HTTP_HOST", ""))
-        route = match_route(table, host, target.partition("?")[0])
-        if route is None:
-            return self._deny(start_response, head, "404 Not Found", "no-route")
-        holder = find_key_holder(table, route, head)
-        if holder is None:
-            return self._deny(start_response, head, "401 Unauthorized", "no-key")
-        if not head.request_id:
-            start_response("400 Bad Request", [])
-            return ()
+        checked = self._screening.check(environ, is_full=is_full)
+        if isinstance(checked, HttpRefusal):
+            length = ("Content-Length", str(len(checked.body)))
+            start_response(checked.status, [*checked.headers, length])
+            return [checked.body] if checked.body else ()
+        head, target, route, holder = checked
         body = environ["wsgi.input"].read()
         call = self._make_call(head, route, holder, arrived_at)
         request = CallerRequest(environ, environ["REQUEST_METHOD"], target, body)
@@ -192,42 +176,6 @@
         start_response(status, [*headers, ("Content-Length", "0")])
         return ()
 
-    def _refuse(
-        self, start_response: StartResponse, head: RequestHead, reason: Reason
-    ) -> Iterable[bytes]:
-        """Refuse a request that was sent to no endpoint."""
-        self._gateway.metrics.count(f"refused_{reason.value}")
-        _log.info(
-            "Refused %s.", fields(request=head.request_id or "-", reason=reason.value)
-        )
-        left = head.seconds_left or _DEFAULT_WAIT_SECONDS
-        retry_after = recommend_wait(self._gateway, left, reason)
-        status, headers = make_refusal(
-            Outcome.NOT_RUN, reason, head.request_id, retry_after
-        )
-        start_response(status, [*headers, ("Content-Length", "0")])
-        return ()
-
-    def _deny(
-        self, start_response: StartResponse, head: RequestHead, status: str, reason: str
-    ) -> Iterable[bytes]:
-        """Deny what the table doesn't allow, if the table is recent.
-
-        An entry that is cut off must not deny: a key or route may have been
-        added since, and callers don't retry after 401 or 404.
-        """
-        if not self._gateway.is_fresh(TABLE_TRUST_SECONDS):
-            return self._refuse(start_response, head, Reason.BEHIND)
-        table = self._gateway.directory.table
-        version = table.version if table else 0
-        self._gateway.metrics.count(f"denied_{reason}")
-        _log.info(
-            "Denied %s.",
-            fields(request=head.request_id or "-", why=reason, version=version),
-        )
-        start_response(status, [("Content-Length", "0")])
-        return ()
-
     def _record(self, call: DirectCall, measure: Measure) -> None:
         key = HistogramKey(call.workspace or "none", call.route.name, measure)
         self._gateway.metrics.record(key, self._gateway.now() - call.arrived_at)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -62,6 +62,7 @@
         callers,
         max_connections(settings),
         partial(_record_cut, gateway),
+        app.screening.refuse_fault,
     )
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
--- a/mintsaddle/platform/__init__.py
+++ b/mintsaddle/platform/__init__.py
@@ -25,6 +25,7 @@
 )
 from mintsaddle.platform._responses import (
     ResponseHead,
+    make_fault_headers,
     make_refusal,
     make_response_headers,
     read_response_head,
@@ -51,6 +52,7 @@
     "is_followed_key",
     "load_direct_settings",
     "make_endpoint_headers",
+    "make_fault_headers",
     "make_refusal",
     "make_response_headers",
     "order_call",
--- a/mintsaddle/platform/_responses.py
+++ b/mintsaddle/platform/_responses.py
@@ -136,6 +136,22 @@
     return "502 Bad Gateway", headers
 
 
+def make_fault_headers(
+    request_id: str, retry_after: float | None
+) -> list[tuple[str, str]]:
+    """Return the headers of a refusal of a request that hasn't arrived.
+
+    Args:
+        request_id: Its id, if that has arrived.
+        retry_after: Seconds after which to come back; None if it shouldn't.
+    """
+    headers = [(REQUEST_ID, request_id)] if request_id else []
+    headers.append((_NOT_EXECUTED, "1"))
+    if retry_after is not None:
+        headers.append((RETRY_AFTER, f"{retry_after:.2f}"))
+    return headers
+
+
 def _read_idle_seconds(response: http.client.HTTPResponse) -> float | None:
     if response.will_close:
         return 0.0
--- /dev/null
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -0,0 +1,146 @@
+"""Single requests to a real entry, within and beyond its limits."""
+
+import contextlib
+import hashlib
+import socket
+import time
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+from threading import Thread
+
+import pytest
+
+from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests.hostile_clients import (
+    DRIP_SECONDS,
+    Request,
+    endless_line,
+    with_length,
+)
+from mintsaddle.platform.tests.standins import Site, wait_for
+
+BODY_BYTES = 262_144
+HEADER_BYTES = 16_384
+WHOLE_ANSWER = b"\r\n\r\nwhole answer of e-"
+END = b"0\r\n\r\n"
+TOO_LARGE = partial(
+    with_length,
+    announced=BODY_BYTES + 1,
+    sent=BODY_BYTES + 1,
+    lines=("Connection: close",),
+    target="POST /nowhere/1",
+)
+NOT_RUN = b"X-Mintsaddle-Not-Executed: 1"
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    running = Site(tmp_path)
+    limits = {
+        "max_header_bytes": HEADER_BYTES,
+        "max_body_bytes": BODY_BYTES,
+        "header_timeout_ms": 1_500,
+        "idle_timeout_ms": 15_000,
+    }
+    running.configuration = standins.make_configuration(limits=limits)
+    running.more_settings = "[requests]\nbody_timeout_ms = 1500\n"
+    for site in standins.run(running):
+        wait_for(
+            lambda: exchange(running, TOO_LARGE)[9:12] == b"413", "limits in force"
+        )
+        yield site
+
+
+def exchange(site: Site, request: Request, answers: int = 1) -> bytes:
+    """Send requests; return what comes until all answers or the end."""
+    address = ("127.0.0.1", site.entry.front)
+    answer = b""
+    with socket.create_connection(address, timeout=standins.WAIT_SECONDS) as connection:
+        sender = Thread(target=send, args=(connection, request(1)))
+        sender.start()
+        while answer.count(WHOLE_ANSWER) < answers:
+            data = connection.recv(65_536)
+            if not data:
+                break
+            answer += data
+        sender.join()
+    return answer
+
+
+def count_refused(site: Site, fault: str) -> int:
+    """Return the value of a counter of refusals."""
+    values = dict(
+        line.rsplit(" ", 1) for line in site.entry.fetch_metrics().splitlines()
+    )
+    return int(values.get(f"mintsaddle_refused_{fault}", 0))
+
+
+def send(connection: socket.socket, blocks: Iterator[bytes]) -> None:
+    """Send the blocks of a client, until the connection is closed."""
+    with contextlib.suppress(OSError):
+        for block in blocks:
+            if block:
+                connection.sendall(block)
+            else:
+                time.sleep(DRIP_SECONDS)
+
+
+def digest(size: int) -> str:
+    return hashlib.sha256(b"b" * size).hexdigest()
+
+
+LARGE = BODY_BYTES + 1
+REFUSED = {
+    "announced": (partial(with_length, announced=LARGE, sent=LARGE), 413, "large-body"),
+    "far-announced": (
+        partial(with_length, announced=10**15, sent=1_000_000),
+        413,
+        "large-body",
+    ),
+    "no-chunk": (
+        partial(endless_line, before=b"no chunk\r\n", size=100_000),
+        400,
+        "malformed",
+    ),
+    "head": (
+        partial(
+            with_length, announced=1, sent=1, lines=("Note: " + HEADER_BYTES * "n",)
+        ),
+        431,
+        "large-head",
+    ),
+    "many-digits": (
+        partial(with_length, announced=int("9" * 4_200), sent=1),
+        413,
+        "large-body",
+    ),
+    "no-length": (
+        partial(with_length, announced=-1, sent=100_000),
+        400,
+        "malformed",
+    ),
+    "encoding": (
+        partial(with_length, announced=1, sent=1, lines=("Transfer-Encoding: gzip",)),
+        501,
+        "unsupported",
+    ),
+}
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("request_of", "status", "fault"), REFUSED.values(), ids=REFUSED
+    )
+    def test_the_caller_reads_it_and_the_operator_sees_it(
+        self, site: Site, request_of: Request, status: int, fault: str
+    ) -> None:
+        """Guards against resets, and refusals without a trace."""
+        before = count_refused(site, fault)
+        answer = exchange(site, request_of)
+        assert answer[9:12] == str(status).encode()
+        assert NOT_RUN in answer
+        assert not site.requests()
+        wait_for(lambda: f"reason={fault}" in site.entry.log(), "line of the log")
+        assert count_refused(site, fault) == before + 1
+        assert "Traceback" not in site.entry.log()
