Serve bodies of exactly the largest size, however they are chunked

Callers inside the operator's limits got 413 for a body of max_body_bytes with a length or in two chunks, and a reset for one in chunks of a byte. A length of thousands of digits closed the connection with a traceback in the log, and a large body that asked with Expect: 100-continue was asked for and then refused.

Cause: waitress refuses at equality, counts a chunked body with its framing, lets int() raise for a long length, and sends 100 Continue for a request that it has just refused.

Change: a parser on top of waitress's counts what the body holds and turns that ValueError into 400; the limit passed on is one byte more.

Pipelined requests keep their order.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -7,6 +7,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from mintsaddle.callers._arriving import ArrivingRequest
 from mintsaddle.callers._cuts import CloseReason, CutConnection
 from mintsaddle.callers._refusals import RefusalTask
 from mintsaddle.engines import is_readable, shut_down
@@ -41,6 +42,8 @@
 
     task_class = ClosingTask
     error_task_class = RefusalTask
+    parser_class = ArrivingRequest
+    request: ArrivingRequest | None = None
     close_when_flushed: bool = False
     _requested: CloseReason | None = None
     _close_reason = CloseReason.CALLER
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -119,7 +119,8 @@
         """Apply new limits from the next request on."""
         adjustments = self._server.adj
         adjustments.max_request_header_size = limits.header_bytes
-        adjustments.max_request_body_size = limits.body_bytes
+        # waitress refuses bodies of this size.
+        adjustments.max_request_body_size = limits.body_bytes + 1
         adjustments.channel_timeout = limits.idle_seconds
         # The VM has no disk. Longer bodies would go to temporary files.
         adjustments.inbuf_overflow = limits.body_bytes + 1
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -16,6 +16,8 @@
     DRIP_SECONDS,
     Request,
     endless_line,
+    in_chunks,
+    make_head,
     with_length,
 )
 from mintsaddle.platform.tests.standins import Site, wait_for
@@ -90,6 +92,55 @@
     return hashlib.sha256(b"b" * size).hexdigest()
 
 
+ALLOWED = {
+    "length": partial(with_length, announced=BODY_BYTES, sent=BODY_BYTES),
+    "pieces": partial(with_length, announced=BODY_BYTES, sent=BODY_BYTES, block=4_096),
+    "one-chunk": partial(in_chunks, chunk=BODY_BYTES, count=1, end=END),
+    "two-chunks": partial(in_chunks, chunk=BODY_BYTES // 2, count=2, end=END),
+    "kilobytes": partial(in_chunks, chunk=1_024, count=BODY_BYTES // 1_024, end=END),
+    "bytes": partial(in_chunks, chunk=1, count=BODY_BYTES, end=END),
+    "extension": partial(
+        in_chunks, chunk=BODY_BYTES // 2, count=2, end=END, extension=b";a=b"
+    ),
+    "trailer": partial(
+        in_chunks, chunk=BODY_BYTES // 2, count=2, end=b"0\r\nNote: n\r\n\r\n"
+    ),
+    "continue": partial(
+        with_length,
+        announced=BODY_BYTES,
+        sent=BODY_BYTES,
+        lines=("Expect: 100-continue",),
+    ),
+}
+
+
+class TestLargestBodies:
+    @pytest.mark.parametrize("request_of", ALLOWED.values(), ids=ALLOWED)
+    def test_one_of_the_largest_size_is_served(
+        self, site: Site, request_of: Request
+    ) -> None:
+        """Guards against a limit that counts framing, or excludes itself."""
+        answer = exchange(site, request_of)
+        assert b"HTTP/1.1 200 " in answer
+        digests = [one for e in site.endpoints for one in e.body_digests]
+        assert digests == [digest(BODY_BYTES)]
+
+    def test_pipelined_requests_are_answered_in_order(self, site: Site) -> None:
+        """Guards against requests that are lost or mixed while they wait."""
+
+        def several(number: int) -> Iterator[bytes]:
+            heads = [make_head(index, target="GET /lookup/1") for index in range(300)]
+            yield b"".join(heads)
+
+        answer = exchange(site, several, answers=300)
+        ids = [
+            line.split()[1]
+            for line in answer.splitlines()
+            if line.startswith(b"X-Mintsaddle-Attempt-Id:")
+        ]
+        assert ids == [b"hostile-%d" % index for index in range(300)]
+
+
 LARGE = BODY_BYTES + 1
 REFUSED = {
     "announced": (partial(with_length, announced=LARGE, sent=LARGE), 413, "large-body"),
@@ -98,6 +149,7 @@
         413,
         "large-body",
     ),
+    "chunks": (partial(in_chunks, chunk=LARGE, count=4, end=END), 413, "large-body"),
     "no-chunk": (
         partial(endless_line, before=b"no chunk\r\n", size=100_000),
         400,
@@ -144,3 +196,12 @@
         wait_for(lambda: f"reason={fault}" in site.entry.log(), "line of the log")
         assert count_refused(site, fault) == before + 1
         assert "Traceback" not in site.entry.log()
+
+    def test_a_length_that_is_no_number_is_refused(self, site: Site) -> None:
+        """Guards against a connection that is closed without an answer."""
+
+        def many_digits(number: int) -> Iterator[bytes]:
+            yield make_head(number, "Content-Length: " + "9" * 5_000)
+
+        assert exchange(site, many_digits)[9:12] == b"400"
+        assert "Traceback" not in site.entry.log()
