Bound what all requests of an entry hold together

Cause: each body was bounded by the operator's limit, all together by the number of connections only. A body was kept by the server and copied for the application. A head of thousands of short lines takes half a megabyte besides.

When it is reached, the request that has held most bytes for longest is refused with 503 and a time to come back; whole ones stay. Up to 16 kB of each are its caller's. Bodies lie in blocks that are used again, and are passed on from there without a copy. Heads are charged by their lines. Limits in force are logged and on /metrics.

Ruled out: refusing the slowest by bytes for each second (a new body of 40 kB looks slow beside 4 MB that have stopped), and the largest first (stalled small ones keep a large one out).

What is left needs bounds of its own: framing, parsing, time and connections.

--- a/mintsaddle/callers/_arriving.py
+++ b/mintsaddle/callers/_arriving.py
@@ -1,11 +1,34 @@
 """Requests that are arriving, as waitress parses them."""
 
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
 from waitress.parser import HTTPRequestParser, ParsingError
 
+from mintsaddle.callers._bodies import RequestBody, RequestBuffers
+from mintsaddle.callers._refusals import FaultError, RequestFault
+
+_HEADER_BYTES = 400
+"""Memory that a header takes in addition to its text, in all forms in which
+it is kept."""
+
+
+class Intake(NamedTuple):
+    """What an arriving request needs of its connection."""
+
+    buffers: RequestBuffers
+    notice_refusal: Callable[[], None]
+    """Called when there is no memory for the request."""
+
 
 class ArrivingRequest(HTTPRequestParser):  # type: ignore[misc]
     """Parses one request within the limits for its arrival."""
 
+    def __init__(self, adj: Any, intake: Intake) -> None:
+        super().__init__(adj)
+        self._intake = intake
+        self._body: RequestBody | None = None
+
     @property
     def body_bytes_received(self) -> int:
         """Bytes of its body, without framing."""
@@ -23,6 +46,8 @@
             # waitress would go on with a request that expects to continue.
             self.completed = True
             self.expect_continue = False
+        elif self.completed and self._body is not None:
+            self._body.complete()
         return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
@@ -31,3 +56,29 @@
             super().parse_header(header_plus)
         except ValueError as error:
             raise ParsingError("Head is invalid") from error
+        size = 2 * len(header_plus) + _HEADER_BYTES * len(self.headers)
+        self._body = self._intake.buffers.open(size, self._refuse_for_memory)
+        if self.body_rcv is not None:
+            self.body_rcv.buf = self._body
+
+    def get_body_stream(self) -> RequestBody:
+        """Return the body as the input of a WSGI application."""
+        assert self._body is not None
+        return self._body
+
+    def close(self) -> None:
+        """Release the memory of the request."""
+        if self._body is not None:
+            self._body.close()
+
+    def refuse(self, fault: RequestFault) -> None:
+        """End the request with an error, and release its memory."""
+        self.error = FaultError(fault)
+        self.completed = True
+        self.expect_continue = False
+        if self._body is not None:
+            self._body.drop()
+
+    def _refuse_for_memory(self) -> None:
+        self.refuse(RequestFault.MEMORY)
+        self._intake.notice_refusal()
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -3,11 +3,12 @@
 import contextlib
 import socket
 import time
+from typing import Any
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from mintsaddle.callers._arriving import ArrivingRequest
+from mintsaddle.callers._arriving import ArrivingRequest, Intake
 from mintsaddle.callers._cuts import CloseReason, CutConnection
 from mintsaddle.callers._refusals import RefusalTask
 from mintsaddle.engines import is_readable, shut_down
@@ -42,7 +43,6 @@
 
     task_class = ClosingTask
     error_task_class = RefusalTask
-    parser_class = ArrivingRequest
     request: ArrivingRequest | None = None
     close_when_flushed: bool = False
     _requested: CloseReason | None = None
@@ -50,6 +50,7 @@
     _last_active_at: Instant = 0.0
     _must_linger = False
     _linger_until: Instant | None = None
+    _is_receiving = False
 
     @property
     def is_lingering(self) -> bool:
@@ -98,6 +99,15 @@
         """
         self._requested = reason
 
+    def parser_class(self, adjustments: Any) -> ArrivingRequest:
+        """Return the parser of the next request."""
+        server = self.server
+        intake = Intake(
+            server.buffers,
+            self._notice_refusal,
+        )
+        return ArrivingRequest(adjustments, intake)
+
     def linger(self) -> None:
         """Drop what still comes after the answer, instead of closing at once.
 
@@ -122,7 +132,11 @@
         """Parse what has arrived."""
         if self.requests and self.requests[-1].error:
             return False
-        return bool(super().received(data))
+        self._is_receiving = True
+        is_received = bool(super().received(data))
+        self._is_receiving = False
+        self._end_refused()
+        return is_received
 
     def writable(self) -> bool:
         """Return whether the loop has something to send or to close."""
@@ -149,6 +163,8 @@
         if self.connected and self.has_answer():
             self.server.record_cut(self._describe_cut())
         super().handle_close()
+        if self.request is not None:
+            self.request.close()
 
     def abandon(self) -> None:
         """Close an inactive connection, even if its caller reads nothing.
@@ -164,6 +180,28 @@
         self._close_reason = CloseReason.IDLE
         shut_down(self.socket)
 
+    def _notice_refusal(self) -> None:
+        if not self._is_receiving:
+            self._end_refused()
+
+    def _end_refused(self) -> None:
+        """Answer the arriving request if it has been refused meanwhile."""
+        with self.requests_lock:
+            request = self.request
+            if request is None or not request.error:
+                return
+            self.request = None
+            if self.will_close or self.close_when_flushed:
+                return
+            self.requests.append(request)
+            if len(self.requests) > 1:
+                return
+        if self.total_outbufs_len:
+            # Its caller doesn't read; the loop must not wait for that.
+            self.will_close = True
+        else:
+            self.service()
+
     def _linger_if_flushed(self) -> None:
         if self.total_outbufs_len:
             self.close_when_flushed = True
--- a/mintsaddle/callers/_refusals.py
+++ b/mintsaddle/callers/_refusals.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Callable, Mapping
-from typing import NamedTuple, TypeAlias
+from typing import Any, NamedTuple, TypeAlias
 
 from waitress.task import ErrorTask
 
@@ -24,12 +24,16 @@
     LARGE_BODY = "large-body"
     """Its body exceeds the operator's limit."""
 
+    MEMORY = "memory"
+    """There is no memory for it."""
+
 
 STATUS_LINES = {
     RequestFault.MALFORMED: "400 Bad Request",
     RequestFault.UNSUPPORTED: "501 Not Implemented",
     RequestFault.LARGE_HEAD: "431 Request Header Fields Too Large",
     RequestFault.LARGE_BODY: "413 Content Too Large",
+    RequestFault.MEMORY: "503 Service Unavailable",
 }
 
 _FAULTS_BY_CODE = {
@@ -69,6 +73,12 @@
         return self.refusal
 
 
+class FaultError(NamedTuple):
+    """The end of a request whose refusal has not been rendered."""
+
+    fault: RequestFault
+
+
 class RefusalTask(ErrorTask):  # type: ignore[misc]
     """Answers a request that is refused, and lets its caller read that."""
 
@@ -77,9 +87,15 @@
         error = self.request.error
         if getattr(error, "code", None) != _INTERNAL_ERROR:
             self.channel.linger()
-        fault = _FAULTS_BY_CODE.get(getattr(error, "code", _INTERNAL_ERROR))
+        fault = _find_fault(error)
         if fault is not None:
             headers = {f"HTTP_{k}": v for k, v in self.request.headers.items()}
             refusal = self.channel.server.refuse(fault, headers)
             self.request.error = RefusedError(refusal)
         super().execute()
+
+
+def _find_fault(error: Any) -> RequestFault | None:
+    if isinstance(error, FaultError):
+        return error.fault
+    return _FAULTS_BY_CODE.get(getattr(error, "code", _INTERNAL_ERROR))
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -7,6 +7,7 @@
 
 from waitress.server import TcpWSGIServer, create_server
 
+from mintsaddle.callers._bodies import RequestBuffers
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason, CutConnection
 from mintsaddle.callers._refusals import RefuseFault, refuse_plainly
@@ -14,6 +15,7 @@
 from mintsaddle.callers._upkeep import ConnectionUpkeep
 from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.engines import is_readable
+from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, RequestLimits
 
 _REFUSAL_THREADS = 4
 """Threads in addition to one per caller; they refuse excess requests."""
@@ -22,6 +24,19 @@
 """Bytes for a caller above which the next part of its answer waits. A caller
 that doesn't read must not fill memory."""
 
+INITIAL_LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=4_194_304, header_seconds=3.0, idle_seconds=15.0
+)
+"""Limits until the operator's are known."""
+
+DEFAULT_MEMORY_MEGABYTES = 256.0
+"""Memory of a VM whose settings don't state it."""
+
+MAX_HELD_BESIDE_BODY = 131_072
+"""Bytes that the largest body may take beside its own: its head, and the room
+that is left in its last block."""
+
+_MEGABYTE = 1_048_576
 _BACKLOG = 1024
 _CLEANUP_SECONDS = 1
 _READ_BYTES = 65_536
@@ -56,6 +71,8 @@
         max_callers: int,
         max_connections: int,
         record_cut: Callable[[CutConnection], None],
+        memory_megabytes: float = DEFAULT_MEMORY_MEGABYTES,
+        limits: RequestLimits = DEFAULT_REQUEST_LIMITS,
         refuse: RefuseFault = refuse_plainly,
     ) -> None:
         """Create the server.
@@ -69,12 +86,17 @@
             max_connections: How many connections are open at the same time.
             record_cut: Called with each connection that is closed before its
                 requests were answered.
+            memory_megabytes: The VM's memory.
+            limits: What the requests of all callers may take together.
             refuse: Renders and records the refusals of the server itself.
         """
         self._max_connections = max_connections
+        self._limits = limits
+        self._memory_bytes = int(memory_megabytes * _MEGABYTE)
+        self._buffers = RequestBuffers(0)
         self._is_listening = True
         self._dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
-        self._dispatcher.set_thread_count(INITIAL_THREADS)
+        self._dispatcher.set_thread_count(min(INITIAL_THREADS, max_callers))
         self._server: TcpWSGIServer = create_server(
             app,
             listen=address,
@@ -96,8 +118,10 @@
         self._upkeep = ConnectionUpkeep(self._server, max_connections)
         self._server.is_crowded = self._upkeep.is_crowded
         self._server.record_cut = record_cut
+        self._server.buffers = self._buffers
         self._server.refuse = refuse
         self._server.maintenance = self._maintain
+        self.set_limits(INITIAL_LIMITS)
 
     @property
     def load(self) -> ServerLoad:
@@ -111,19 +135,44 @@
             sum(channel.total_outbufs_len for channel in channels),
         )
 
+    @property
+    def max_connections(self) -> int:
+        """How many connections are open at the same time."""
+        return self._max_connections
+
+    @property
+    def request_bytes(self) -> int:
+        """Bytes that requests hold beyond a few kilobytes each."""
+        return self._buffers.used_bytes
+
+    @property
+    def request_bytes_limit(self) -> int:
+        """Bytes that they may hold."""
+        return self._buffers.limit
+
     def start(self) -> None:
         """Start serving in a separate thread."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
 
-    def set_limits(self, limits: CallerLimits) -> None:
-        """Apply new limits from the next request on."""
+    def set_limits(
+        self, limits: CallerLimits, requests: RequestLimits | None = None
+    ) -> None:
+        """Apply new limits from the next request on.
+
+        Args:
+            limits: Limits for each request.
+            requests: Limits for all requests together; None if unchanged.
+        """
+        if requests is not None:
+            self._limits = requests
         adjustments = self._server.adj
         adjustments.max_request_header_size = limits.header_bytes
         # waitress refuses bodies of this size.
         adjustments.max_request_body_size = limits.body_bytes + 1
         adjustments.channel_timeout = limits.idle_seconds
-        # The VM has no disk. Longer bodies would go to temporary files.
-        adjustments.inbuf_overflow = limits.body_bytes + 1
+        share = int(self._memory_bytes * self._limits.memory_share)
+        # A single body of any allowed size is served in calm.
+        self._buffers.set_limit(max(share, limits.body_bytes + MAX_HELD_BESIDE_BODY))
 
     def drain(
         self, has_calls: Callable[[], bool], must_end: Callable[[], bool]
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -75,6 +75,10 @@
     PublishedItem,
     Replica,
 )
+from mintsaddle.decisions.direct._request_memory import (
+    FREE_REQUEST_BYTES,
+    RequestMemory,
+)
 from mintsaddle.decisions.direct._requested_waits import (
     RequestedWaits,
     await_until,
@@ -126,6 +130,8 @@
 )
 
 __all__ = [
+    "RequestMemory",
+    "FREE_REQUEST_BYTES",
     "ALIVE_SECONDS",
     "BURST_PARTS",
     "CALL_INTERVAL_FRACTION",
--- a/mintsaddle/decisions/quarantine/_features.py
+++ b/mintsaddle/decisions/quarantine/_features.py
@@ -32,7 +32,11 @@
 
 
 def extract_features(
-    parts: Iterable[str], workspace: str, method: str, target: str, body: bytes
+    parts: Iterable[str],
+    workspace: str,
+    method: str,
+    target: str,
+    body: Iterable[bytes | bytearray | memoryview],
 ) -> RequestFeatures:
     """Return the features of a request.
 
@@ -44,11 +48,14 @@
         workspace: The workspace of its caller.
         method: Its method.
         target: Its path and query.
-        body: Its body.
+        body: Its body, in parts.
     """
     shared = tuple(Feature(stable_hash(f"part\x00{part}")) for part in parts)
-    content = hashlib.blake2b(body, digest_size=16).hexdigest()
-    whole = stable_hash("\x00".join(("request", workspace, method, target, content)))
+    content = hashlib.blake2b(digest_size=16)
+    for part in body:
+        content.update(part)
+    names = ("request", workspace, method, target, content.hexdigest())
+    whole = stable_hash("\x00".join(names))
     return RequestFeatures(shared, Feature(whole))
 
 
--- a/mintsaddle/decisions/quarantine/tests/test_ledger.py
+++ b/mintsaddle/decisions/quarantine/tests/test_ledger.py
@@ -80,15 +80,15 @@
     def test_a_request_that_comes_again_unchanged_is_quarantined(self) -> None:
         """Guards against a request without parts that ends many engines."""
         ledger = CrashLedger()
-        request = extract_features((), "north", "GET", "/lookup/1", b"body")
+        request = extract_features((), "north", "GET", "/lookup/1", [b"body"])
         for engine in range(MIN_ENDS):
             ledger.record_ended(request, engine, NOW)
         assert ledger.judge(request, NOW).verdict is Verdict.QUARANTINED
         for changed in (
-            ("south", "GET", "/lookup/1", b"body"),
-            ("north", "POST", "/lookup/1", b"body"),
-            ("north", "GET", "/lookup/2", b"body"),
-            ("north", "GET", "/lookup/1", b""),
+            ("south", "GET", "/lookup/1", [b"body"]),
+            ("north", "POST", "/lookup/1", [b"body"]),
+            ("north", "GET", "/lookup/2", [b"body"]),
+            ("north", "GET", "/lookup/1", [b""]),
         ):
             other = extract_features((), *changed)
             assert ledger.judge(other, NOW).verdict is Verdict.CLEAR
--- a/mintsaddle/direct/_answers.py
+++ b/mintsaddle/direct/_answers.py
@@ -1,6 +1,6 @@
 """The request of a caller and the kinds of answers to it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple, TypeAlias
 
 from mintsaddle.decisions.direct import GiveUp
@@ -15,7 +15,8 @@
     target: str
     """Raw path and query string."""
 
-    body: bytes
+    body: Sequence[bytes | bytearray | memoryview]
+    """Parts of the body, which are valid until the request has been served."""
 
 
 class BufferedAnswer(NamedTuple):
--- a/mintsaddle/direct/_app.py
+++ b/mintsaddle/direct/_app.py
@@ -2,9 +2,9 @@
 
 import threading
 from collections.abc import Iterable, Iterator
-from typing import Any, TypeAlias
+from typing import IO, Any, TypeAlias
 
-from mintsaddle.callers import HttpRefusal
+from mintsaddle.callers import HttpRefusal, RequestBody
 from mintsaddle.decisions.direct import DirectCall, GiveUp, KeyHolder, Route
 from mintsaddle.decisions.quarantine import extract_features
 from mintsaddle.decisions.routing import record_request
@@ -77,7 +77,7 @@
             start_response(checked.status, [*checked.headers, length])
             return [checked.body] if checked.body else ()
         head, target, route, holder = checked
-        body = environ["wsgi.input"].read()
+        body = _read_parts(environ["wsgi.input"])
         call = self._make_call(head, route, holder, arrived_at)
         request = CallerRequest(environ, environ["REQUEST_METHOD"], target, body)
         features = extract_features(
@@ -204,3 +204,10 @@
                 longest_pause=timing.longest_pause if timing else None,
             ),
         )
+
+
+def _read_parts(body: RequestBody | IO[bytes]) -> list[bytes | bytearray | memoryview]:
+    """Return a body in parts, without a copy where the server keeps it."""
+    if isinstance(body, RequestBody):
+        return body.parts()
+    return [whole] if (whole := body.read()) else []
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -8,7 +8,7 @@
 import contextlib
 import http.client
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from mintsaddle.engines import (
     OversizedHeadError,
@@ -94,7 +94,7 @@
         method: str,
         target: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
+        body: Sequence[bytes | bytearray | memoryview],
         seconds: float,
         may_resend: Callable[[], bool] = lambda: True,
     ) -> StrictResponse:
@@ -108,7 +108,7 @@
             method: The caller's method.
             target: The caller's raw target.
             headers: All headers except Content-Length.
-            body: The complete body.
+            body: The complete body, in parts.
             seconds: Timeout for reads and for unacknowledged data.
             may_resend: Returns whether the endpoint may still get a request
                 after a reused connection broke.
@@ -137,7 +137,7 @@
         method: str,
         target: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
+        body: Sequence[bytes | bytearray | memoryview],
         seconds: float,
     ) -> StrictResponse:
         connection = self._connection
@@ -157,7 +157,7 @@
         for name, value in headers:
             connection.putheader(name, value)
         if body or method not in ("GET", "HEAD"):
-            connection.putheader("Content-Length", str(len(body)))
+            connection.putheader("Content-Length", str(sum(map(len, body))))
         # An endpoint may refuse a long body before it has read all of it; its
         # answer may be in the receive buffer already.
         with contextlib.suppress(BrokenPipeError, ConnectionResetError):
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from mintsaddle.callers import CallerServer, CutConnection, render_cut
-from mintsaddle.decisions.direct import Membership
+from mintsaddle.decisions.direct import CallerLimits, Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._capacity import max_callers, max_connections
 from mintsaddle.direct._drain import drain
@@ -19,11 +19,12 @@
 from mintsaddle.direct._pages import serve_pages
 from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peer_start import start_peer_exchange
+from mintsaddle.direct._server_metrics import render_limits, render_server
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import READY_PATH, read_request_head
 from mintsaddle.process import SignalReceiver
-from mintsaddle.settings import DirectSettings
+from mintsaddle.settings import DirectSettings, RequestLimits
 
 METRICS_PATH = "/metrics"
 
@@ -62,13 +63,15 @@
         callers,
         max_connections(settings),
         partial(_record_cut, gateway),
+        settings.memory_megabytes,
+        settings.requests,
         app.screening.refuse_fault,
     )
     serve_pages(
         [address for address in (settings.ready, settings.metrics) if address],
         {
             READY_PATH: lambda: _render_readiness(gateway),
-            METRICS_PATH: lambda: _render_metrics(gateway, app),
+            METRICS_PATH: lambda: _render_metrics(gateway, app, server),
         },
     )
     watchdog.start()
@@ -138,23 +141,29 @@
     return "200 OK", "serving\n"
 
 
-def _render_metrics(gateway: Gateway, app: DirectApp) -> tuple[str, str]:
+def _render_metrics(
+    gateway: Gateway, app: DirectApp, server: CallerServer
+) -> tuple[str, str]:
     lines = gateway.metrics.lines()
     with gateway.lock:
         lines += render_overload(gateway.overload, gateway.now())
     lines += gateway.quarantine.render()
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
     lines.append(f"mintsaddle_answer_bytes {gateway.answers.used_bytes}")
+    lines += render_server(server)
     return "200 OK", "\n".join(sorted(lines)) + "\n"
 
 
 def _run_maintenance(gateway: Gateway, server: CallerServer) -> None:
-    applied_limits = None
+    applied_limits: tuple[CallerLimits, RequestLimits] | None = None
     while True:
         table = gateway.directory.table
-        if table is not None and table.limits != applied_limits:
-            applied_limits = table.limits
-            server.set_limits(applied_limits)
+        if table is not None:
+            limits = (table.limits, gateway.settings.requests)
+            if limits != applied_limits:
+                applied_limits = limits
+                server.set_limits(*limits)
+                _log.info("Limits %s.", render_limits(server, *limits))
         if gateway.is_cut_off():
             server.close_idle()
         with gateway.lock:
--- a/mintsaddle/direct/_screening.py
+++ b/mintsaddle/direct/_screening.py
@@ -24,6 +24,9 @@
 _DEFAULT_WAIT_SECONDS = 3.0
 """Seconds that a caller is assumed to wait if it sends no deadline."""
 
+_RETRIED_FAULTS = frozenset({RequestFault.MEMORY})
+"""Faults of which the request isn't the cause."""
+
 _log = make_logger("calls")
 
 
@@ -82,7 +85,10 @@
         """
         head = read_request_head(headers)
         self._record(head, fault.value)
-        sent = make_fault_headers(head.request_id, None)
+        seconds = None
+        if fault in _RETRIED_FAULTS:
+            seconds = recommend_wait(self._gateway, _seconds_left(head), Reason.FULL)
+        sent = make_fault_headers(head.request_id, seconds)
         return HttpRefusal(STATUS_LINES[fault], sent)
 
     def _refuse(self, head: RequestHead, reason: Reason) -> HttpRefusal:
--- a/mintsaddle/direct/tests/test_pool.py
+++ b/mintsaddle/direct/tests/test_pool.py
@@ -87,7 +87,7 @@
 
 def send_request(exchange: Exchange) -> bytes:
     assert exchange.connect()
-    response = exchange.send("GET", "/x", [], b"", TIMEOUT)
+    response = exchange.send("GET", "/x", [], (), TIMEOUT)
     buffer = AnswerBuffers(1.0).open(exchange.abort)
     return b"".join(read_body(response, buffer, lambda: exchange.aborted))
 
@@ -194,7 +194,7 @@
     ) -> None:
         exchange = Exchange(endpoint.address)
         assert exchange.connect()
-        response = exchange.send("GET", "/x", [], b"", TIMEOUT)
+        response = exchange.send("GET", "/x", [], (), TIMEOUT)
         assert response.read(1) == b"o"
         pool.release(make_incarnation(endpoint), exchange, 3.0)
         assert pool.acquire(make_incarnation(endpoint)) is None
--- a/mintsaddle/platform/_settings.py
+++ b/mintsaddle/platform/_settings.py
@@ -12,7 +12,11 @@
 
 from returns.result import Failure, Result, Success
 
-from mintsaddle.settings import DirectSettings
+from mintsaddle.settings import (
+    DEFAULT_REQUEST_LIMITS,
+    DirectSettings,
+    RequestLimits,
+)
 from mintsaddle.values import MILLISECONDS, Finding, Findings
 
 _PATH_ENV_VARIABLE = "MINTSADDLE_NODE_FILE"
@@ -62,6 +66,7 @@
     listen = reader.read_table("listen")
     platform = reader.read_table("platform")
     limits = reader.read_table("limits")
+    requests = reader.read_optional_table("requests")
     host = reader.read_text("ip")
     ports = values.get("port_range") or []
     settings = DirectSettings(
@@ -90,6 +95,7 @@
         first_start=bool(values.get("bootstrap")),
         memory_megabytes=limits.read_number("memory_mb"),
         descriptors=limits.read_number("max_fds"),
+        requests=_read_request_limits(requests),
     )
     findings = (
         *reader.findings,
@@ -97,10 +103,24 @@
         *listen.findings,
         *platform.findings,
         *limits.findings,
+        *requests.findings,
     )
     return Failure(findings) if findings else Success(settings)
 
 
+def _read_request_limits(requests: "_TableReader") -> RequestLimits:
+    """Return the limits for requests; what isn't stated has a default."""
+    default = DEFAULT_REQUEST_LIMITS
+    body_ms = default.body_seconds * MILLISECONDS
+    return RequestLimits(
+        requests.read_within("memory_share", 0.01, 0.5, default.memory_share),
+        requests.read_within("body_timeout_ms", 100.0, 3_600_000.0, body_ms)
+        / MILLISECONDS,
+        requests.read_within("unfinished_share", 0.05, 1.0, default.unfinished_share),
+        requests.read_within("framing_factor", 1.0, 100.0, default.framing_factor),
+    )
+
+
 def _read_lease(values: Mapping[str, Any]) -> float:
     heartbeat = values.get("heartbeat_ms")
     if not isinstance(heartbeat, int | float) or heartbeat <= 0:
@@ -130,6 +150,12 @@
             value = {}
         return _TableReader(self._source, value, key)
 
+    def read_optional_table(self, key: str) -> "_TableReader":
+        """Return a reader for a nested table, empty if there is none."""
+        if key not in self._values:
+            return _TableReader(self._source, {}, key)
+        return self.read_table(key)
+
     def read_text(self, key: str) -> str:
         """Return a string that must not be empty."""
         value = self._values.get(key)
@@ -146,5 +172,14 @@
         self._add_finding(key, "must be a number of at least 0")
         return 0.0
 
+    def read_within(self, key: str, low: float, high: float, default: float) -> float:
+        """Return a number within bounds, which may be missing."""
+        value = self._values.get(key, default)
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and low <= value <= high:
+            return float(value)
+        self._add_finding(key, f"must be a number from {low:g} to {high:g}")
+        return default
+
     def _add_finding(self, key: str, problem: str) -> None:
         self._findings.append(Finding(self._source, 0, self._name, key, problem))
--- a/mintsaddle/platform/tests/test_broken_answers.py
+++ b/mintsaddle/platform/tests/test_broken_answers.py
@@ -17,7 +17,7 @@
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.test_taking_items import SETTINGS, apply
 
-FEATURES = extract_features(("a0",), "north", "POST", "/letter/1", b"")
+FEATURES = extract_features(("a0",), "north", "POST", "/letter/1", [])
 NAME = "i-1"
 
 
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -125,6 +125,21 @@
         digests = [one for e in site.endpoints for one in e.body_digests]
         assert digests == [digest(BODY_BYTES)]
 
+    def test_kept_connections_send_one_after_another(self, site: Site) -> None:
+        """Guards against memory that isn't released after an answer."""
+
+        def several(number: int) -> Iterator[bytes]:
+            for index in range(200):
+                yield from with_length(index, announced=BODY_BYTES, sent=BODY_BYTES)
+
+        site.entry.fetch_metrics()
+        answer = exchange(site, several, answers=200)
+        assert answer.count(b"HTTP/1.1 200 ") == 200
+        wait_for(
+            lambda: "mintsaddle_request_bytes 0" in site.entry.fetch_metrics(),
+            "release of the memory",
+        )
+
     def test_pipelined_requests_are_answered_in_order(self, site: Site) -> None:
         """Guards against requests that are lost or mixed while they wait."""
 
@@ -205,3 +220,15 @@
 
         assert exchange(site, many_digits)[9:12] == b"400"
         assert "Traceback" not in site.entry.log()
+
+
+class TestSettings:
+    def test_limits_in_force_are_shown(self, site: Site) -> None:
+        log = site.entry.log()
+        assert "request_bytes=" in log
+        metrics = site.entry.fetch_metrics()
+        for name in (
+            "request_bytes_limit",
+            "caller_connections_limit",
+        ):
+            assert f"mintsaddle_{name} " in metrics
--- a/mintsaddle/settings/_direct.py
+++ b/mintsaddle/settings/_direct.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from mintsaddle.settings._requests import DEFAULT_REQUEST_LIMITS, RequestLimits
+
 
 class DirectSettings(NamedTuple):
     """Settings of an entry with direct delivery, read at its start."""
@@ -71,3 +73,5 @@
     """Maximum number of file descriptors of this process."""
 
     log_level: str = "INFO"
+    requests: RequestLimits = DEFAULT_REQUEST_LIMITS
+    """Limits for the requests of all callers together."""
