Parse bodies of very small chunks in turns, and bound their framing

Ordinary callers got no answer beside 60 bodies in chunks of a byte, nor 20 s after them: one thread reads for all callers, and such a body takes a second of it for each 3 MB. Endless size lines, extensions and trailers were kept whole.

Change: once the framing of a chunked body is an eighth of what arrives, its connection is read in turns: one of them in each pass of the loop, in rounds (decisions/direct/_parsing_turns.py). A block is parsed 8 kB at a time, since the parser copies what is left for each chunk. A line of a chunked body may be as long as a head (400), its framing 8 times the largest body (413, [requests] framing_factor, checked), which no body in chunks of a byte reaches.

A single body of the largest size in chunks of a byte is still served.

--- a/mintsaddle/callers/_arriving.py
+++ b/mintsaddle/callers/_arriving.py
@@ -8,15 +8,30 @@
 from mintsaddle.callers._bodies import RequestBody, RequestBuffers
 from mintsaddle.callers._refusals import FaultError, RequestFault
 
+_PARSED_BYTES = 8_192
+"""Bytes of a chunked body that are parsed at a time. The parser copies what
+is left of them for each chunk."""
+
+_COSTLY_FRAMING = 0.125
+"""Share of framing above which the chunks of a body are small."""
+
 _HEADER_BYTES = 400
 """Memory that a header takes in addition to its text, in all forms in which
 it is kept."""
 
 
+class ArrivalLimits(NamedTuple):
+    """Limits for the arrival of requests."""
+
+    framing_bytes: int
+    """Bytes of framing that a chunked body may have."""
+
+
 class Intake(NamedTuple):
     """What an arriving request needs of its connection."""
 
     buffers: RequestBuffers
+    limits: ArrivalLimits
     notice_refusal: Callable[[], None]
     """Called when there is no memory for the request."""
 
@@ -28,6 +43,13 @@
         super().__init__(adj)
         self._intake = intake
         self._body: RequestBody | None = None
+        self._framing_bytes = 0
+        self._is_costly = False
+
+    @property
+    def is_costly(self) -> bool:
+        """Whether its body takes long to parse."""
+        return self._is_costly
 
     @property
     def body_bytes_received(self) -> int:
@@ -41,7 +63,12 @@
 
     def received(self, data: bytes) -> int:
         """Parse what has arrived; return how many bytes belong to it."""
-        consumed: int = super().received(data)
+        if self.body_rcv is None:
+            consumed: int = super().received(data)
+        elif self.chunked:
+            consumed = self._receive_chunks(data[:_PARSED_BYTES])
+        else:
+            consumed = super().received(data)
         if self.error:
             # waitress would go on with a request that expects to continue.
             self.completed = True
@@ -79,6 +106,21 @@
         if self._body is not None:
             self._body.drop()
 
+    def _receive_chunks(self, data: bytes) -> int:
+        before = len(self.body_rcv)
+        consumed: int = super().received(data)
+        framing = consumed - (len(self.body_rcv) - before)
+        self._framing_bytes += framing
+        if framing > consumed * _COSTLY_FRAMING:
+            self._is_costly = True
+        receiver = self.body_rcv
+        line_bytes = max(len(receiver.control_line), len(receiver.trailer))
+        if line_bytes > self.adj.max_request_header_size:
+            self.refuse(RequestFault.MALFORMED)
+        elif self._framing_bytes > self._intake.limits.framing_bytes:
+            self.refuse(RequestFault.FRAMING)
+        return consumed
+
     def _refuse_for_memory(self) -> None:
         self.refuse(RequestFault.MEMORY)
         self._intake.notice_refusal()
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers, as waitress serves them."""
 
 import contextlib
+import itertools
 import socket
 import time
 from typing import Any
@@ -23,6 +24,8 @@
 with unread bytes would reset the connection before its caller has read the
 refusal."""
 
+_numbers = itertools.count(1)
+
 
 class ClosingTask(WSGITask):  # type: ignore[misc]
     """Sends `Connection: close` if callers should use another entry."""
@@ -52,6 +55,15 @@
     _linger_until: Instant | None = None
     _is_receiving = False
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._number = next(_numbers)
+
+    @property
+    def number(self) -> int:
+        """Number of this connection, unique in its process."""
+        return self._number
+
     @property
     def is_lingering(self) -> bool:
         """Whether it has been refused, and what still comes is dropped."""
@@ -104,6 +116,7 @@
         server = self.server
         intake = Intake(
             server.buffers,
+            server.arrival_limits,
             self._notice_refusal,
         )
         return ArrivingRequest(adjustments, intake)
@@ -119,13 +132,15 @@
         """Return whether the loop reads from the connection in this pass."""
         if self.is_lingering:
             return True
+        if self._is_costly():
+            self.server.turns.begin_pass()
         return bool(super().readable())
 
     def handle_read(self) -> None:
         """Read a block of requests, or of what is dropped."""
         if self.is_lingering:
             self._discard()
-        else:
+        elif not self._is_costly() or self.server.turns.take(self._number):
             super().handle_read()
 
     def received(self, data: bytes) -> bool:
@@ -180,6 +195,9 @@
         self._close_reason = CloseReason.IDLE
         shut_down(self.socket)
 
+    def _is_costly(self) -> bool:
+        return self.request is not None and self.request.is_costly
+
     def _notice_refusal(self) -> None:
         if not self._is_receiving:
             self._end_refused()
--- a/mintsaddle/callers/_refusals.py
+++ b/mintsaddle/callers/_refusals.py
@@ -24,6 +24,9 @@
     LARGE_BODY = "large-body"
     """Its body exceeds the operator's limit."""
 
+    FRAMING = "framing"
+    """The framing of its chunked body exceeds a limit."""
+
     MEMORY = "memory"
     """There is no memory for it."""
 
@@ -33,6 +36,7 @@
     RequestFault.UNSUPPORTED: "501 Not Implemented",
     RequestFault.LARGE_HEAD: "431 Request Header Fields Too Large",
     RequestFault.LARGE_BODY: "413 Content Too Large",
+    RequestFault.FRAMING: "413 Content Too Large",
     RequestFault.MEMORY: "503 Service Unavailable",
 }
 
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -7,13 +7,17 @@
 
 from waitress.server import TcpWSGIServer, create_server
 
+from mintsaddle.callers._arriving import ArrivalLimits
 from mintsaddle.callers._bodies import RequestBuffers
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason, CutConnection
 from mintsaddle.callers._refusals import RefuseFault, refuse_plainly
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.callers._upkeep import ConnectionUpkeep
-from mintsaddle.decisions.direct import CallerLimits
+from mintsaddle.decisions.direct import (
+    CallerLimits,
+    ParsingTurns,
+)
 from mintsaddle.engines import is_readable
 from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, RequestLimits
 
@@ -119,6 +123,7 @@
         self._server.is_crowded = self._upkeep.is_crowded
         self._server.record_cut = record_cut
         self._server.buffers = self._buffers
+        self._server.turns = ParsingTurns()
         self._server.refuse = refuse
         self._server.maintenance = self._maintain
         self.set_limits(INITIAL_LIMITS)
@@ -170,6 +175,9 @@
         # waitress refuses bodies of this size.
         adjustments.max_request_body_size = limits.body_bytes + 1
         adjustments.channel_timeout = limits.idle_seconds
+        self._server.arrival_limits = ArrivalLimits(
+            int(self._limits.framing_factor * limits.body_bytes),
+        )
         share = int(self._memory_bytes * self._limits.memory_share)
         # A single body of any allowed size is served in calm.
         self._buffers.set_limit(max(share, limits.body_bytes + MAX_HELD_BESIDE_BODY))
--- a/mintsaddle/callers/_upkeep.py
+++ b/mintsaddle/callers/_upkeep.py
@@ -58,6 +58,7 @@
         excess = len(self._server.active_channels) - allowed
         if excess > 0:
             lingering = [one for one in self.channels() if one.is_lingering]
+            lingering.sort(key=lambda one: one.number)
             for channel in lingering[:excess]:
                 channel.abandon()
             excess -= len(lingering)
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -53,6 +53,7 @@
     may_wait_for_slot,
     prefer_quick_groups,
 )
+from mintsaddle.decisions.direct._parsing_turns import ParsingTurns
 from mintsaddle.decisions.direct._paths import ENDPOINTS_PER_CHECK, ReachabilityTracker
 from mintsaddle.decisions.direct._placement import (
     DEFAULT_SLOTS,
@@ -130,6 +131,7 @@
 )
 
 __all__ = [
+    "ParsingTurns",
     "RequestMemory",
     "FREE_REQUEST_BYTES",
     "ALIVE_SECONDS",
--- a/mintsaddle/direct/_server_metrics.py
+++ b/mintsaddle/direct/_server_metrics.py
@@ -25,6 +25,7 @@
     """Return the limits in force, as ``key=value`` pairs for the log."""
     return fields(
         **limits._asdict(),
+        framing_factor=requests.framing_factor,
         request_bytes=server.request_bytes_limit,
         connections=server.max_connections,
     )
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -165,6 +165,28 @@
         "large-body",
     ),
     "chunks": (partial(in_chunks, chunk=LARGE, count=4, end=END), 413, "large-body"),
+    "framing": (
+        partial(
+            in_chunks, chunk=1, count=100_000, end=END, extension=b";a=" + 50 * b"e"
+        ),
+        413,
+        "framing",
+    ),
+    "chunk-size-line": (
+        partial(endless_line, before=b"", size=100_000),
+        400,
+        "malformed",
+    ),
+    "chunk-extension": (
+        partial(endless_line, before=b"1;a=", size=100_000),
+        400,
+        "malformed",
+    ),
+    "trailer": (
+        partial(endless_line, before=b"0\r\nNote: ", size=100_000),
+        400,
+        "malformed",
+    ),
     "no-chunk": (
         partial(endless_line, before=b"no chunk\r\n", size=100_000),
         400,
