Give heads and bodies a time, and unfinished requests a share of connections

Ordinary callers weren't read beside 400 connections, more than the entry takes, whose clients sent a byte each second. Nothing bounded how slowly a request arrives: each byte renewed the idle time, and header_timeout_ms wasn't applied.

Change: a head that isn't there in the operator's time, and a body after 60 s ([requests] body_timeout_ms, checked), gets 408. Requests that have begun to arrive hold half of the connections at most ([requests] unfinished_share); those that arrive for longest get 503. When all connections are taken, upkeep doesn't wait for its second.

Metrics and log show the limit.

--- a/mintsaddle/callers/_arriving.py
+++ b/mintsaddle/callers/_arriving.py
@@ -1,5 +1,6 @@
 """Requests that are arriving, as waitress parses them."""
 
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -7,6 +8,7 @@
 
 from mintsaddle.callers._bodies import RequestBody, RequestBuffers
 from mintsaddle.callers._refusals import FaultError, RequestFault
+from mintsaddle.values import Instant
 
 _PARSED_BYTES = 8_192
 """Bytes of a chunked body that are parsed at a time. The parser copies what
@@ -23,6 +25,8 @@
 class ArrivalLimits(NamedTuple):
     """Limits for the arrival of requests."""
 
+    header_seconds: float
+    body_seconds: float
     framing_bytes: int
     """Bytes of framing that a chunked body may have."""
 
@@ -42,10 +46,22 @@
     def __init__(self, adj: Any, intake: Intake) -> None:
         super().__init__(adj)
         self._intake = intake
+        self._begun_at: Instant = time.monotonic()
+        self._due_at: Instant = self._begun_at + intake.limits.header_seconds
         self._body: RequestBody | None = None
         self._framing_bytes = 0
         self._is_costly = False
 
+    @property
+    def begun_at(self) -> Instant:
+        """When its first byte was read."""
+        return self._begun_at
+
+    @property
+    def is_late(self) -> bool:
+        """Whether what is missing should have arrived."""
+        return time.monotonic() > self._due_at
+
     @property
     def is_costly(self) -> bool:
         """Whether its body takes long to parse."""
@@ -65,6 +81,8 @@
         """Parse what has arrived; return how many bytes belong to it."""
         if self.body_rcv is None:
             consumed: int = super().received(data)
+            if self.headers_finished:
+                self._due_at = time.monotonic() + self._intake.limits.body_seconds
         elif self.chunked:
             consumed = self._receive_chunks(data[:_PARSED_BYTES])
         else:
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -11,7 +11,7 @@
 
 from mintsaddle.callers._arriving import ArrivingRequest, Intake
 from mintsaddle.callers._cuts import CloseReason, CutConnection
-from mintsaddle.callers._refusals import RefusalTask
+from mintsaddle.callers._refusals import RefusalTask, RequestFault
 from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.values import Instant
 
@@ -58,6 +58,9 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._number = next(_numbers)
+        if len(self._map) >= self.adj.connection_limit:
+            # No further one is accepted until some are closed.
+            self.server.next_channel_cleanup = 0.0
 
     @property
     def number(self) -> int:
@@ -128,6 +131,12 @@
         """
         self._must_linger = True
 
+    def refuse_arriving(self, fault: RequestFault) -> None:
+        """Refuse the request that is arriving; called in the server's loop."""
+        if self.request is not None:
+            self.request.refuse(fault)
+            self._end_refused()
+
     def readable(self) -> bool:
         """Return whether the loop reads from the connection in this pass."""
         if self.is_lingering:
--- a/mintsaddle/callers/_refusals.py
+++ b/mintsaddle/callers/_refusals.py
@@ -27,6 +27,15 @@
     FRAMING = "framing"
     """The framing of its chunked body exceeds a limit."""
 
+    SLOW_HEAD = "slow-head"
+    """Its head has not arrived in time."""
+
+    SLOW_BODY = "slow-body"
+    """Its body has not arrived in time."""
+
+    CROWDED = "crowded"
+    """Unfinished requests hold too many connections."""
+
     MEMORY = "memory"
     """There is no memory for it."""
 
@@ -37,6 +46,9 @@
     RequestFault.LARGE_HEAD: "431 Request Header Fields Too Large",
     RequestFault.LARGE_BODY: "413 Content Too Large",
     RequestFault.FRAMING: "413 Content Too Large",
+    RequestFault.SLOW_HEAD: "408 Request Timeout",
+    RequestFault.SLOW_BODY: "408 Request Timeout",
+    RequestFault.CROWDED: "503 Service Unavailable",
     RequestFault.MEMORY: "503 Service Unavailable",
 }
 
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -145,6 +145,11 @@
         """How many connections are open at the same time."""
         return self._max_connections
 
+    @property
+    def max_unfinished(self) -> int:
+        """How many of them requests may hold that haven't arrived."""
+        return self._upkeep.max_unfinished
+
     @property
     def request_bytes(self) -> int:
         """Bytes that requests hold beyond a few kilobytes each."""
@@ -176,8 +181,11 @@
         adjustments.max_request_body_size = limits.body_bytes + 1
         adjustments.channel_timeout = limits.idle_seconds
         self._server.arrival_limits = ArrivalLimits(
+            limits.header_seconds,
+            self._limits.body_seconds,
             int(self._limits.framing_factor * limits.body_bytes),
         )
+        self._upkeep.set_unfinished_share(self._limits.unfinished_share)
         share = int(self._memory_bytes * self._limits.memory_share)
         # A single body of any allowed size is served in calm.
         self._buffers.set_limit(max(share, limits.body_bytes + MAX_HELD_BESIDE_BODY))
@@ -196,6 +204,7 @@
         """
         self._server.trigger.pull_trigger(self._stop_listening)
         while not must_end():
+            self._server.trigger.pull_trigger(self._upkeep.close_expired)
             self.close_idle()
             time.sleep(_DRAIN_POLL_SECONDS)
             is_drained = not (self._is_listening or self._server.active_channels)
@@ -223,4 +232,5 @@
     def _maintain(self, _: float) -> None:
         """Close idle connections; called in the server's loop."""
         self._upkeep.close_expired()
+        self._upkeep.refuse_excess()
         self._upkeep.close_excess()
--- a/mintsaddle/callers/_upkeep.py
+++ b/mintsaddle/callers/_upkeep.py
@@ -5,6 +5,8 @@
 
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason
+from mintsaddle.callers._refusals import RequestFault
+from mintsaddle.decisions.direct import Unfinished, find_excess
 
 KEPT_CONNECTIONS_SHARE = 0.5
 """Share of the connections above which answers tell callers to close theirs.
@@ -29,6 +31,16 @@
         """
         self._server = server
         self._max_connections = max_connections
+        self._max_unfinished = max_connections
+
+    @property
+    def max_unfinished(self) -> int:
+        """How many connections requests may hold that haven't arrived."""
+        return self._max_unfinished
+
+    def set_unfinished_share(self, share: float) -> None:
+        """Set the share of connections for requests that haven't arrived."""
+        self._max_unfinished = max(1, int(self._max_connections * share))
 
     def channels(self) -> tuple[CallerChannel, ...]:
         """Return all connections; any thread may call this."""
@@ -42,12 +54,31 @@
         self._server.pull_trigger()
 
     def close_expired(self) -> None:
-        """Close connections that have been inactive for too long."""
+        """Close connections that have been inactive for too long.
+
+        A request that is late is refused, whether or not some of it arrives.
+        """
         idle_seconds = self._server.adj.channel_timeout
         for channel in self.channels():
-            if channel.is_inactive(idle_seconds):
+            request = channel.request
+            if request is not None and request.is_late:
+                has_head = request.headers_finished
+                fault = RequestFault.SLOW_BODY if has_head else RequestFault.SLOW_HEAD
+                channel.refuse_arriving(fault)
+            elif channel.is_inactive(idle_seconds):
                 channel.abandon()
 
+    def refuse_excess(self) -> None:
+        """Refuse the requests that arrive for longest if many do."""
+        by_number = {channel.number: channel for channel in self.channels()}
+        unfinished = [
+            Unfinished(channel.request.begun_at, number)
+            for number, channel in by_number.items()
+            if channel.request is not None
+        ]
+        for number in find_excess(unfinished, self._max_unfinished):
+            by_number[number].refuse_arriving(RequestFault.CROWDED)
+
     def close_excess(self) -> None:
         """Close the connections that were idle for longest if many are open.
 
--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -101,6 +101,7 @@
     match_route,
     shortest_allowed_pause,
 )
+from mintsaddle.decisions.direct._unfinished import Unfinished, find_excess
 from mintsaddle.decisions.direct._updates import (
     LAPSE_GRACE_SECONDS,
     DataCentreEvacuated,
@@ -131,6 +132,8 @@
 )
 
 __all__ = [
+    "find_excess",
+    "Unfinished",
     "ParsingTurns",
     "RequestMemory",
     "FREE_REQUEST_BYTES",
--- a/mintsaddle/direct/_screening.py
+++ b/mintsaddle/direct/_screening.py
@@ -24,7 +24,7 @@
 _DEFAULT_WAIT_SECONDS = 3.0
 """Seconds that a caller is assumed to wait if it sends no deadline."""
 
-_RETRIED_FAULTS = frozenset({RequestFault.MEMORY})
+_RETRIED_FAULTS = frozenset({RequestFault.CROWDED, RequestFault.MEMORY})
 """Faults of which the request isn't the cause."""
 
 _log = make_logger("calls")
--- a/mintsaddle/direct/_server_metrics.py
+++ b/mintsaddle/direct/_server_metrics.py
@@ -13,6 +13,7 @@
         "caller_connections": load.connections,
         "caller_connections_limit": server.max_connections,
         "unfinished_requests": load.arriving,
+        "unfinished_requests_limit": server.max_unfinished,
         "request_bytes": server.request_bytes,
         "request_bytes_limit": server.request_bytes_limit,
     }
@@ -25,7 +26,9 @@
     """Return the limits in force, as ``key=value`` pairs for the log."""
     return fields(
         **limits._asdict(),
+        body_seconds=requests.body_seconds,
         framing_factor=requests.framing_factor,
         request_bytes=server.request_bytes_limit,
+        unfinished_requests=server.max_unfinished,
         connections=server.max_connections,
     )
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import signal
 import socket
 import time
 from collections.abc import Iterator
@@ -15,9 +16,13 @@
 from mintsaddle.platform.tests.hostile_clients import (
     DRIP_SECONDS,
     Request,
+    dripping_body,
+    dripping_head,
     endless_line,
     in_chunks,
     make_head,
+    silent_body,
+    silent_head,
     with_length,
 )
 from mintsaddle.platform.tests.standins import Site, wait_for
@@ -214,6 +219,10 @@
         501,
         "unsupported",
     ),
+    "slow-head": (silent_head, 408, "slow-head"),
+    "dripping-head": (dripping_head, 408, "slow-head"),
+    "slow-body": (partial(silent_body, announced=BODY_BYTES), 408, "slow-body"),
+    "dripping-body": (partial(dripping_body, announced=BODY_BYTES), 408, "slow-body"),
 }
 
 
@@ -247,10 +256,17 @@
 class TestSettings:
     def test_limits_in_force_are_shown(self, site: Site) -> None:
         log = site.entry.log()
-        assert "request_bytes=" in log
+        assert "body_seconds=1.5" in log
         metrics = site.entry.fetch_metrics()
         for name in (
             "request_bytes_limit",
+            "unfinished_requests_limit",
             "caller_connections_limit",
         ):
             assert f"mintsaddle_{name} " in metrics
+
+    def test_they_are_reloaded(self, site: Site) -> None:
+        """Guards against limits that stay as they were at the start."""
+        site.entry.change_settings("body_timeout_ms = 1500", "body_timeout_ms = 2500")
+        site.entry.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "body_seconds=2.5" in site.entry.log(), "new limit")
