Refuse by the head before the body has arrived

Change: the body of a request that isn't whole after its first block waits for a look at the head: what would be refused then is refused now. Whole requests, nearly all, cost nothing more. A client that asks whether to send is looked at before it is told to.

--- a/mintsaddle/callers/_arriving.py
+++ b/mintsaddle/callers/_arriving.py
@@ -7,7 +7,12 @@
 from waitress.parser import HTTPRequestParser, ParsingError
 
 from mintsaddle.callers._bodies import RequestBody, RequestBuffers
-from mintsaddle.callers._refusals import FaultError, RequestFault
+from mintsaddle.callers._refusals import (
+    FaultError,
+    HttpRefusal,
+    RefusedError,
+    RequestFault,
+)
 from mintsaddle.values import Instant
 
 _PARSED_BYTES = 8_192
@@ -36,6 +41,9 @@
 
     buffers: RequestBuffers
     limits: ArrivalLimits
+    screen: Callable[[HTTPRequestParser], HttpRefusal | None]
+    """Returns the refusal of a request of which only the head has arrived."""
+
     notice_refusal: Callable[[], None]
     """Called when there is no memory for the request."""
 
@@ -51,6 +59,7 @@
         self._body: RequestBody | None = None
         self._framing_bytes = 0
         self._is_costly = False
+        self._is_screened = False
 
     @property
     def begun_at(self) -> Instant:
@@ -93,6 +102,8 @@
             self.expect_continue = False
         elif self.completed and self._body is not None:
             self._body.complete()
+        elif self.expect_continue and self.headers_finished:
+            self.screen()
         return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
@@ -118,7 +129,18 @@
 
     def refuse(self, fault: RequestFault) -> None:
         """End the request with an error, and release its memory."""
-        self.error = FaultError(fault)
+        self._end(FaultError(fault))
+
+    def screen(self) -> None:
+        """End the request with an error if its head suffices to refuse it."""
+        if not self._is_screened and self.headers_finished:
+            self._is_screened = True
+            refusal = self._intake.screen(self)
+            if refusal is not None:
+                self._end(RefusedError(refusal))
+
+    def _end(self, error: FaultError | RefusedError) -> None:
+        self.error = error
         self.completed = True
         self.expect_continue = False
         if self._body is not None:
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -11,7 +11,7 @@
 
 from mintsaddle.callers._arriving import ArrivingRequest, Intake
 from mintsaddle.callers._cuts import CloseReason, CutConnection
-from mintsaddle.callers._refusals import RefusalTask, RequestFault
+from mintsaddle.callers._refusals import HttpRefusal, RefusalTask, RequestFault
 from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.values import Instant
 
@@ -120,6 +120,7 @@
         intake = Intake(
             server.buffers,
             server.arrival_limits,
+            self._screen,
             self._notice_refusal,
         )
         return ArrivingRequest(adjustments, intake)
@@ -158,6 +159,8 @@
             return False
         self._is_receiving = True
         is_received = bool(super().received(data))
+        if self.request is not None and not self.requests:
+            self.request.screen()
         self._is_receiving = False
         self._end_refused()
         return is_received
@@ -207,6 +210,11 @@
     def _is_costly(self) -> bool:
         return self.request is not None and self.request.is_costly
 
+    def _screen(self, request: ArrivingRequest) -> HttpRefusal | None:
+        environ = self.task_class(self, request).get_environment()
+        refusal: HttpRefusal | None = self.server.screen(environ)
+        return refusal
+
     def _notice_refusal(self) -> None:
         if not self._is_receiving:
             self._end_refused()
--- a/mintsaddle/callers/_refusals.py
+++ b/mintsaddle/callers/_refusals.py
@@ -73,12 +73,21 @@
 RefuseFault: TypeAlias = Callable[[RequestFault, Mapping[str, str]], HttpRefusal]
 """Records and renders the refusal of a request, given its WSGI headers."""
 
+ScreenRequest: TypeAlias = Callable[[dict[str, Any]], HttpRefusal | None]
+"""Returns the refusal of a request whose body is still arriving, if its head
+suffices to refuse it."""
+
 
 def refuse_plainly(fault: RequestFault, _: Mapping[str, str]) -> HttpRefusal:
     """Return a refusal that says nothing but the status."""
     return HttpRefusal(STATUS_LINES[fault], [])
 
 
+def accept_any(_: dict[str, Any]) -> HttpRefusal | None:
+    """Refuse no request by its head."""
+    return None
+
+
 class RefusedError(NamedTuple):
     """The end of a request whose refusal is known; waitress's form."""
 
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -11,7 +11,12 @@
 from mintsaddle.callers._bodies import RequestBuffers
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason, CutConnection
-from mintsaddle.callers._refusals import RefuseFault, refuse_plainly
+from mintsaddle.callers._refusals import (
+    RefuseFault,
+    ScreenRequest,
+    accept_any,
+    refuse_plainly,
+)
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.callers._upkeep import ConnectionUpkeep
 from mintsaddle.decisions.direct import (
@@ -77,6 +82,7 @@
         record_cut: Callable[[CutConnection], None],
         memory_megabytes: float = DEFAULT_MEMORY_MEGABYTES,
         limits: RequestLimits = DEFAULT_REQUEST_LIMITS,
+        screen: ScreenRequest = accept_any,
         refuse: RefuseFault = refuse_plainly,
     ) -> None:
         """Create the server.
@@ -92,6 +98,7 @@
                 requests were answered.
             memory_megabytes: The VM's memory.
             limits: What the requests of all callers may take together.
+            screen: Refuses a request by its head while its body arrives.
             refuse: Renders and records the refusals of the server itself.
         """
         self._max_connections = max_connections
@@ -124,6 +131,7 @@
         self._server.record_cut = record_cut
         self._server.buffers = self._buffers
         self._server.turns = ParsingTurns()
+        self._server.screen = screen
         self._server.refuse = refuse
         self._server.maintenance = self._maintain
         self.set_limits(INITIAL_LIMITS)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -65,6 +65,7 @@
         partial(_record_cut, gateway),
         settings.memory_megabytes,
         settings.requests,
+        app.screening.screen,
         app.screening.refuse_fault,
     )
     serve_pages(
--- a/mintsaddle/direct/_screening.py
+++ b/mintsaddle/direct/_screening.py
@@ -74,6 +74,11 @@
             return HttpRefusal("400 Bad Request", [])
         return Admitted(head, target, route, holder)
 
+    def screen(self, environ: Mapping[str, Any]) -> HttpRefusal | None:
+        """Return the refusal of a request whose body is still arriving."""
+        checked = self.check(environ)
+        return None if isinstance(checked, Admitted) else checked
+
     def refuse_fault(
         self, fault: RequestFault, headers: Mapping[str, str]
     ) -> HttpRefusal:
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -252,6 +252,32 @@
         assert exchange(site, many_digits)[9:12] == b"400"
         assert "Traceback" not in site.entry.log()
 
+    @pytest.mark.parametrize(
+        ("line", "target", "status"),
+        [
+            ("Api-Key: wrong", "POST /order/1", b"401"),
+            ("Note: none", "POST /nowhere/1", b"404"),
+        ],
+        ids=["key", "route"],
+    )
+    def test_what_is_denied_is_not_read_first(
+        self, site: Site, line: str, target: str, status: bytes
+    ) -> None:
+        """Guards against bodies that are stored for callers without a key."""
+        with socket.create_connection(("127.0.0.1", site.entry.front)) as connection:
+            connection.settimeout(standins.WAIT_SECONDS)
+            length = f"Content-Length: {BODY_BYTES}"
+            connection.sendall(make_head(1, length, line, target=target))
+            assert connection.recv(65_536)[9:12] == status
+
+    def test_expectations_are_not_met_for_what_is_denied(self, site: Site) -> None:
+        """Guards against a body that is asked for and then denied."""
+        with socket.create_connection(("127.0.0.1", site.entry.front)) as connection:
+            connection.settimeout(standins.WAIT_SECONDS)
+            lines = (f"Content-Length: {BODY_BYTES}", "Expect: 100-continue")
+            connection.sendall(make_head(1, *lines, target="POST /nowhere/1"))
+            assert connection.recv(65_536)[9:12] == b"404"
+
 
 class TestSettings:
     def test_limits_in_force_are_shown(self, site: Site) -> None:
