Bound what waits in the kernel for connections that aren't read

A connection that isn't read for a while, since earlier requests of it are answered or others have their turn, fills the kernel's buffer, which grows to megabytes while a connection is read fast; these bytes count as the process's memory.

Change: the listening socket, and so each connection, has a receive buffer of 0.15 of the memory for all connections together, 16 kB at least.

--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, based on waitress."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -33,6 +34,13 @@
 """Bytes for a caller above which the next part of its answer waits. A caller
 that doesn't read must not fill memory."""
 
+RECEIVE_MEMORY_SHARE = 0.15
+"""Share of the VM's memory for bytes that have arrived and aren't read."""
+
+MIN_RECEIVE_BYTES = 16_384
+MAX_RECEIVE_BYTES = 262_144
+"""Limits for the receive buffer of a connection."""
+
 INITIAL_LIMITS = CallerLimits(
     header_bytes=16_384, body_bytes=4_194_304, header_seconds=3.0, idle_seconds=15.0
 )
@@ -134,6 +142,10 @@
         self._server.screen = screen
         self._server.refuse = refuse
         self._server.maintenance = self._maintain
+        # Connections inherit it. Bytes that aren't read take memory, too.
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes()
+        )
         self.set_limits(INITIAL_LIMITS)
 
     @property
@@ -242,3 +254,8 @@
         self._upkeep.close_expired()
         self._upkeep.refuse_excess()
         self._upkeep.close_excess()
+
+    def _receive_bytes(self) -> int:
+        """Return the size of a connection's receive buffer."""
+        share = self._memory_bytes * RECEIVE_MEMORY_SHARE / self._max_connections
+        return int(min(MAX_RECEIVE_BYTES, max(MIN_RECEIVE_BYTES, share)))
--- a/mintsaddle/callers/tests/test_waiting_requests.py
+++ b/mintsaddle/callers/tests/test_waiting_requests.py
@@ -1,5 +1,6 @@
 """Requests that wait behind others of their connection."""
 
+import contextlib
 import socket
 import threading
 from collections.abc import Iterator
@@ -14,6 +15,8 @@
 MEMORY_MEGABYTES = 16.0
 SEND_BUFFER_BYTES = 16_384
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+LARGE_BODIES = 10
 BODY_BYTES = 4_000_000
 MAX_UNREAD_BYTES = 1_000_000
 
@@ -69,3 +72,23 @@
         blocked.may_answer.set()
         wait_for(lambda: len(blocked.paths) == 500, "all answers")
         assert blocked.paths == [f"/{number}" for number in range(500)]
+
+
+class TestUnreadBytes:
+    def test_few_wait_in_the_kernel(self, blocked: BlockedServer) -> None:
+        """Guards against memory of the kernel for what isn't read."""
+        # The kernel grows the buffer of a connection that is read fast.
+        blocked.may_answer.set()
+        for number in range(LARGE_BODIES):
+            blocked.connection.sendall(POST % (number, BODY_BYTES))
+            blocked.connection.sendall(b"b" * BODY_BYTES)
+        wait_for(lambda: len(blocked.paths) == LARGE_BODIES, "answers")
+        blocked.may_answer.clear()
+        blocked.connection.sendall(GET % 1 + GET % 2)
+        wait_for(lambda: blocked.server.load.unanswered == 2, "two requests")
+        blocked.connection.settimeout(1.0)
+        sent = 0
+        with contextlib.suppress(TimeoutError):
+            while sent < BODY_BYTES:
+                sent += blocked.connection.send(b"b" * 65_536)
+        assert sent <= MAX_UNREAD_BYTES, sent
