--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -33,6 +33,7 @@
 from mintsaddle.platform._ranks import _decode_report
 from mintsaddle.platform._settings import decode_settings
 from mintsaddle.platform.tests.standins import make_configuration
+from mintsaddle.settings import DEFAULT_REQUEST_LIMITS
 from mintsaddle.values import Outcome, Reason
 
 PACKAGE = Path(mintsaddle.__file__).parent
@@ -252,6 +253,28 @@
         assert read_answer(200, **headers).is_leaving is is_leaving
 
 
+SETTINGS = {
+    "node_name": "n",
+    "zone": "a",
+    "ip": "10.0.0.1",
+    "listen": {"front": "f", "ready_addr": "r", "control": "c"},
+    "platform": {"address": "p"},
+    "limits": {"memory_mb": 200, "max_fds": 4100},
+    "bounds": {
+        "grace_s": 8,
+        "config_apply_ms": 2000,
+        "drain_ms": 2000,
+        "evacuate_ms": 5000,
+        "retry_budget_ratio": 0.2,
+        "retry_slack": 90,
+        "budget_window_s": 10,
+        "cold_overshoot": 1.5,
+        "cold_slack": 5,
+        "stall_ms": 1500,
+    },
+}
+
+
 class TestSettings:
     def test_all_findings_are_reported_together(self) -> None:
         result = decode_settings("file", {"bounds": {"grace_s": "long"}})
@@ -261,28 +284,35 @@
 
     def test_fields_that_are_not_known_are_ignored(self) -> None:
         values = {
-            "node_name": "n",
-            "zone": "a",
-            "ip": "10.0.0.1",
+            **SETTINGS,
             "brand_new": 1,
-            "listen": {"front": "f", "ready_addr": "r", "control": "c"},
-            "platform": {"address": "p"},
-            "limits": {"memory_mb": 200, "max_fds": 4100},
-            "bounds": {
-                "grace_s": 8,
-                "config_apply_ms": 2000,
-                "drain_ms": 2000,
-                "evacuate_ms": 5000,
-                "retry_budget_ratio": 0.2,
-                "retry_slack": 90,
-                "budget_window_s": 10,
-                "cold_overshoot": 1.5,
-                "cold_slack": 5,
-                "stall_ms": 1500,
-            },
         }
         assert isinstance(decode_settings("file", values), Success)
 
+    def test_limits_on_requests_have_defaults(self) -> None:
+        settings = decode_settings("file", SETTINGS).unwrap()
+        assert settings.requests == DEFAULT_REQUEST_LIMITS
+        changed = {**SETTINGS, "requests": {"body_timeout_ms": 1500}}
+        limits = decode_settings("file", changed).unwrap().requests
+        assert limits == DEFAULT_REQUEST_LIMITS._replace(body_seconds=1.5)
+
+    @pytest.mark.parametrize(
+        ("key", "value"),
+        [
+            ("memory_share", 0),
+            ("memory_share", 0.6),
+            ("body_timeout_ms", "long"),
+            ("body_timeout_ms", True),
+            ("unfinished_share", 1.1),
+            ("framing_factor", float("nan")),
+        ],
+    )
+    def test_limits_out_of_range_are_findings(self, key: str, value: object) -> None:
+        """Guards against a limit that no request is within."""
+        result = decode_settings("file", {**SETTINGS, "requests": {key: value}})
+        assert isinstance(result, Failure)
+        assert [finding.key for finding in result.failure()] == [key]
+
 
 class TestReports:
     def test_a_slow_engine_is_known_by_its_report(self) -> None:
