Serve readiness and metrics by the bounded server

A hundred silent connections at the readiness address kept the balancer's check unread for two minutes: it takes the entry out after two. Bodies there went to temporary files on a VM without a disk, with a limit of 1 GB.

Cause: pages had waitress's own defaults: 100 connections, 120 s of idle time.

Change: each address of a page is served by the server for callers, with 48 connections, heads of 8 kB, bodies of 1 kB and one thread; when connections are taken, those that were idle for longest are closed.

--- a/mintsaddle/direct/_pages.py
+++ b/mintsaddle/direct/_pages.py
@@ -1,16 +1,25 @@
 """Small pages, such as readiness and metrics."""
 
-import threading
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waitress.server import create_server
+from mintsaddle.callers import CallerServer
+from mintsaddle.decisions.direct import CallerLimits
+
+PAGE_CONNECTIONS = 48
+"""Connections for pages at each address. The balancer and the collector of
+metrics need a few."""
+
+_PAGE_LIMITS = CallerLimits(
+    header_bytes=8_192, body_bytes=1_024, header_seconds=3.0, idle_seconds=15.0
+)
+_PAGE_MEMORY_MEGABYTES = 4.0
 
 
 def serve_pages(
     addresses: Iterable[str], pages: dict[str, Callable[[], tuple[str, str]]]
 ) -> None:
-    """Serve small pages, such as readiness, in a separate thread.
+    """Serve small pages, such as readiness, in threads of their own.
 
     Args:
         addresses: IP and port of each listener.
@@ -23,5 +32,15 @@
         start(status, [("Content-Type", "text/plain; charset=utf-8")])
         return [text.encode()]
 
-    server = create_server(app, listen=" ".join(addresses), threads=1, ident=None)
-    threading.Thread(target=server.run, name="pages", daemon=True).start()
+    for address in addresses:
+        server = CallerServer(
+            app,
+            address,
+            should_close_connections=lambda: False,
+            max_callers=1,
+            max_connections=PAGE_CONNECTIONS,
+            record_cut=lambda _: None,
+            memory_megabytes=_PAGE_MEMORY_MEGABYTES,
+        )
+        server.set_limits(_PAGE_LIMITS)
+        server.start()
