Bound what peers' messages and connections take of an entry

Sixty peers that begin messages of 4 MB, or ninety small ones each, took an entry beyond 150 MB, and so did four that announce 4 GB and send 100 MB: gRPC bounds what is in flight, not what a message grows to, nor the sum.

Change: transport/_server.py charges each request of a peer, from its headers to its end, to a memory of a twentieth of the VM's, by the same decision as callers' requests. A refused one is reset, and after four the peer has to connect again, since what grpclib keeps of a request is large and freed late. Connections are bounded by what callers leave of the descriptors, 400 at most; the most inactive is closed. So is one whose acknowledgements pile up unread.

An entry that starts beside such a crowd still learns from the first one. The crowds' footprint is checked while they stay, too.

--- a/mintsaddle/direct/_peer_start.py
+++ b/mintsaddle/direct/_peer_start.py
@@ -4,14 +4,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, NoReturn
 
-from grpclib.server import Server
-
 from mintsaddle.decisions.direct import Membership
 from mintsaddle.decisions.quarantine import Feature
+from mintsaddle.direct._capacity import peer_limits
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._peers import PeerExchange
 from mintsaddle.observe import make_logger
-from mintsaddle.transport import LoopThread
+from mintsaddle.transport import BoundedServer, LoopThread
 from mintsaddle.values import Instant
 
 RESTART_PAUSE_SECONDS = 0.3
@@ -53,7 +52,7 @@
     exchange = PeerExchange(gateway, membership)
     exchange.notify_on_replica_change(asyncio.get_running_loop())
     exchange.notify_on_path_change(asyncio.get_running_loop())
-    server: Any = Server([exchange])
+    server = BoundedServer([exchange], peer_limits(gateway.settings))
     host, _, port = gateway.settings.control.rpartition(":")
     await server.start(host, int(port))
     jobs = (
--- a/mintsaddle/platform/tests/hostile_clients.py
+++ b/mintsaddle/platform/tests/hostile_clients.py
@@ -189,7 +189,13 @@
     """Clients that send at once, each once; a context manager."""
 
     def __init__(
-        self, port: int, count: int, request: Request, *, reads: bool = True
+        self,
+        port: int,
+        count: int,
+        request: Request,
+        *,
+        reads: bool = True,
+        host: str = "127.0.0.1",
     ) -> None:
         """Connect all clients.
 
@@ -198,9 +204,10 @@
             count: Number of clients.
             request: What each of them sends.
             reads: Whether they read what they get.
+            host: IP at which the process listens.
         """
         self._reads = reads
-        address = ("127.0.0.1", port)
+        address = (host, port)
         self._clients = [_Client(address, request(number)) for number in range(count)]
         self._progress_at = time.monotonic()
         self._is_stopped = False
--- a/mintsaddle/platform/tests/test_hostile_crowds.py
+++ b/mintsaddle/platform/tests/test_hostile_crowds.py
@@ -47,6 +47,7 @@
     with Crowd(site.entry.front, kind.clients, kind.request, reads=reads) as crowd:
         crowd.settle()
         is_answered = is_answered_in_time(asks(site.entry))
+        check_footprint(site)
     assert is_answered_in_time(asks(site.entry)), "no answer after the crowd"
     assert is_answered, "no answer beside the crowd"
     check_footprint(site)
--- a/mintsaddle/transport/__init__.py
+++ b/mintsaddle/transport/__init__.py
@@ -18,8 +18,11 @@
     write_stamp,
 )
 from mintsaddle.transport._loop import LoopThread
+from mintsaddle.transport._server import BoundedServer, PeerLimits
 
 __all__ = [
+    "BoundedServer",
+    "PeerLimits",
     "ChannelPool",
     "LoopThread",
     "compress_configuration",
