Bound what clients and peers take of the product's own daemons

Messages of peers had no bound at either daemon.

Change: the entry's server gets limits (bodies of 8 MB as before, heads of 64 kB, 10 s for a head, 120 s of idle time as before), its refusals say the outcome in the daemons' own form, and both daemons serve peers by the bounded server. New keys of [daemon], checked: memory, request memory share, body seconds, unfinished share, framing factor.

--- a/mintsaddle/daemon/_serve.py
+++ b/mintsaddle/daemon/_serve.py
@@ -4,20 +4,35 @@
 from collections.abc import Sequence
 from typing import Any
 
-from grpclib.server import Server
-
 from mintsaddle.daemon._follow import follow_configuration
 from mintsaddle.daemon._node import DaemonNode
 from mintsaddle.observe import make_logger
 from mintsaddle.process import SignalReceiver
+from mintsaddle.transport import BoundedServer, PeerLimits
+
+MAX_PEER_CONNECTIONS = 400
+"""Connections of other daemons; each has one."""
+
+PEER_MEMORY_SHARE = 0.15
+"""Share of the VM's memory for requests that are arriving or being served. A
+request is held in up to five forms at a time."""
+
+PEER_REFUSALS = 256
+"""Refused requests after which a connection is closed, which also ends calls
+of other callers that came by the same entry."""
 
 _SIGNAL_POLL_SECONDS = 0.5
 _log = make_logger("daemon")
 
 
-async def start_server(node: DaemonNode, services: Sequence[Any]) -> Server:
+async def start_server(node: DaemonNode, services: Sequence[Any]) -> BoundedServer:
     """Start the gRPC server and follow the configuration."""
-    server = Server(list(services))
+    limits = PeerLimits(
+        MAX_PEER_CONNECTIONS,
+        int(node.settings.memory * PEER_MEMORY_SHARE),
+        PEER_REFUSALS,
+    )
+    server = BoundedServer(list(services), limits)
     host, _, port = node.settings.address.rpartition(":")
     await server.start(host.strip("[]"), int(port))
     node.spawn(follow_configuration(node))
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -7,9 +7,12 @@
 from mintsaddle.callers import CallerServer, CutConnection, render_cut
 from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
 from mintsaddle.decisions.configuration import is_out
+from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.decisions.routing import RoutingState, clear_backoff, record_load
 from mintsaddle.entry._calls import unknown_homes
 from mintsaddle.entry._http import EntryApp
+from mintsaddle.entry._refusals import refuse_fault
+from mintsaddle.entry._requests import MAX_BODY_BYTES
 from mintsaddle.observe import make_logger
 from mintsaddle.settings import Settings
 from mintsaddle.transport import LoopThread, read_load, read_stamp, write_stamp
@@ -24,6 +27,13 @@
 read its answer."""
 
 _CONNECTIONS_PER_THREAD = 4
+_MEGABYTE = 1_048_576
+_CALLER_LIMITS = CallerLimits(
+    header_bytes=65_536,
+    body_bytes=MAX_BODY_BYTES,
+    header_seconds=10.0,
+    idle_seconds=120.0,
+)
 _log = make_logger("entry")
 
 
@@ -40,7 +50,11 @@
         settings.threads,
         _CONNECTIONS_PER_THREAD * settings.threads,
         _log_cut,
+        settings.memory / _MEGABYTE,
+        settings.requests,
+        refuse=refuse_fault,
     )
+    server.set_limits(_CALLER_LIMITS)
     loop_thread.start()
     loop_thread.submit(_start(node, routing, app)).result()
     server.start()
--- a/mintsaddle/settings/_read.py
+++ b/mintsaddle/settings/_read.py
@@ -5,11 +5,13 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.ini import FieldReader, Section, read_document
+from mintsaddle.settings._requests import DEFAULT_REQUEST_LIMITS, RequestLimits
 from mintsaddle.settings._settings import Role, Settings
 from mintsaddle.values import Finding, Findings
 
 _SECTION = "daemon"
 _MAX_THREADS = 4_096
+_MEGABYTE = 1_048_576
 
 
 def read_settings(source: str, text: str) -> Result[Settings, Findings]:
@@ -52,6 +54,8 @@
         threads=fields.read_integer("threads", 1, _MAX_THREADS, 64),
         engine=fields.read_address("engine", "" if is_entry else None),
         grace=fields.read_number("grace", 0.0, 60.0, 2.0),
+        memory=_MEGABYTE * fields.read_integer("memory", 64, 65_536, 256),
+        requests=_read_request_limits(fields),
         log_level=fields.read_choice(
             "log level", logging.getLevelNamesMapping(), "INFO"
         ),
@@ -64,3 +68,21 @@
         fields.report("http", "applies only to an entry; this daemon is an endpoint")
     fields.report_unknown()
     return settings
+
+
+def _read_request_limits(fields: FieldReader) -> RequestLimits:
+    default = DEFAULT_REQUEST_LIMITS
+    return RequestLimits(
+        memory_share=fields.read_number(
+            "request memory share", 0.01, 0.5, default.memory_share
+        ),
+        body_seconds=fields.read_number(
+            "body seconds", 0.1, 3_600.0, default.body_seconds
+        ),
+        unfinished_share=fields.read_number(
+            "unfinished share", 0.05, 1.0, default.unfinished_share
+        ),
+        framing_factor=fields.read_number(
+            "framing factor", 1.0, 100.0, default.framing_factor
+        ),
+    )
--- a/mintsaddle/settings/_settings.py
+++ b/mintsaddle/settings/_settings.py
@@ -3,6 +3,8 @@
 import enum
 from typing import NamedTuple
 
+from mintsaddle.settings._requests import DEFAULT_REQUEST_LIMITS, RequestLimits
+
 
 class Role(enum.Enum):
     """Role of a daemon."""
@@ -41,3 +43,8 @@
     """Time for which a leaving entry still accepts new callers, in seconds."""
 
     log_level: str
+    memory: int = 268_435_456
+    """Memory limit of this process, in bytes."""
+
+    requests: RequestLimits = DEFAULT_REQUEST_LIMITS
+    """Limits for the requests of all callers together; entries only."""
--- a/mintsaddle/settings/tests/test_read.py
+++ b/mintsaddle/settings/tests/test_read.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.result import Failure
 
-from mintsaddle.settings import Role, read_settings
+from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, Role, read_settings
 
 GOOD = """\
 [daemon]
@@ -21,6 +21,12 @@
         settings = read_settings("file", GOOD).unwrap()
         assert (settings.role, settings.vm) == (Role.ENTRY, "dk1-entry")
 
+    def test_limits_have_defaults(self) -> None:
+        settings = read_settings("file", GOOD).unwrap()
+        assert settings.requests == DEFAULT_REQUEST_LIMITS
+        changed = read_settings("file", f"{GOOD}body seconds = 5\n").unwrap()
+        assert changed.requests.body_seconds == 5.0
+
     @pytest.mark.parametrize(
         ("old", "new", "line", "problem"),
         [
@@ -34,6 +40,11 @@
                 "applies only to an endpoint",
             ),
             ("http =", "threads = 0\nhttp =", 7, "not within 1"),
+            ("http =", "memory = 1\nhttp =", 7, "not within 64"),
+            ("http =", "request memory share = 0\nhttp =", 7, "not within 0.01"),
+            ("http =", "body seconds = never\nhttp =", 7, "is not a number"),
+            ("http =", "unfinished share = 2\nhttp =", 7, "not within 0.05"),
+            ("http =", "framing factor = nan\nhttp =", 7, "not within 1.0"),
             ("[daemon]", "[demon]", 1, "the only one is [daemon]"),
         ],
     )
