--- a/mintsaddle/platform/tests/test_hostile_crowds.py
+++ b/mintsaddle/platform/tests/test_hostile_crowds.py
@@ -1,5 +1,6 @@
 """Real entries beside crowds of clients that don't behave."""
 
+import contextlib
 import time
 from collections.abc import Iterator
 from functools import partial
@@ -82,17 +83,15 @@
     def test_waves_of_all_kinds(self, site: Site) -> None:
         """Guards against what one wave leaves behind for the next."""
         kinds = list(BODIES.values())
-        crowds = []
-        for wave in range(WAVES):
-            chosen = kinds[wave::WAVES]
-            for kind in chosen:
-                count = max(1, WAVE_CLIENTS // len(chosen))
-                crowd = Crowd(site.entry.front, count, kind.request)
-                crowds.append(crowd.__enter__())
-            time.sleep(WAVE_SECONDS)
-        is_answered = is_answered_in_time(asks(site.entry))
-        for crowd in crowds:
-            crowd.__exit__()
+        with contextlib.ExitStack() as crowds:
+            for wave in range(WAVES):
+                chosen = kinds[wave::WAVES]
+                for kind in chosen:
+                    count = max(1, WAVE_CLIENTS // len(chosen))
+                    crowd = Crowd(site.entry.front, count, kind.request)
+                    crowds.enter_context(crowd)
+                time.sleep(WAVE_SECONDS)
+            is_answered = is_answered_in_time(asks(site.entry))
         assert is_answered_in_time(asks(site.entry)), "no answer after the crowds"
         assert is_answered, "no answer beside the crowds"
         check_footprint(site)
