Read what arrived while the process was stopped before it counts as late

A process that was stopped for longer than the operator's time for heads could refuse a sound request as late on waking, though the rest of it had arrived meanwhile: the look for late requests may come before the read.

Change: a look that comes more than 3 s after the last one refuses nothing.

--- a/mintsaddle/callers/_upkeep.py
+++ b/mintsaddle/callers/_upkeep.py
@@ -1,5 +1,6 @@
 """Which connections are closed while the server runs."""
 
+import time
 from collections.abc import Iterable
 from typing import Any
 
@@ -7,6 +8,7 @@
 from mintsaddle.callers._cuts import CloseReason
 from mintsaddle.callers._refusals import RequestFault
 from mintsaddle.decisions.direct import Unfinished, find_excess
+from mintsaddle.values import Instant
 
 KEPT_CONNECTIONS_SHARE = 0.5
 """Share of the connections above which answers tell callers to close theirs.
@@ -15,6 +17,10 @@
 MAX_CONNECTIONS_SHARE = 0.8
 """Share of the connections above which idle ones are closed."""
 
+MAX_LOOK_SECONDS = 3.0
+"""Seconds between two looks for late requests above which the process was
+stopped; a look is due each second."""
+
 
 class ConnectionUpkeep:
     """Closes connections that are late, idle or too many.
@@ -32,6 +38,7 @@
         self._server = server
         self._max_connections = max_connections
         self._max_unfinished = max_connections
+        self._looked_at: Instant = time.monotonic()
 
     @property
     def max_unfinished(self) -> int:
@@ -59,9 +66,10 @@
         A request that is late is refused, whether or not some of it arrives.
         """
         idle_seconds = self._server.adj.channel_timeout
+        has_read = self._has_read()
         for channel in self.channels():
             request = channel.request
-            if request is not None and request.is_late:
+            if request is not None and request.is_late and has_read:
                 has_head = request.headers_finished
                 fault = RequestFault.SLOW_BODY if has_head else RequestFault.SLOW_HEAD
                 channel.refuse_arriving(fault)
@@ -98,6 +106,17 @@
             idle.sort(key=lambda one: one.last_activity)
             self.close_all(idle[:excess], CloseReason.CROWDED)
 
+    def _has_read(self) -> bool:
+        """Return whether the loop has run, and read what has arrived.
+
+        A process that was stopped finds its requests late, and their bytes
+        unread.
+        """
+        now = time.monotonic()
+        stopped_seconds = now - self._looked_at
+        self._looked_at = now
+        return stopped_seconds < MAX_LOOK_SECONDS
+
     def is_crowded(self) -> bool:
         """Return whether callers should close their connections."""
         kept = self._max_connections * KEPT_CONNECTIONS_SHARE
