Refuse a request once, and linger in every case

Cause: what follows the head of a refused request was taken for the beginning of another one. While the connection lingered, that one was refused as well, by its age among unfinished requests, and its answer was written after the end of the connection. A thread that ended a refusal while the loop wrote could also have the connection closed without lingering.

Change: lingering begins by dropping what is arriving, and waitress doesn't see that a connection is to be closed while the loop writes. A connection that was closed earlier in the same pass isn't written to. Tasks get a module of their own.

The tests of refusals count one answer each.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 from waitress.channel import HTTPChannel
-from waitress.task import WSGITask
 
 from mintsaddle.callers._arriving import ArrivingRequest, Intake
 from mintsaddle.callers._cuts import CloseReason, CutConnection
-from mintsaddle.callers._refusals import HttpRefusal, RefusalTask, RequestFault
+from mintsaddle.callers._refusals import HttpRefusal, RequestFault
+from mintsaddle.callers._tasks import ClosingTask, RefusalTask
 from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.values import Instant
 
@@ -27,33 +27,20 @@
 _numbers = itertools.count(1)
 
 
-class ClosingTask(WSGITask):  # type: ignore[misc]
-    """Sends `Connection: close` if callers should use another entry."""
-
-    def build_response_header(self) -> bytes:
-        """Return the head of the answer."""
-        server = self.channel.server
-        # What has been read behind this request would be dropped.
-        is_last = len(self.channel.requests) == 1 and not self.channel.is_parked
-        if is_last and (server.should_close_connections() or server.is_crowded()):
-            self.request.headers["CONNECTION"] = "close"
-        head: bytes = super().build_response_header()
-        return head
-
-
 class CallerChannel(HTTPChannel):  # type: ignore[misc]
     """The connection of one caller."""
 
     task_class = ClosingTask
     error_task_class = RefusalTask
     request: ArrivingRequest | None = None
-    close_when_flushed: bool = False
     _requested: CloseReason | None = None
     _close_reason = CloseReason.CALLER
     _last_active_at: Instant = 0.0
     _must_linger = False
     _linger_until: Instant | None = None
     _is_receiving = False
+    _is_writing = False
+    _closes_when_flushed = False
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
@@ -77,6 +64,18 @@
         """Whether it has been refused, and what still comes is dropped."""
         return self._linger_until is not None
 
+    @property
+    def close_when_flushed(self) -> bool:
+        """Whether to close it once its answers are sent; set by any thread.
+
+        While the loop writes, waitress would close it without lingering.
+        """
+        return self._closes_when_flushed and not self._is_writing
+
+    @close_when_flushed.setter
+    def close_when_flushed(self, value: bool) -> None:
+        self._closes_when_flushed = value
+
     @property
     def last_activity(self) -> Instant:
         """When something was last sent or received, or a request ended."""
@@ -179,12 +178,14 @@
 
     def handle_write(self) -> None:
         """Send what waits; then close the connection if it was requested."""
-        begins_to_linger = self._must_linger and self.close_when_flushed
-        if begins_to_linger:
-            self.close_when_flushed = False
+        if not self.connected:
+            # It was closed when it was read in the same pass.
+            return
+        self._is_writing = True
         super().handle_write()
-        if begins_to_linger and self.connected:
-            self._linger_if_flushed()
+        self._is_writing = False
+        if self.close_when_flushed and self.connected and not self.total_outbufs_len:
+            self._close_answered()
         reason, self._requested = self._requested, None
         if reason is None or not self.connected or not self._may_close(reason):
             return
@@ -255,10 +256,16 @@
             data = request.take_parked() if request else b""
             self.received(data)
 
-    def _linger_if_flushed(self) -> None:
-        if self.total_outbufs_len:
-            self.close_when_flushed = True
+    def _close_answered(self) -> None:
+        """Close the connection after its last answer, or begin to linger."""
+        self.close_when_flushed = False
+        if not self._must_linger:
+            self.handle_close()
             return
+        request, self.request = self.request, None
+        if request is not None:
+            # It is what followed the head of the refused one.
+            request.close()
         self._linger_until = time.monotonic() + LINGER_SECONDS
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
--- a/mintsaddle/callers/_refusals.py
+++ b/mintsaddle/callers/_refusals.py
@@ -4,10 +4,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeAlias
 
-from waitress.task import ErrorTask
-
-_INTERNAL_ERROR = 500
-
 
 class RequestFault(enum.Enum):
     """Why a request is refused."""
@@ -52,13 +48,6 @@
     RequestFault.MEMORY: "503 Service Unavailable",
 }
 
-_FAULTS_BY_CODE = {
-    400: RequestFault.MALFORMED,
-    413: RequestFault.LARGE_BODY,
-    431: RequestFault.LARGE_HEAD,
-    501: RequestFault.UNSUPPORTED,
-}
-
 
 class HttpRefusal(NamedTuple):
     """The answer to a request that is refused."""
@@ -102,25 +91,3 @@
     """The end of a request whose refusal has not been rendered."""
 
     fault: RequestFault
-
-
-class RefusalTask(ErrorTask):  # type: ignore[misc]
-    """Answers a request that is refused, and lets its caller read that."""
-
-    def execute(self) -> None:
-        """Write the answer."""
-        error = self.request.error
-        if getattr(error, "code", None) != _INTERNAL_ERROR:
-            self.channel.linger()
-        fault = _find_fault(error)
-        if fault is not None:
-            headers = {f"HTTP_{k}": v for k, v in self.request.headers.items()}
-            refusal = self.channel.server.refuse(fault, headers)
-            self.request.error = RefusedError(refusal)
-        super().execute()
-
-
-def _find_fault(error: Any) -> RequestFault | None:
-    if isinstance(error, FaultError):
-        return error.fault
-    return _FAULTS_BY_CODE.get(getattr(error, "code", _INTERNAL_ERROR))
--- a/mintsaddle/callers/tests/test_waiting_requests.py
+++ b/mintsaddle/callers/tests/test_waiting_requests.py
@@ -39,12 +39,12 @@
         )
         self.server.start()
         self.connection = socket.socket()
-        self.connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
-        )
         self.connection.settimeout(10.0)
         self.connection.connect(("127.0.0.1", port))
 
+    def wait_for_answers(self, count: int) -> None:
+        wait_for(lambda: len(self.paths) >= count, f"{count} answers")
+
     def _answer(self, environ: dict[str, Any], start: Any) -> list[bytes]:
         self.may_answer.wait(10.0)
         self.paths.append(environ["PATH_INFO"])
@@ -82,10 +82,13 @@
         for number in range(LARGE_BODIES):
             blocked.connection.sendall(POST % (number, BODY_BYTES))
             blocked.connection.sendall(b"b" * BODY_BYTES)
-        wait_for(lambda: len(blocked.paths) == LARGE_BODIES, "answers")
+            blocked.wait_for_answers(number + 1)
         blocked.may_answer.clear()
         blocked.connection.sendall(GET % 1 + GET % 2)
         wait_for(lambda: blocked.server.load.unanswered == 2, "two requests")
+        blocked.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         blocked.connection.settimeout(1.0)
         sent = 0
         with contextlib.suppress(TimeoutError):
--- a/mintsaddle/platform/tests/test_request_limits.py
+++ b/mintsaddle/platform/tests/test_request_limits.py
@@ -237,6 +237,7 @@
         before = count_refused(site, fault)
         answer = exchange(site, request_of)
         assert answer[9:12] == str(status).encode()
+        assert answer.count(b"HTTP/1.") == 1
         assert NOT_RUN in answer
         assert not site.requests()
         wait_for(lambda: f"reason={fault}" in site.entry.log(), "line of the log")
