Look at idle connections as briefly as before

The loop asks each connection in each pass whether to read from it.

Change: what is arriving is looked at only where something is.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -21,8 +21,7 @@
 
 LINGER_SECONDS = 5.0
 """Time for which the rest of a refused request is read and dropped. A close
-with unread bytes would reset the connection before its caller has read the
-refusal."""
+with unread bytes would reset the connection."""
 
 _numbers = itertools.count(1)
 
@@ -145,13 +144,12 @@
 
     def readable(self) -> bool:
         """Return whether the loop reads from the connection in this pass."""
-        if self.is_lingering:
+        # Asked for each connection in each pass, most of which are idle.
+        if self._linger_until is not None:
             return True
-        if self._is_costly():
-            self.server.turns.begin_pass()
-        if self.is_parked:
-            self._resume_parked()
-        return bool(super().readable()) and not self.is_parked
+        if self.request is not None and not self._may_read_on():
+            return False
+        return bool(super().readable())
 
     def handle_read(self) -> None:
         """Read a block of requests, or of what is dropped."""
@@ -216,6 +214,14 @@
         self._close_reason = CloseReason.IDLE
         shut_down(self.socket)
 
+    def _may_read_on(self) -> bool:
+        """Return whether more is read while a request is arriving."""
+        if self._is_costly():
+            self.server.turns.begin_pass()
+        if self.is_parked:
+            self._resume_parked()
+        return not self.is_parked
+
     def _is_costly(self) -> bool:
         return self.request is not None and self.request.is_costly
 
