Count denials again

Found while reading the change: mintsaddle_denied_no-key and _no-route, which operators see on /metrics, were no longer counted since the refusals by the head moved to a module of their own. The line of the log stayed.

Change: the counter is back beside the line.

Evidence: a test of both counters, which no test read; it fails without the line and passes with it.

--- a/mintsaddle/direct/_screening.py
+++ b/mintsaddle/direct/_screening.py
@@ -115,6 +115,7 @@
             return self._refuse(head, Reason.BEHIND)
         table = self._gateway.directory.table
         version = table.version if table else 0
+        self._gateway.metrics.count(f"denied_{reason}")
         _log.info(
             "Denied %s.",
             fields(request=head.request_id or "-", why=reason, version=version),
--- a/mintsaddle/platform/tests/test_entry_process.py
+++ b/mintsaddle/platform/tests/test_entry_process.py
@@ -130,6 +130,14 @@
         assert "Api-Key" not in request
         assert int(request["X-Mintsaddle-Deadline-Ms"]) <= 3000
 
+    def test_denials_are_counted(self, site: Site) -> None:
+        """Guards against denials that no metric shows."""
+        site.entry.call("GET", "/lookup/1", Api_Key="wrong")
+        site.entry.call("GET", "/nowhere/1")
+        metrics = site.entry.fetch_metrics()
+        assert "mintsaddle_denied_no-key 1" in metrics
+        assert "mintsaddle_denied_no-route 1" in metrics
+
     def test_unknown_keys_and_routes_are_denied(self, site: Site) -> None:
         assert site.entry.call("GET", "/lookup/1", Api_Key="bad")[0] == 401
         assert site.entry.call("GET", "/nowhere/1")[0] == 404
