Share the pool of blocks between requests and answers

Answers kept idle blocks in a list of their own, as bodies of requests do since in BlockPool: the same lines twice.

Change: AnswerBuffers uses BlockPool, with the same block size and bound.

Evidence: mypy, and 110 tests of direct entries, endless answers and threads.

--- a/mintsaddle/callers/__init__.py
+++ b/mintsaddle/callers/__init__.py
@@ -1,5 +1,6 @@
 """HTTP server for callers that loses no request when it closes connections."""
 
+from mintsaddle.callers._blocks import BlockPool
 from mintsaddle.callers._bodies import RequestBody
 from mintsaddle.callers._cuts import CloseReason, CutConnection, render_cut
 from mintsaddle.callers._ledger import RequestLedger
@@ -8,6 +9,7 @@
 
 __all__ = [
     "STATUS_LINES",
+    "BlockPool",
     "CallerServer",
     "CloseReason",
     "CutConnection",
--- a/mintsaddle/direct/_answer_buffers.py
+++ b/mintsaddle/direct/_answer_buffers.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable, Iterator
 
+from mintsaddle.callers import BlockPool
 from mintsaddle.decisions.direct import AnswerMemory
 
 ANSWER_MEMORY_SHARE = 0.2
@@ -13,8 +14,7 @@
 """Bytes of each answer that count as memory of its caller."""
 
 BLOCK_BYTES = 65_536
-"""Size of a block. Blocks are reused: freed buffers of various sizes would
-stay with the allocator."""
+"""Size of a block."""
 
 _MEGABYTE = 1_048_576
 
@@ -33,11 +33,10 @@
             memory_megabytes: The VM's memory.
         """
         limit = int(memory_megabytes * _MEGABYTE * ANSWER_MEMORY_SHARE)
-        self._max_idle_blocks = limit // BLOCK_BYTES
         self._memory = AnswerMemory(limit)
         self._numbers = itertools.count(1)
         self._aborts: dict[int, Callable[[], None]] = {}
-        self._idle_blocks: list[bytearray] = []
+        self._pool = BlockPool(BLOCK_BYTES, limit)
         self._lock = threading.Lock()
 
     @property
@@ -85,18 +84,14 @@
 
     def take_block(self) -> bytearray:
         """Return a block for a further part of an answer."""
-        with self._lock:
-            if self._idle_blocks:
-                return self._idle_blocks.pop()
-        return bytearray(BLOCK_BYTES)
+        return self._pool.take()
 
     def release(self, number: int, blocks: list[bytearray]) -> None:
         """Take back the memory of an answer."""
         with self._lock:
             self._memory.release(number)
             self._aborts.pop(number, None)
-            room = self._max_idle_blocks - len(self._idle_blocks)
-            self._idle_blocks += blocks[:room]
+        self._pool.put_back(blocks)
 
 
 class AnswerBuffer:
