Render headers in one place, and derive that a body is closed

The WSGI form of headers was rendered twice, for cuts and for refusals; a body kept a flag beside the ones that already make a second close do nothing.

Change: one function in _cuts.py; close() drops. A doc comment uses the usual terms.

--- a/mintsaddle/callers/_bodies.py
+++ b/mintsaddle/callers/_bodies.py
@@ -88,7 +88,6 @@
         self._read_bytes = 0
         self._is_held = False
         self._is_dropped = False
-        self._is_closed = False
         if head_bytes > FREE_REQUEST_BYTES:
             self._hold(head_bytes)
 
@@ -141,9 +140,7 @@
 
     def close(self) -> None:
         """Release the memory; the request is gone."""
-        if not self._is_closed:
-            self._is_closed = True
-            self.drop()
+        self.drop()
 
     def _fill_blocks(self, data: memoryview) -> None:
         while data:
--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -9,7 +9,7 @@
 from waitress.channel import HTTPChannel
 
 from mintsaddle.callers._arriving import ArrivingRequest, Intake
-from mintsaddle.callers._cuts import CloseReason, CutConnection
+from mintsaddle.callers._cuts import CloseReason, CutConnection, make_environ_headers
 from mintsaddle.callers._refusals import HttpRefusal, RequestFault
 from mintsaddle.callers._tasks import ClosingTask, RefusalTask
 from mintsaddle.engines import is_readable, shut_down
@@ -294,7 +294,7 @@
         # The caller's thread may end the last request meanwhile.
         requests = list(self.requests)
         headers = requests[0].headers if requests else {}
-        environ = {f"HTTP_{name}": value for name, value in headers.items()}
+        environ = make_environ_headers(headers)
         return CutConnection(
             self._close_reason, len(requests), self.total_outbufs_len, environ
         )
--- a/mintsaddle/callers/_cuts.py
+++ b/mintsaddle/callers/_cuts.py
@@ -1,6 +1,7 @@
 """Why connections are closed, and what is lost by it."""
 
 import enum
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from mintsaddle.observe import fields
@@ -36,6 +37,11 @@
     """Headers of the first of these requests, in their WSGI form."""
 
 
+def make_environ_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return headers as waitress keeps them in their WSGI form."""
+    return {f"HTTP_{name}": value for name, value in headers.items()}
+
+
 def render_cut(cut: CutConnection) -> str:
     """Return what was cut, as ``key=value`` pairs for the log."""
     return fields(
--- a/mintsaddle/callers/_ledger.py
+++ b/mintsaddle/callers/_ledger.py
@@ -1,4 +1,4 @@
-"""What the requests of a server hold, and who is told of a refusal."""
+"""What the requests of a server hold, and the callbacks that refuse them."""
 
 import threading
 import time
--- a/mintsaddle/callers/_tasks.py
+++ b/mintsaddle/callers/_tasks.py
@@ -4,6 +4,7 @@
 
 from waitress.task import ErrorTask, WSGITask
 
+from mintsaddle.callers._cuts import make_environ_headers
 from mintsaddle.callers._refusals import FaultError, RefusedError, RequestFault
 
 _INTERNAL_ERROR = 500
@@ -39,7 +40,7 @@
             self.channel.linger()
         fault = _find_fault(error)
         if fault is not None:
-            headers = {f"HTTP_{k}": v for k, v in self.request.headers.items()}
+            headers = make_environ_headers(self.request.headers)
             refusal = self.channel.server.refuse(fault, headers)
             self.request.error = RefusedError(refusal)
         super().execute()
