--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,116 +1,68 @@
-"""An engine that drains loses the answer of a request that it has run."""
+"""Engines break off answers whose length has too many digits."""
 
-import socket
-import struct
+import http.client
+import itertools
 import threading
-import time
 from pathlib import Path
 from typing import Any
 
-from scene import (
-    DRAIN_SECONDS,
-    Engine,
-    Scene,
-    answer_whole,
-    has_trouble,
-    run_case,
-)
+from scene import Engine, Scene, begin_head, has_trouble, run_case
 
-from mintsaddle.platform.tests.standins import make_configuration, stream_events
+BODY = b"%0800d" % 7
+"""The whole body of each answer: 800 bytes."""
 
-RUN_SECONDS = 2.4
-"""Twelve times the usual 0.2 s to a stream's first event."""
+SENT_BYTES = 400
+DIGITS = 5_000
+GARBLED_SHARE = 20
+"""One answer in so many is garbled."""
 
-UNTIL_DRAINING_SECONDS = 0.1
+REQUESTS = 200
 
-STREAMS = 6
 
-
-class SlowEngine:
-    """The work of an engine that is slow for streams from some moment on."""
+class GarblingEngines:
+    """The work of engines that garble some of their answers."""
 
     def __init__(self) -> None:
-        self.is_slow = threading.Event()
-        self.slow: set[str] = set()
+        self._numbers = itertools.count(1)
+        self._lock = threading.Lock()
+        self.garbled: set[str] = set()
 
     def __call__(self, engine: Engine, handler: Any) -> None:
-        """Do the work of one request."""
-        attempt = handler.headers["X-Mintsaddle-Attempt-Id"]
-        if handler.command == "GET":
-            answer_whole(engine, handler)
+        """Answer one request."""
+        with self._lock:
+            is_garbled = next(self._numbers) % GARBLED_SHARE == 0
+        begin_head(engine, handler)
+        if is_garbled and has_trouble():
+            self.garbled.add(handler.headers["X-Mintsaddle-Attempt-Id"])
+            length = str(len(BODY)).zfill(DIGITS)
+            handler.send_header("Content-Length", length)
+            handler.end_headers()
+            handler.wfile.write(BODY[:SENT_BYTES])
+            handler.close_connection = True
             return
-        is_first = self.is_slow.is_set() and attempt not in self.slow
-        if is_first:
-            self.slow.add(attempt)
-            time.sleep(RUN_SECONDS)
-            if has_trouble():
-                _reset(handler)
-                return
-        stream_events(1, 4)(engine, handler)
-
-
-def _reset(handler: Any) -> None:
-    """Reset a connection instead of answering."""
-    linger = struct.pack("ii", 1, 0)
-    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    handler.close_connection = True
-    handler.rfile.close()
-    handler.wfile.close = lambda: None
-    handler.connection.close()
+        handler.send_header("Content-Length", str(len(BODY)))
+        handler.end_headers()
+        handler.wfile.write(BODY)
 
 
 def play(scene: Scene) -> list[str]:
-    """Return a line for each request that reached the engine too late."""
-    work = SlowEngine()
-    scene.configure(routes=make_routes())
-    leaving = scene.add_engine("i-leaving", work)
-    scene.add_engine("i-staying", answer_streams)
+    """Return a line for each success with a part of the body only."""
+    scene.configure()
+    work = GarblingEngines()
+    for number in range(2):
+        scene.add_engine(f"i-{number}", work)
     scene.start_entries(2)
-    # Connections to both engines are kept after these.
-    scene.run_clients(4, 0.01, "GET", "/lookup/1")
-    time.sleep(1.5)
-    scene.stop_clients()
-    work.is_slow.set()
-    callers = [
-        threading.Thread(
-            target=scene.call,
-            args=(scene.entries[n % 2], "POST", "/letter/1"),
-            daemon=True,
-        )
-        for n in range(STREAMS)
-    ]
-    for caller in callers:
-        caller.start()
-    time.sleep(UNTIL_DRAINING_SECONDS)
-    acknowledged_at = scene.announce(leaving, state="draining")
-    scene.note(f"acknowledged: {leaving.name} is draining", acknowledged_at)
-    for caller in callers:
-        caller.join(10.0)
-    assert work.slow, "no stream went to the engine that leaves"
-    return [
-        f"{a.attempt} reached {a.engine} {a.at - acknowledged_at:.3f} s after the"
-        " acknowledgement that it is draining"
-        for a in scene.arrivals
-        if a.engine == leaving.name and a.at > acknowledged_at + DRAIN_SECONDS
-    ]
-
-
-def answer_streams(engine: Engine, handler: Any) -> None:
-    """Answer streams and other requests at once."""
-    if handler.command == "GET":
-        answer_whole(engine, handler)
-    else:
-        stream_events(1, 4)(engine, handler)
-
-
-def make_routes() -> list[dict[str, Any]]:
-    """Return routes whose streams have the time of the small deployments'."""
-    routes = make_configuration()["routes"]
-    assert isinstance(routes, list)
-    for route in routes:
-        if route["kind"] == "streaming":
-            route["timeout_ms"] = 8000
-    return routes
+    faults = []
+    for number in range(REQUESTS):
+        entry = scene.entries[number % 2]
+        status, body = scene.call(entry, "GET", "/lookup/1")
+        if status == http.client.OK and body != BODY:
+            fault = (
+                f"{scene.sent[-1].attempt} got 200 with {len(body)} of {len(BODY)} B"
+            )
+            faults.append(fault)
+    scene.note(f"garbled answers: {len(work.garbled)}")
+    return faults
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,40 +1,40 @@
-"""The operator takes the keys of the last tenant away."""
+"""An engine leaves in the moment in which the store cuts a waiting watch."""
 
 import time
 from pathlib import Path
 
-from scene import Scene, answer_whole, has_trouble, run_case
+from scene import DRAIN_SECONDS, SERVICE, Scene, answer_whole, has_trouble, run_case
 
-APPLY_SECONDS = 2.0
-"""``config_apply_ms``."""
-
-NEVER_HELD = "a-key-that-no-configuration-held"
-REQUESTS = 20
+SERVE_ON_SECONDS = 6.0
+"""The engine serves on for ``drain_ms`` and a little longer after its entry is
+removed."""
 
 
 def play(scene: Scene) -> list[str]:
-    """Return a line for each request that ran without a valid key."""
-    scene.configure(version=1)
-    for number in range(2):
-        scene.add_engine(f"i-{number}", answer_whole)
+    """Return a line for each request that reached the engine too late."""
+    scene.configure()
+    engines = [scene.add_engine(f"i-{n}", answer_whole) for n in range(3)]
     scene.start_entries(2)
-    before = [
-        scene.call(scene.entries[number % 2], "GET", "/lookup/1", Api_Key=NEVER_HELD)
-        for number in range(REQUESTS)
-    ]
-    scene.note(f"before, unknown key: {[status for status, _ in before]}")
-    assert {status for status, _ in before} == {401}, "unknown key not refused"
+    scene.run_clients(8, 0.03, "GET", "/lookup/1")
+    time.sleep(3.0)
+    leaving = engines[0]
     if has_trouble():
-        acknowledged_at = scene.configure(version=3, tenants=[])
-        scene.note("acknowledged: version 3 with tenants = []", acknowledged_at)
-    time.sleep(APPLY_SECONDS + 0.5)
-    for number in range(REQUESTS):
-        scene.call(scene.entries[number % 2], "GET", "/lookup/1", Api_Key=NEVER_HELD)
-    ran = {arrival.attempt for arrival in scene.arrivals}
+        scene.store.cut_watches()
+        scene.note(f"the store has cut {scene.store.cuts} waiting watches")
+        time.sleep(0.02)
+    scene.store.delete(f"servers/{leaving.name}")
+    acknowledged_at = time.monotonic()
+    scene.note(f"acknowledged: entry of {leaving.name} removed", acknowledged_at)
+    time.sleep(SERVE_ON_SECONDS)
+    scene.stop_clients()
+    before = [a for a in scene.arrivals if a.at < acknowledged_at]
+    assert any(a.engine == leaving.name for a in before), "no request before"
+    assert all(one.status == 200 for one in scene.sent), "not all were answered"
     return [
-        f"{one.attempt} ran with a key that no configuration ever held"
-        for one in scene.sent
-        if one.attempt in ran
+        f"{a.attempt} reached {a.engine} {a.at - acknowledged_at:.3f} s after the"
+        f" acknowledgement of its removal from {SERVICE}"
+        for a in scene.arrivals
+        if a.engine == leaving.name and a.at > acknowledged_at + DRAIN_SECONDS
     ]
 
 
--- a/review/standins_2/scene.py
+++ b/review/standins_2/scene.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -18,6 +19,7 @@
 from typing import Any, NamedTuple
 
 from mintsaddle.platform.tests.standins import (
+    ENTRY_MODULE,
     Endpoint,
     Entry,
     ProcessLimits,
@@ -123,13 +125,26 @@
     handler.wfile.write(body)
 
 
+class RestartableEntry(Entry):
+    """An entry whose process may be started again."""
+
+    def restart(self) -> None:
+        """Start the process again, with the same settings."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", ENTRY_MODULE],
+            env={**os.environ, "MINTSADDLE_NODE_FILE": str(self._settings)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+
 class Scene:
     """Entries, engines, store and clients of one case."""
 
     def __init__(self, folder: Path, record: Path) -> None:
         self.store = PlatformStore()
         self.engines: list[Engine] = []
-        self.entries: list[Entry] = []
+        self.entries: list[RestartableEntry] = []
         self.arrivals: list[Arrival] = []
         self.sent: list[Sent] = []
         self._folder = folder
@@ -174,7 +189,7 @@
         """Start entries and wait until all are ready and know each other."""
         for number in range(1, count + 1):
             seeds = [entry.control for entry in self.entries]
-            entry = Entry(
+            entry = RestartableEntry(
                 self._folder,
                 f"edge-a-{number}",
                 self.store.address,
