Refuse an answer whose length has too many digits

Cause: http.client can't read a length of more than 4,300 digits and takes the answer for one that ends with its connection. The check in StrictResponse looked at the kind of the digits only.

Change: a length has 18 digits at most. All that reads answers uses StrictResponse, so this holds for engines, ranks, agents, probes and the store.

--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -22,6 +22,10 @@
 TIMEOUTS_PER_RESPONSE = 4
 """A slow link delivers a large response in several parts."""
 
+MAX_LENGTH_DIGITS = 18
+"""Most digits of a length. ``http.client`` takes a length for none if it has
+more than ``int`` accepts."""
+
 _CHUNKED = "chunked"
 _LOST_LINES = (
     email.errors.MissingHeaderBodySeparatorDefect,
@@ -85,9 +89,13 @@
         codings = self.headers.get_all("Transfer-Encoding", ())
         if any(coding.strip().lower() != _CHUNKED for coding in codings):
             raise FramingError(f"transfer coding {codings!r}")
-        is_length = all(text.isascii() and text.isdigit() for text in lengths)
-        if len(lengths) > 1 or len(codings) > 1 or not is_length:
-            raise FramingError(f"length {sorted(lengths)!r}")
+        if len(lengths) > 1 or len(codings) > 1 or not all(map(_is_length, lengths)):
+            raise FramingError(f"length {sorted(lengths)!r:.99}")
+
+
+def _is_length(text: str) -> bool:
+    """Return whether a length can be read, and so ends the body."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS
 
 
 class BoundedConnection(http.client.HTTPConnection):
--- a/mintsaddle/platform/tests/test_answers_without_length.py
+++ b/mintsaddle/platform/tests/test_answers_without_length.py
@@ -154,6 +154,25 @@
         assert (status, body) == (200, b"whole")
 
 
+def respond_cut(endpoint: Endpoint, handler: Any, *, length: str) -> None:
+    """Announce a body of 800 bytes by this length, and send half of it."""
+    standins.begin_head(endpoint, handler)
+    handler.send_header("Content-Length", length)
+    handler.end_headers()
+    handler.wfile.write(b"y" * 400)
+    handler.close_connection = True
+
+
+class TestLengths:
+    @pytest.mark.parametrize("length", ["0" * 5_000 + "800", "800"])
+    def test_a_body_that_is_shorter_is_not_passed_on(
+        self, site: Site, length: str
+    ) -> None:
+        """Guards against half an answer whose length can't be read."""
+        site.script(partial(respond_cut, length=length))
+        assert site.entry.call("POST", "/order/1")[0] == 502
+
+
 class TestHeads:
     @pytest.mark.parametrize("end", [close, fall_silent])
     def test_one_that_was_broken_off_is_not_passed_on(
