Don't take a cut watch for an outage of the store

Cause: each failed call began an outage, and the next answer a grace period of 2 s, in which removed endpoints stay in use. A store that cuts waiting watches answers all other calls; nothing expires meanwhile.

Change: a connection that breaks before an answer is due is a cut. It is checked at once by a call that is answered at once, on a new connection; an outage begins only if that fails. Timeouts and refusals begin one as before. The state moves from the poller to StorePolling.

--- a/mintsaddle/decisions/direct/_store_polling.py
+++ b/mintsaddle/decisions/direct/_store_polling.py
@@ -5,6 +5,11 @@
 a revision before the restore would skip changes, so a full read must come
 first. Most stores name their era in each response. For the others an outage is
 the only sign, and only a full read shows whether they were restored.
+
+A store that is available may still cut connections. Announcements expire only
+while it doesn't answer, so a cut connection counts as an outage only if the
+next call isn't answered either. Removals that follow an outage may be undone
+within seconds; all others are final.
 """
 
 from typing import NamedTuple
@@ -29,6 +34,8 @@
 
     def __init__(self) -> None:
         self._needs_full_read = False
+        self._needs_check = False
+        self._is_lost = False
         self._names_era = False
 
     @property
@@ -36,14 +43,41 @@
         """Whether a full read must come before the next watch."""
         return self._needs_full_read
 
+    @property
+    def needs_check(self) -> bool:
+        """Whether the next call must be one that is answered at once."""
+        return self._needs_check
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store hasn't answered since a call that it failed."""
+        return self._is_lost
+
     def record_history_gone(self) -> None:
         """Record that the store no longer has the requested history."""
+        self._needs_check = False
         self._needs_full_read = True
 
     def record_gap(self) -> None:
         """Record that the store failed, or wasn't polled for a while."""
         self._needs_full_read = self._needs_full_read or not self._names_era
 
+    def record_cut(self) -> None:
+        """Record that a connection broke before the store owed an answer."""
+        self._needs_check = True
+        self.record_gap()
+
+    def record_failure(self) -> None:
+        """Record that the store didn't answer a call, or refused it."""
+        self._needs_check = False
+        self._is_lost = True
+        self.record_gap()
+
+    def record_available(self) -> None:
+        """Record that the store, or a peer that it answers, has answered."""
+        self._needs_check = False
+        self._is_lost = False
+
     def resolve_position(
         self,
         replica: Replica,
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -21,6 +21,10 @@
 IDLE_INTERVAL_SECONDS = 0.2
 """Interval between checks of whether the replica has become stale."""
 
+CHECK_WAIT_SECONDS = 0.01
+"""For how long the store may delay its response to a watch that only checks
+whether it answers."""
+
 _log = make_logger("directory")
 
 
@@ -55,7 +59,6 @@
             peer != settings.control for peer in settings.peers
         )
         self._polling = StorePolling()
-        self._is_store_available = True
 
     def run(self) -> NoReturn:
         while True:
@@ -70,8 +73,7 @@
         # to wait for its timeout.
         self._client.close()
         self._polling.record_gap()
-        if not self._is_store_available:
-            self._record_recovery()
+        self._record_available()
         threading.Event().wait(IDLE_INTERVAL_SECONDS)
 
     def _poll(self) -> None:
@@ -83,6 +85,7 @@
             replica.is_empty,
         )
         is_full_read = is_initial_read or self._polling.needs_full_read
+        is_check = self._polling.needs_check
         match self._request(
             requested_position,
             is_full_read=is_full_read,
@@ -90,8 +93,7 @@
         ):
             case Success(response):
                 gateway.metrics.count("store_answered")
-                if not self._is_store_available:
-                    self._record_recovery()
+                self._record_available()
                 relevant_items = tuple(
                     item for item in response.items if is_followed_key(item.key)
                 )
@@ -116,7 +118,7 @@
                     ),
                     source=PLATFORM_SOURCE,
                 )
-                if response.items:
+                if response.items or is_check:
                     threading.Event().wait(
                         gateway.settings.propagation_time * CALL_INTERVAL_FRACTION
                     )
@@ -124,9 +126,12 @@
                 self._polling.record_history_gone()
                 gateway.metrics.count(f"store_{StoreProblem.HISTORY_GONE.value}")
                 _log.info("History gone %s.", describe_position(requested_position))
+            case Failure(StoreProblem.CUT) if not is_check:
+                self._polling.record_cut()
+                gateway.metrics.count(f"store_{StoreProblem.CUT.value}")
+                _log.info("Connection cut %s.", describe_position(requested_position))
             case Failure(problem):
                 gateway.metrics.count(f"store_{problem.value}")
-                self._polling.record_gap()
                 self._record_failure(problem)
                 pause = gateway.settings.propagation_time * RETRY_INTERVAL_FRACTION
                 threading.Event().wait(pause * (0.5 + gateway.rng.random()))
@@ -139,6 +144,8 @@
             allow_stale = is_initial_read and self._allows_stale_start
             return self._client.read_all(prefix, allow_stale=allow_stale)
         wait = self._gateway.settings.propagation_time * WATCH_WAIT_FRACTION
+        if self._polling.needs_check:
+            wait = CHECK_WAIT_SECONDS
         return self._client.watch(prefix, requested_position.revision, wait)
 
     def _confirmed_at(
@@ -151,14 +158,16 @@
         # The response to a watch is current when it is sent.
         return requested_at if is_full_read else self._gateway.now()
 
-    def _record_recovery(self) -> None:
-        self._is_store_available = True
-        self._gateway.record_platform_recovered()
-        position = self._gateway.replica.position
-        _log.info("Platform regained %s.", describe_position(position))
+    def _record_available(self) -> None:
+        was_lost = self._polling.is_lost
+        self._polling.record_available()
+        if was_lost:
+            self._gateway.record_platform_recovered()
+            position = self._gateway.replica.position
+            _log.info("Platform regained %s.", describe_position(position))
 
     def _record_failure(self, problem: StoreProblem) -> None:
-        if self._is_store_available:
+        if not self._polling.is_lost:
             _log.warning("Platform lost %s.", fields(why=problem.value))
-        self._is_store_available = False
+        self._polling.record_failure()
         self._gateway.record_platform_lost()
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -5,6 +5,7 @@
 import http.client
 import itertools
 import json
+import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
@@ -32,6 +33,9 @@
     """Why a call to the store failed."""
 
     UNREACHABLE = "unreachable"
+    CUT = "cut"
+    """An open connection broke before an answer was due."""
+
     REFUSED = "refused"
     UNREADABLE = "unreadable"
     HISTORY_GONE = "history-gone"
@@ -89,7 +93,7 @@
             query["stale_ok"] = "1"
         if pages:
             query["after"] = pages[-1].items[-1].key
-        return self._get("kv-range", query, READ_TIMEOUT_SECONDS, "items")
+        return self._get("kv-range", query, 0.0, "items")
 
     def watch(
         self, prefix: str, revision: int, wait: float
@@ -106,7 +110,7 @@
             "after": str(revision),
             "wait_ms": str(int(wait * MILLISECONDS)),
         }
-        decoded = self._get("kv-watch", query, wait + READ_TIMEOUT_SECONDS, "events")
+        decoded = self._get("kv-watch", query, wait, "events")
         return decoded.map(
             lambda page: StoreResponse(
                 page.items, max(revision, page.store_revision), page.era
@@ -123,25 +127,34 @@
         self,
         operation: str,
         query: Mapping[str, str],
-        timeout_seconds: float,
+        wait: float,
         items_key: str,
     ) -> Result[_Page, StoreProblem]:
+        timeout_seconds = wait + READ_TIMEOUT_SECONDS
+        answer_due_at = time.monotonic() + wait
         connection = self._connection
         if connection is None:
             connection = BoundedConnection(self._address, timeout=timeout_seconds)
             self._connection = connection
+        is_reused = connection.sock is not None
         try:
-            if connection.sock is None:
+            if not is_reused:
                 connection.timeout = READ_TIMEOUT_SECONDS
                 connection.connect()
+        except OSError:
+            self.close()
+            return Failure(StoreProblem.UNREACHABLE)
+        try:
             connection.sock.settimeout(timeout_seconds)
             connection.request("GET", f"/mintsaddle/{operation}?{urlencode(query)}")
             response = connection.getresponse()
             body = response.read(_MAX_RESPONSE_BYTES)
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
             # After a failed call, the connection can't be used any longer.
             self.close()
-            return Failure(StoreProblem.UNREACHABLE)
+            is_early = time.monotonic() < answer_due_at if wait else is_reused
+            is_cut = is_early and isinstance(error, ConnectionError)
+            return Failure(StoreProblem.CUT if is_cut else StoreProblem.UNREACHABLE)
         era = _decode_era(response)
         decoded = self._decode_body(response, body)
         return decoded.bind(lambda values: _decode_page(values, items_key, era))
