Treat a repeat after a broken kept connection as an attempt

Cause: Exchange.send repeated a request on a new connection if a kept one broke, however late, below all decisions. So it asked neither whether the endpoint is usable, nor for the time left, the attempts of the route, the retry budget or the limit of cold endpoints.

Change: one request is sent once over a connection. A break is an ending like others; a kept connection that breaks at once is "stale": the endpoint may be tried again, without back-off, over a new connection. A connection closed before anything was sent is still left out for free.

--- a/mintsaddle/decisions/direct/_calls.py
+++ b/mintsaddle/decisions/direct/_calls.py
@@ -34,6 +34,10 @@
     BROKEN = "broken"
     """The request was sent, and no complete answer to it came back."""
 
+    STALE = "stale"
+    """A reused connection broke as soon as the request was sent: the endpoint
+    has probably closed it as idle, and is healthy."""
+
     FAILED = "failed"
     """The endpoint's complete answer reports an error."""
 
@@ -86,6 +90,9 @@
     """Number of endpoints that received it, whether they ran it or not."""
 
     may_have_run: bool = False
+    avoids_reuse: bool = False
+    """Whether a reused connection has broken under it."""
+
     last_event: int | None = None
     """Id of the last complete event that the caller has received."""
 
@@ -127,9 +134,15 @@
 
 
 def record_attempt(call: DirectCall, endpoint: str, ending: Ending) -> DirectCall:
-    """Return the call after an attempt that gave no usable answer."""
+    """Return the call after an attempt that gave no usable answer.
+
+    An endpoint that has closed an idle connection may be tried again. It may
+    have run the request all the same, so the attempt counts like any other.
+    """
+    is_stale = ending is Ending.STALE
     return call._replace(
-        tried=call.tried | {endpoint},
+        tried=call.tried if is_stale else call.tried | {endpoint},
+        avoids_reuse=call.avoids_reuse or is_stale,
         sends=call.sends + (ending not in _NOT_REACHED),
         may_have_run=call.may_have_run or ending not in NEVER_RAN,
     )
@@ -169,6 +182,7 @@
     Ending.GROUP_DOWN: Reason.GROUP_DOWN,
     Ending.MISDIRECTED: Reason.ENGINE_DOWN,
     Ending.BROKEN: Reason.CUT_OFF,
+    Ending.STALE: Reason.CUT_OFF,
     Ending.FAILED: Reason.ENGINE_FAILED,
     Ending.SILENT: Reason.SILENT,
     Ending.WITHDRAWN: Reason.QUARANTINED,
--- a/mintsaddle/decisions/direct/tests/test_direct.py
+++ b/mintsaddle/decisions/direct/tests/test_direct.py
@@ -84,6 +84,19 @@
         assert isinstance(decision, GiveUp)
         assert decision.outcome is Outcome.IN_DOUBT
 
+    def test_a_stale_connection_counts_as_an_attempt(self) -> None:
+        """Guards against repeats beyond the attempts that a route allows."""
+        call = record_attempt(make_call(attempts=2), "e-1", Ending.STALE)
+        assert call.sends == 1 and call.may_have_run and call.avoids_reuse
+        assert call.tried == frozenset()
+        again = decide_next(call, Ending.STALE, has_budget=True, now=1.0)
+        assert again == TryAgain()
+        refused = decide_next(call, Ending.STALE, has_budget=False, now=1.0)
+        assert isinstance(refused, GiveUp)
+        call = record_attempt(call, "e-1", Ending.BROKEN)
+        last = decide_next(call, Ending.BROKEN, has_budget=True, now=1.0)
+        assert isinstance(last, GiveUp)
+
     def test_a_later_refusal_does_not_undo_the_doubt(self) -> None:
         """Guards against reporting "not run" for a call that may have run."""
         call = record_attempt(make_call(), "e-1", Ending.BROKEN)
--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -7,7 +7,7 @@
 from mintsaddle.direct._answer_records import find_urgency, record_head
 from mintsaddle.direct._answers import CallerRequest
 from mintsaddle.direct._broken_answers import record_broken_answer
-from mintsaddle.direct._exchange import Exchange
+from mintsaddle.direct._exchange import REUSED_ACK_TIMEOUT_SECONDS, Exchange
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._watchdog import WatchedExchange
 from mintsaddle.engines import StrictResponse
@@ -41,7 +41,7 @@
 ) -> Exchange:
     """Return a pooled connection if repeats are allowed, or a new one."""
     pooled = None
-    if call.route.repeat is not Repeat.ONCE:
+    if call.route.repeat is not Repeat.ONCE and not call.avoids_reuse:
         pooled = gateway.pool.acquire(endpoint)
     gateway.metrics.count("connection_kept" if pooled else "connection_fresh")
     return pooled or Exchange(endpoint.address)
@@ -74,12 +74,9 @@
     if is_fresh:
         gateway.reach.record(endpoint.data_centre, received=True)
     left = call.deadline - gateway.now()
-
-    def may_send() -> bool:
-        is_waiting = gateway.waits.is_waiting(endpoint.name)
-        return not (is_waiting or gateway.quarantine.is_quarantined(call.features))
-
-    if left <= 0 or not may_send():
+    is_waiting = gateway.waits.is_waiting(endpoint.name)
+    is_quarantined = gateway.quarantine.is_quarantined(call.features)
+    if left <= 0 or is_waiting or is_quarantined:
         return Ending.NOT_SENT, None
     headers = make_endpoint_headers(
         request.environ,
@@ -89,6 +86,7 @@
         call.last_event,
         find_urgency(gateway, call),
     )
+    sent_at = gateway.now()
     try:
         response = exchange.send(
             request.method,
@@ -96,14 +94,15 @@
             headers,
             request.body,
             left + 2 * DEADLINE_GRACE_SECONDS,
-            may_send,
         )
     except (OSError, http.client.HTTPException, ValueError) as error:
         record_broken_answer(gateway, call, endpoint, watched, error, None)
         if exchange.aborted and gateway.quarantine.is_quarantined(call.features):
             return Ending.WITHDRAWN, None
-        has_timed_out = gateway.now() >= watched.expires_at
-        return Ending.SILENT if has_timed_out else Ending.BROKEN, None
+        now = gateway.now()
+        if is_stale_break(exchange.is_reused, error, now - sent_at):
+            return Ending.STALE, None
+        return Ending.SILENT if now >= watched.expires_at else Ending.BROKEN, None
     head = read_response_head(response, call.request_id, endpoint.slots)
     record_head(gateway, call, endpoint, head)
     ending = _ending_of(gateway, endpoint, head)
@@ -114,6 +113,18 @@
     return Ending.BROKEN, attempt
 
 
+def is_stale_break(is_reused: bool, error: Exception, seconds: float) -> bool:
+    """Return whether the endpoint had probably closed an idle connection.
+
+    Args:
+        is_reused: Whether the connection has served an earlier request.
+        error: What broke it.
+        seconds: Time from sending the request to the error.
+    """
+    is_closed = isinstance(error, ConnectionError)
+    return is_reused and is_closed and seconds < REUSED_ACK_TIMEOUT_SECONDS
+
+
 def _ending_of(
     gateway: Gateway, endpoint: Incarnation, head: ResponseHead
 ) -> Ending | None:
--- a/mintsaddle/direct/_endings.py
+++ b/mintsaddle/direct/_endings.py
@@ -17,7 +17,9 @@
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.observe import fields, make_logger
 
-_SAYS_NOTHING = frozenset({Ending.FAILED, Ending.GROUP_DOWN, Ending.WITHDRAWN})
+_SAYS_NOTHING = frozenset(
+    {Ending.FAILED, Ending.GROUP_DOWN, Ending.STALE, Ending.WITHDRAWN}
+)
 """Endings that don't speak against the endpoint."""
 
 _log = make_logger("calls")
--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -8,14 +8,9 @@
 import contextlib
 import http.client
 import socket
-from collections.abc import Callable, Iterable, Sequence
-
-from mintsaddle.engines import (
-    OversizedHeadError,
-    StrictResponse,
-    is_readable,
-    shut_down,
-)
+from collections.abc import Iterable, Sequence
+
+from mintsaddle.engines import StrictResponse, is_readable, shut_down
 from mintsaddle.values import MILLISECONDS
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -96,50 +91,20 @@
         headers: Iterable[tuple[str, str]],
         body: Sequence[bytes | bytearray | memoryview],
         seconds: float,
-        may_resend: Callable[[], bool] = lambda: True,
     ) -> StrictResponse:
         """Send the request and return the answer, whose head has been read.
 
-        If a reused connection breaks before an answer, the request is sent
-        once more on a new one: usually the endpoint has closed the idle
-        connection and is healthy.
-
         Args:
             method: The caller's method.
             target: The caller's raw target.
             headers: All headers except Content-Length.
             body: The complete body, in parts.
             seconds: Timeout for reads and for unacknowledged data.
-            may_resend: Returns whether the endpoint may still get a request
-                after a reused connection broke.
 
         Raises:
             OSError: The connection broke or timed out.
             http.client.HTTPException: The answer is invalid.
         """
-        try:
-            self._response = self._send(method, target, headers, body, seconds)
-        except OversizedHeadError:
-            # The endpoint has answered; it would do so again.
-            raise
-        except (OSError, http.client.HTTPException):
-            if not self._is_reused or self._aborted or not may_resend():
-                raise
-            self._connection.close()
-            self._is_reused = False
-            if not self.connect():
-                raise
-            self._response = self._send(method, target, headers, body, seconds)
-        return self._response
-
-    def _send(
-        self,
-        method: str,
-        target: str,
-        headers: Iterable[tuple[str, str]],
-        body: Sequence[bytes | bytearray | memoryview],
-        seconds: float,
-    ) -> StrictResponse:
         connection = self._connection
         assert self._socket is not None
         self._socket.settimeout(seconds)
@@ -164,6 +129,7 @@
             connection.endheaders(body or None)
         response = connection.getresponse()
         assert isinstance(response, StrictResponse)
+        self._response = response
         return response
 
     def abort(self) -> None:
