Refuse an answer without a length if the upload was broken off

Cause: sending met the reset, which is ignored there, as a refusal may have arrived already. Linux reports an error once, so reading then met a clean end, and such an answer ends with its connection. An engine that ends its answer before it resets the connection shows no error at all.

Change: after an error in sending, an answer needs a marked end. Where the connection ends a body, the socket must have no error and the peer must have acknowledged all that was sent; StrictResponse checks it for all that read answers.

--- a/mintsaddle/direct/_exchange.py
+++ b/mintsaddle/direct/_exchange.py
@@ -123,12 +123,18 @@
             connection.putheader(name, value)
         if body or method not in ("GET", "HEAD"):
             connection.putheader("Content-Length", str(sum(map(len, body))))
-        # An endpoint may refuse a long body before it has read all of it; its
-        # answer may be in the receive buffer already.
-        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        is_cut = False
+        try:
             connection.endheaders(body or None)
+        except (BrokenPipeError, ConnectionResetError):
+            # An endpoint may refuse a long body before it has read all of it;
+            # its answer may be in the receive buffer already.
+            is_cut = True
         response = connection.getresponse()
         assert isinstance(response, StrictResponse)
+        if is_cut and not response.has_marked_end:
+            # The error has been reported, so the connection seems to end well.
+            raise ConnectionResetError
         self._response = response
         return response
 
--- a/mintsaddle/direct/_reading.py
+++ b/mintsaddle/direct/_reading.py
@@ -88,7 +88,7 @@
     buffer: AnswerBuffer,
     is_aborted: Callable[[], bool],
 ) -> None:
-    has_marked_end = _has_marked_end(response)
+    has_marked_end = response.has_marked_end
     pace = AnswerPace(time.monotonic())
     wait = _make_wait(pace, is_aborted)
     response.on_chunk(lambda: wait(1))
@@ -126,7 +126,7 @@
         StreamCutError: The body ended in the middle of an event, or before
             its first event with nothing that marks the end.
     """
-    has_marked_end = _has_marked_end(response)
+    has_marked_end = response.has_marked_end
     wait = _make_wait(AnswerPace(time.monotonic()), is_aborted)
     response.on_chunk(lambda: wait(1))
     has_event = False
@@ -189,8 +189,3 @@
             time.sleep(min(left, _ABORT_CHECK_SECONDS))
 
     return wait
-
-
-def _has_marked_end(response: http.client.HTTPResponse) -> bool:
-    """Return whether the end of the body doesn't depend on the connection."""
-    return response.chunked or response.length is not None
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -107,12 +107,14 @@
         self._cancelled = True
         shut_down(self._socket)
 
-    def _send(self) -> http.client.HTTPResponse:
+    def _send(self) -> StrictResponse:
         request = self._request
         self._connection.request(
             request.method, request.path, request.body, dict(request.headers)
         )
-        return self._connection.getresponse()
+        response = self._connection.getresponse()
+        assert isinstance(response, StrictResponse)
+        return response
 
 
 def _read_head(response: http.client.HTTPResponse) -> EngineHead:
@@ -125,10 +127,10 @@
 
 
 def _read_chunks(
-    response: http.client.HTTPResponse, is_cancelled: Callable[[], bool]
+    response: StrictResponse, is_cancelled: Callable[[], bool]
 ) -> Iterator[bytes | None]:
     """Yield the chunks, then None if the response is complete."""
-    has_marked_end = response.chunked or response.length is not None
+    has_marked_end = response.has_marked_end
     content_type = response.headers.get("Content-Type", "")
     if content_type.startswith(EVENT_STREAM):
         yield from _read_events(response)
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -6,6 +6,7 @@
 """
 
 import email.errors
+import functools
 import http.client
 import io
 import socket
@@ -13,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from mintsaddle.engines._sockets import check_sound_end
 from mintsaddle.values import Instant
 
 MAX_HEAD_BYTES = 65_536
@@ -66,8 +68,14 @@
             raw = sock.makefile("rb", buffering=0)
             file = io.BufferedReader(_TimedFile(sock, raw, ends_at))
         self._reader = _BoundedReader(file)
+        self._check_end = functools.partial(check_sound_end, sock)
         self.fp: Any = self._reader
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Whether the end of the body doesn't depend on the connection."""
+        return self.chunked or self.length is not None
+
     def on_chunk(self, callback: Callable[[], None]) -> None:
         """Call a function before each line between parts of the body."""
         self._reader.before_line = callback
@@ -91,6 +99,8 @@
             raise FramingError(f"transfer coding {codings!r}")
         if len(lengths) > 1 or len(codings) > 1 or not all(map(_is_length, lengths)):
             raise FramingError(f"length {sorted(lengths)!r:.99}")
+        if not self.has_marked_end:
+            self._reader.before_end = self._check_end
 
 
 def _is_length(text: str) -> bool:
@@ -156,6 +166,7 @@
         self._line_bytes = 0
         self._is_in_head = True
         self.before_line: Callable[[], None] = lambda: None
+        self.before_end: Callable[[], None] = lambda: None
         self.flush = file.flush
         self.close = file.close
 
@@ -188,16 +199,23 @@
     def read(self, size: int = -1) -> bytes:
         """Return bytes of the body."""
         self._line_bytes = 0
-        return self._file.read(size)
+        data = self._file.read(size)
+        if size < 0 or len(data) < size:
+            self.before_end()
+        return data
 
     def read1(self, size: int = -1) -> bytes:
         """Return bytes of the body that have arrived."""
         self._line_bytes = 0
         data: bytes = self._file.read1(size)  # type: ignore[attr-defined]
+        if size and not data:
+            self.before_end()
         return data
 
     def readinto(self, buffer: memoryview) -> int:
         """Fill a buffer with bytes of the body."""
         self._line_bytes = 0
         count: int = self._file.readinto(buffer)  # type: ignore[attr-defined]
+        if count < len(buffer):
+            self.before_end()
         return count
