Read the status of an answer by its grammar

Here 000 and 099 gave a 502, but not all odd ones: a status that int() accepts, as 2_00 or +200, was taken for a success, also of ranks, agents, probes, orders and the store; so was one without a class (600 to 999), and an interim response other than 100 was passed on as the answer, with the answer itself left behind it.

Cause: http.client reads the status with int() and takes every interim response but 100 for final.

Change: StrictResponse checks the status line before http.client reads it (RFC 9112): version 1.x, one blank, three digits, 100 to 599. Interim responses are skipped; 101, which nobody asks for, is an error.

--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -6,6 +6,7 @@
 """
 
 import email.errors
+import enum
 import functools
 import http.client
 import io
@@ -14,6 +15,7 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
+from mintsaddle.engines._grammar import GrammarError, read_status
 from mintsaddle.engines._sockets import check_sound_end
 from mintsaddle.values import Instant
 
@@ -29,6 +31,8 @@
 more than ``int`` accepts."""
 
 _CHUNKED = "chunked"
+_INTERIM_LINE = b"HTTP/1.1 100 Continue\r\n"
+_BLANK_LINES = (b"\r\n", b"\n")
 _LOST_LINES = (
     email.errors.MissingHeaderBodySeparatorDefect,
     email.errors.FirstHeaderLineIsContinuationDefect,
@@ -158,13 +162,22 @@
         super().close()
 
 
+class _Part(enum.Enum):
+    """The part of a response to which the next line belongs."""
+
+    STATUS = enum.auto()
+    FIELDS = enum.auto()
+    BODY = enum.auto()
+
+
 class _BoundedReader:
     """The file of a response; its lines have an end and are limited."""
 
     def __init__(self, file: BinaryIO) -> None:
         self._file = file
         self._line_bytes = 0
-        self._is_in_head = True
+        self._part = _Part.STATUS
+        self._is_interim = False
         self.before_line: Callable[[], None] = lambda: None
         self.before_end: Callable[[], None] = lambda: None
         self.flush = file.flush
@@ -172,7 +185,7 @@
 
     def end_head(self) -> None:
         """Allow the connection to end before a line, as after a last chunk."""
-        self._is_in_head = False
+        self._part = _Part.BODY
         self._line_bytes = 0
 
     def readline(self, limit: int) -> bytes:
@@ -181,6 +194,7 @@
         Raises:
             OversizedHeadError: There are too many bytes of lines in a row.
             FramingError: It is a negative chunk size.
+            GrammarError: It is invalid.
             http.client.IncompleteRead: It has no end.
         """
         self.before_line()
@@ -189,11 +203,28 @@
         self._line_bytes += len(line)
         if self._line_bytes > MAX_HEAD_BYTES:
             raise OversizedHeadError
-        is_cut = bool(line) or (self._is_in_head and has_begun)
+        is_cut = bool(line) or (self._part is not _Part.BODY and has_begun)
         if is_cut and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
-        if not self._is_in_head and line.startswith(b"-"):
-            raise FramingError(f"chunk size {line!r}")
+        return self._check_line(line) if line else line
+
+    def _check_line(self, line: bytes) -> bytes:
+        """Return a line as ``http.client`` has to read it."""
+        match self._part:
+            case _Part.STATUS:
+                status = read_status(line)
+                if status == http.client.SWITCHING_PROTOCOLS:
+                    raise GrammarError(f"status {status} to no request for it")
+                self._is_interim = status < http.client.OK
+                self._part = _Part.FIELDS
+                # http.client takes all interim responses but this for final.
+                return _INTERIM_LINE if self._is_interim else line
+            case _Part.FIELDS:
+                if line in _BLANK_LINES and self._is_interim:
+                    self._part = _Part.STATUS
+            case _Part.BODY:
+                if line.startswith(b"-"):
+                    raise FramingError(f"chunk size {line!r}")
         return line
 
     def read(self, size: int = -1) -> bytes:
--- a/mintsaddle/engines/tests/test_responses.py
+++ b/mintsaddle/engines/tests/test_responses.py
@@ -9,6 +9,13 @@
 from mintsaddle.engines import StrictResponse
 
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+WHOLE = b"Content-Length: 5\r\n\r\nwhole"
+CHUNKED = STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKS_END = b"0\r\n\r\n"
+ODD_STATUSES = (
+    *("000", "099", "20", "1000", "-200", "+200", "0200", "2_00", "2", "600", "999"),
+    *("\xb2\xb2\xb2", "200.0", "0x1"),
+)
 MANY_DIGITS = b"0" * 5_000 + b"8"
 
 
@@ -47,3 +54,59 @@
         """Guards against half an answer that looks whole."""
         with pytest.raises(http.client.HTTPException):
             read(STATUS_LINE + b"Content-Length: " + text + b"\r\n\r\nhalf")
+
+
+class TestStatusLines:
+    @pytest.mark.parametrize(
+        ("line", "status"),
+        [
+            (b"HTTP/1.1 200 OK", 200),
+            (b"HTTP/1.1 200 ", 200),
+            (b"HTTP/1.1 200", 200),
+            (b"HTTP/1.0 404 Not\tFound", 404),
+            (b"HTTP/1.1 599 \xe9tat", 599),
+        ],
+    )
+    def test_a_sound_one_is_read(self, line: bytes, status: int) -> None:
+        response, body = read(line + b"\r\n" + WHOLE)
+        assert (response.status, body) == (status, b"whole")
+
+    @pytest.mark.parametrize(
+        "status",
+        ODD_STATUSES,
+    )
+    def test_a_status_has_three_digits_and_a_class(self, status: str) -> None:
+        """Guards against an answer of an engine in trouble passed on."""
+        line = f"HTTP/1.1 {status} OK\r\n".encode("latin-1")
+        with pytest.raises(http.client.HTTPException):
+            read(line + WHOLE)
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            b"HTTP/1.1\t200 OK",
+            b"HTTP/1.1  200 OK",
+            b" HTTP/1.1 200 OK",
+            b"HTTP/1.1 200\tOK",
+            b"HTTP/1.1 200 O\x00K",
+            b"HTTP/1.1 200 O\rK",
+            b"HTTP/1. 200 OK",
+            b"HTTP/2.0 200 OK",
+            b"ICY 200 OK",
+            b"",
+        ],
+    )
+    def test_an_odd_one_is_refused(self, line: bytes) -> None:
+        with pytest.raises(http.client.HTTPException):
+            read(line + b"\r\n" + WHOLE)
+
+    @pytest.mark.parametrize("status", [b"100 Continue", b"102 Processing", b"103 -"])
+    def test_an_interim_response_is_not_the_answer(self, status: bytes) -> None:
+        """Guards against a head without a body passed on as the answer."""
+        interim = b"HTTP/1.1 " + status + b"\r\nLink: </a>\r\n\r\n"
+        response, body = read(interim + interim + STATUS_LINE + WHOLE)
+        assert (response.status, body) == (200, b"whole")
+
+    def test_a_protocol_that_nobody_asked_for_is_refused(self) -> None:
+        with pytest.raises(http.client.HTTPException):
+            read(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + STATUS_LINE + WHOLE)
