Check the framing of chunks by its grammar

Chunk sizes as 0x5, 5_0, "+5" or " 5" were read by int(), and whatever two bytes followed the data of a chunk were dropped as its end.

Change: a size is 1 to 15 hexadecimal digits with an optional extension, data end with CRLF, and trailers are fields. A last chunk without the blank line after it is still whole, as in RFC 9112.

--- a/mintsaddle/engines/_grammar.py
+++ b/mintsaddle/engines/_grammar.py
@@ -1,4 +1,4 @@
-"""Grammar of the lines in a response's head (RFC 9110, RFC 9112).
+"""Grammar of the lines of a response (RFC 9110, RFC 9112).
 
 ``http.client`` reads numbers with ``int``, which takes signs, underscores,
 blanks and digits of any script.
@@ -12,6 +12,10 @@
     rb"HTTP/1\.[0-9] (?P<status>[1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n"
 )
 _FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r?\n")
+_CHUNK_LINE = re.compile(
+    rb"(?P<size>[0-9A-Fa-f]{1,15})[\t ]*(?:;" + _TEXT + rb")?\r?\n"
+)
+_CHUNK_END = b"\r\n"
 
 
 class GrammarError(http.client.HTTPException):
@@ -40,3 +44,25 @@
     """
     if _FIELD_LINE.fullmatch(line) is None:
         raise GrammarError(f"field {line!r:.99}")
+
+
+def read_chunk_size(line: bytes) -> int:
+    """Return the size of the chunk that a line begins.
+
+    Raises:
+        GrammarError: The line is invalid, or the size has over 15 digits.
+    """
+    match = _CHUNK_LINE.fullmatch(line)
+    if match is None:
+        raise GrammarError(f"chunk size {line!r:.99}")
+    return int(match["size"], 16)
+
+
+def check_chunk_end(data: bytes) -> None:
+    """Check what follows a chunk's data; too short a part is no error here.
+
+    Raises:
+        GrammarError: It isn't the end of a line.
+    """
+    if not _CHUNK_END.startswith(data):
+        raise GrammarError(f"chunk end {data!r}")
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -14,7 +14,13 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from mintsaddle.engines._grammar import GrammarError, check_field, read_status
+from mintsaddle.engines._grammar import (
+    GrammarError,
+    check_chunk_end,
+    check_field,
+    read_chunk_size,
+    read_status,
+)
 from mintsaddle.engines._sockets import check_sound_end
 from mintsaddle.values import Instant
 
@@ -160,6 +166,10 @@
     STATUS = enum.auto()
     FIELDS = enum.auto()
     BODY = enum.auto()
+    TRAILERS = enum.auto()
+
+
+_HEAD = (_Part.STATUS, _Part.FIELDS)
 
 
 class _BoundedReader:
@@ -170,6 +180,9 @@
         self._line_bytes = 0
         self._part = _Part.STATUS
         self._is_interim = False
+        self._chunk_left: int | None = None
+        """Bytes of data that the current chunk has left."""
+
         self.before_line: Callable[[], None] = lambda: None
         self.before_end: Callable[[], None] = lambda: None
         self.flush = file.flush
@@ -185,7 +198,6 @@
 
         Raises:
             OversizedHeadError: There are too many bytes of lines in a row.
-            FramingError: It is a negative chunk size.
             GrammarError: It is invalid.
             http.client.IncompleteRead: It has no end.
         """
@@ -195,7 +207,7 @@
         self._line_bytes += len(line)
         if self._line_bytes > MAX_HEAD_BYTES:
             raise OversizedHeadError
-        is_cut = bool(line) or (self._part is not _Part.BODY and has_begun)
+        is_cut = bool(line) or (self._part in _HEAD and has_begun)
         if is_cut and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
         return self._check_line(line) if line else line
@@ -217,16 +229,28 @@
                 elif self._is_interim:
                     self._part = _Part.STATUS
             case _Part.BODY:
-                if line.startswith(b"-"):
-                    raise FramingError(f"chunk size {line!r}")
+                self._chunk_left = read_chunk_size(line)
+                if not self._chunk_left:
+                    self._part = _Part.TRAILERS
+            case _Part.TRAILERS:
+                if line not in _BLANK_LINES:
+                    check_field(line)
         return line
 
+    def _record_data(self, data: bytes | memoryview) -> None:
+        """Count data of a chunk, or check the end of a chunk without any."""
+        if self._chunk_left == 0:
+            check_chunk_end(bytes(data))
+        elif self._chunk_left is not None:
+            self._chunk_left -= len(data)
+
     def read(self, size: int = -1) -> bytes:
         """Return bytes of the body."""
         self._line_bytes = 0
         data = self._file.read(size)
         if size < 0 or len(data) < size:
             self.before_end()
+        self._record_data(data)
         return data
 
     def read1(self, size: int = -1) -> bytes:
@@ -235,6 +259,7 @@
         data: bytes = self._file.read1(size)  # type: ignore[attr-defined]
         if size and not data:
             self.before_end()
+        self._record_data(data)
         return data
 
     def readinto(self, buffer: memoryview) -> int:
@@ -243,4 +268,5 @@
         count: int = self._file.readinto(buffer)  # type: ignore[attr-defined]
         if count < len(buffer):
             self.before_end()
+        self._record_data(buffer[:count])
         return count
--- a/mintsaddle/engines/tests/test_responses.py
+++ b/mintsaddle/engines/tests/test_responses.py
@@ -144,3 +144,40 @@
     def test_a_control_byte_in_a_value_is_refused(self, byte: int) -> None:
         with pytest.raises(http.client.HTTPException):
             read(STATUS_LINE + b"X-Note: a%cb\r\n" % byte + WHOLE)
+
+
+class TestChunks:
+    @pytest.mark.parametrize("size", [b"5", b"0005", b"5;a=b", b"5 ; a"])
+    def test_a_sound_one_is_read(self, size: bytes) -> None:
+        _, body = read(CHUNKED + size + b"\r\nwhole\r\n" + CHUNKS_END)
+        assert body == b"whole"
+
+    @pytest.mark.parametrize(
+        "size",
+        [
+            b"+5",
+            b"-5",
+            b"0x5",
+            b"0_5",
+            b" 5",
+            b"5,",
+            b"",
+            b"5;\x00",
+            b"5\r;a",
+            b"0" * 99,
+        ],
+    )
+    def test_an_odd_size_is_refused(self, size: bytes) -> None:
+        """Guards against a body whose parts are told apart by guessing."""
+        with pytest.raises(http.client.HTTPException):
+            read(CHUNKED + size + b"\r\nwhole\r\n" + CHUNKS_END)
+
+    @pytest.mark.parametrize("end", [b"..", b"\n\n", b"\r."])
+    def test_one_that_is_longer_than_its_size_is_refused(self, end: bytes) -> None:
+        """Guards against bytes of a body that are dropped."""
+        with pytest.raises(http.client.HTTPException):
+            read(CHUNKED + b"5\r\nwhole" + end + CHUNKS_END)
+
+    def test_trailers_are_read_up_to_their_end(self) -> None:
+        _, body = read(CHUNKED + b"5\r\nwhole\r\n0\r\nX-Sum: 1\r\n\r\n")
+        assert body == b"whole"
