--- a/mintsaddle/engines/__init__.py
+++ b/mintsaddle/engines/__init__.py
@@ -8,11 +8,7 @@
     EngineRequest,
 )
 from mintsaddle.engines._probe import EngineStatus, probe_engine, send_group_order
-from mintsaddle.engines._responses import (
-    BoundedConnection,
-    OversizedHeadError,
-    StrictResponse,
-)
+from mintsaddle.engines._responses import BoundedConnection, StrictResponse
 from mintsaddle.engines._sockets import is_readable, shut_down
 
 __all__ = [
@@ -23,7 +19,6 @@
     "EngineRequest",
     "EngineStatus",
     "BoundedConnection",
-    "OversizedHeadError",
     "StrictResponse",
     "probe_engine",
     "send_group_order",
