Read numbers in headers as ASCII digits of bounded length

A number of 5,000 digits raised ValueError from int(): in Engine-Boot it ended a daemon's call with an exception, in the era of the store each poll of an entry, and in a caller's Priority the request. isdecimal and isdigit also take digits of other scripts.

Change: read_digits in values takes up to 18 ASCII digits; lengths, event ids, boots, eras and priorities use it.

Evidence: three cases failed before (test_an_odd_boot_is_none, test_an_odd_era_is_none, test_problem_names_its_header).

--- a/mintsaddle/direct/_reading.py
+++ b/mintsaddle/direct/_reading.py
@@ -11,6 +11,7 @@
     OversizedAnswerError,
 )
 from mintsaddle.engines import StrictResponse
+from mintsaddle.values import read_digits
 
 MAX_EVENT_BYTES = 262_144
 """Largest event. An event holds what an engine generates in one step."""
@@ -20,7 +21,6 @@
 _READ_BYTES = 65_536
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
-_MAX_ID_DIGITS = 18
 
 
 class StreamCutError(ConnectionError):
@@ -51,9 +51,7 @@
         """Return the last id; None if there is none or it isn't numeric."""
         for line in reversed(self._data.split(b"\n")):
             if line.startswith(_ID_FIELD):
-                text = line[len(_ID_FIELD) :].strip()
-                is_number = text.isdigit() and len(text) <= _MAX_ID_DIGITS
-                return int(text) if is_number else None
+                return read_digits(line[len(_ID_FIELD) :].strip().decode("latin-1"))
         return None
 
 
--- a/mintsaddle/engines/_calls.py
+++ b/mintsaddle/engines/_calls.py
@@ -7,6 +7,7 @@
 
 from mintsaddle.engines._responses import StrictResponse
 from mintsaddle.engines._sockets import shut_down
+from mintsaddle.values import read_digits
 
 EVENT_STREAM = "text/event-stream"
 
@@ -118,11 +119,10 @@
 
 
 def _read_head(response: http.client.HTTPResponse) -> EngineHead:
-    boot = response.headers.get("Engine-Boot", "")
     return EngineHead(
         response.status,
         response.headers.get("Content-Type", "application/octet-stream"),
-        int(boot) if boot.isdecimal() else None,
+        read_digits(response.headers.get("Engine-Boot", "")),
     )
 
 
--- a/mintsaddle/engines/_responses.py
+++ b/mintsaddle/engines/_responses.py
@@ -15,15 +15,11 @@
 
 from mintsaddle.engines._response_files import BoundedReader, TimedFile
 from mintsaddle.engines._sockets import check_sound_end
-from mintsaddle.values import Instant
+from mintsaddle.values import Instant, read_digits
 
 TIMEOUTS_PER_RESPONSE = 4
 """A slow link delivers a large response in several parts."""
 
-MAX_LENGTH_DIGITS = 18
-"""Most digits of a length. ``http.client`` takes a length for none if it has
-more than ``int`` accepts."""
-
 _CHUNKED = "chunked"
 
 
@@ -82,17 +78,14 @@
         codings = self.headers.get_all("Transfer-Encoding", ())
         if any(coding.strip().lower() != _CHUNKED for coding in codings):
             raise FramingError(f"transfer coding {codings!r}")
-        if len(lengths) > 1 or len(codings) > 1 or not all(map(_is_length, lengths)):
+        # http.client takes a length that it can't read for none.
+        is_length = all(read_digits(text) is not None for text in lengths)
+        if len(lengths) > 1 or len(codings) > 1 or not is_length:
             raise FramingError(f"length {sorted(lengths)!r:.99}")
         if not self.has_marked_end:
             self._reader.before_end = self._check_end
 
 
-def _is_length(text: str) -> bool:
-    """Return whether a length can be read, and so ends the body."""
-    return text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS
-
-
 class BoundedConnection(http.client.HTTPConnection):
     """A connection whose timeout also bounds the time of a whole response.
 
--- a/mintsaddle/engines/tests/test_calls.py
+++ b/mintsaddle/engines/tests/test_calls.py
@@ -104,6 +104,15 @@
             result, _, _ = run(address)
         assert (result.reached, result.is_complete) == (True, is_complete)
 
+    @pytest.mark.parametrize("boot", [b"9" * 5_000, b"\xb2", b"-1", b""])
+    def test_an_odd_boot_is_none(self, boot: bytes) -> None:
+        """Guards against a call that ends with an exception."""
+        head = b"HTTP/1.1 200 OK\r\nEngine-Boot: " + boot + b"\r\n"
+        with engine(head + b"Content-Length: 3\r\n\r\nabc") as address:
+            result, heads, _ = run(address)
+        assert result.is_complete
+        assert [one.boot for one in heads] == [None]
+
     def test_refused_connection_reached_nothing(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             address = f"127.0.0.1:{listener.getsockname()[1]}"
--- a/mintsaddle/entry/_requests.py
+++ b/mintsaddle/entry/_requests.py
@@ -8,7 +8,7 @@
 
 from mintsaddle.decisions.calls import CallRequest
 from mintsaddle.fleet import Fleet, Service
-from mintsaddle.values import Instant, OrderKey, parse_key, stable_hash
+from mintsaddle.values import Instant, OrderKey, parse_key, read_digits, stable_hash
 
 MAX_BODY_BYTES = 8 * 1_048_576
 """Maximum size of a request body in bytes."""
@@ -111,8 +111,9 @@
 
 def _read_priority(environ: Mapping[str, Any], problems: list[str]) -> int:
     text = str(environ.get("HTTP_PRIORITY", "0"))
-    if text.isdecimal() and int(text) <= _MAX_PRIORITY:
-        return int(text)
+    priority = read_digits(text)
+    if priority is not None and priority <= _MAX_PRIORITY:
+        return priority
     problems.append(f"Priority: '{text}' is not a number from 0 to {_MAX_PRIORITY}")
     return 0
 
--- a/mintsaddle/entry/tests/test_requests.py
+++ b/mintsaddle/entry/tests/test_requests.py
@@ -85,6 +85,7 @@
             ({"TIMEOUT": "soon"}, "Timeout: 'soon' is not a number"),
             ({"DEADLINE": "nan"}, "Deadline: 'nan' is not a number"),
             ({"PRIORITY": "10"}, "Priority: '10' is not a number from 0 to 9"),
+            ({"PRIORITY": "9" * 5_000}, "is not a number from 0 to 9"),
         ],
     )
     def test_problem_names_its_header(
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -14,7 +14,7 @@
 
 from mintsaddle.decisions.direct import PublishedItem, StoreResponse
 from mintsaddle.engines import BoundedConnection
-from mintsaddle.values import DECODING_ERRORS, MILLISECONDS
+from mintsaddle.values import DECODING_ERRORS, MILLISECONDS, read_digits
 
 READ_TIMEOUT_SECONDS = 1.0
 """Timeout for one response: 250 times the usual 4 ms, so that a slow store has
@@ -210,7 +210,7 @@
     """Return the era in the response headers; None if absent or invalid."""
     candidates = (response.getheader(name) for name in _ERA_HEADERS)
     text = next((value for value in candidates if value is not None), "")
-    return int(text) if text.isascii() and text.isdigit() else None
+    return read_digits(text)
 
 
 def _decode_items(values: Any) -> tuple[PublishedItem, ...] | None:
--- a/mintsaddle/platform/tests/test_odd_answers.py
+++ b/mintsaddle/platform/tests/test_odd_answers.py
@@ -92,6 +92,14 @@
         with engine(make_answer(SOUND_STATUS, line)) as address:
             assert has_failed(CALLS[name](address))
 
+    @pytest.mark.parametrize("era", [b"9" * 5_000, b"-1", b"\xb2"])
+    def test_an_odd_era_is_none(self, era: bytes) -> None:
+        """Guards against a store that no entry can read any more."""
+        answer = make_answer(SOUND_STATUS, b"Store-Era: " + era)
+        with engine(answer) as address:
+            result = StoreClient(address).read_all("")
+        assert result.unwrap().era is None
+
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
--- a/mintsaddle/values/__init__.py
+++ b/mintsaddle/values/__init__.py
@@ -1,6 +1,7 @@
 """Immutable value types that all other packages share."""
 
 from mintsaddle.values._decoding import DECODING_ERRORS
+from mintsaddle.values._digits import read_digits
 from mintsaddle.values._findings import Finding, Findings, render_findings
 from mintsaddle.values._hashing import hash_score, rank_by_score, stable_hash
 from mintsaddle.values._keys import (
@@ -40,6 +41,7 @@
     "issue_key",
     "parse_key",
     "rank_by_score",
+    "read_digits",
     "relay_parent",
     "render_findings",
     "stable_hash",
