Refuse an order that a stopping entry would have to cut

Other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end (LOST). Here an order whose body was whole 6.0 s after SIGTERM, of 8, went on to an engine and its caller got a 502 at 7.2 s, in doubt. No request ended without an answer.

Cause: requests were sent until 5/6 of the stop time and cut at 0.9 of it, however long they might take.

Change: from halfway between the last accepted connection and the cut on, a request that may run only once is sent only if its deadline comes before the cut; else it is refused at once as not run.

Evidence: TestLateRequests::test_one_that_could_be_cut_is_refused failed before. An order with a deadline before the cut is served, before and after. A first try that also held back repeatable requests broke test_a_late_connection_is_not_left_unread: their second attempt would have been served in time.

The calls of agents and watches join the tests of answers without end; they passed at once.

--- a/mintsaddle/decisions/direct/__init__.py
+++ b/mintsaddle/decisions/direct/__init__.py
@@ -30,7 +30,7 @@
     preferred_data_centres,
     usable_endpoints,
 )
-from mintsaddle.decisions.direct._drain import DrainSchedule, plan_drain
+from mintsaddle.decisions.direct._drain import DrainSchedule, may_send, plan_drain
 from mintsaddle.decisions.direct._first_map import EntryShare
 from mintsaddle.decisions.direct._groups import (
     GroupAvailability,
@@ -227,6 +227,7 @@
     "may_wait_for_slot",
     "must_poll",
     "place_at",
+    "may_send",
     "plan_drain",
     "prefer_proven",
     "prefer_quick_groups",
--- a/mintsaddle/direct/_gateway.py
+++ b/mintsaddle/direct/_gateway.py
@@ -9,6 +9,7 @@
     LAPSE_GRACE_SECONDS,
     SETTLE_SECONDS,
     ColdStartLimiter,
+    DirectCall,
     Directory,
     DrainSchedule,
     EndpointReplaced,
@@ -19,10 +20,12 @@
     Incarnation,
     Position,
     PublishedItem,
+    Repeat,
     Replica,
     RouteDeadlines,
     apply_updates,
     drop_expired,
+    may_send,
     must_poll,
     plan_drain,
     preferred_data_centres,
@@ -240,12 +243,6 @@
         """Whether this process is shutting down."""
         return self._drain_schedule is not None
 
-    @property
-    def refuses_calls(self) -> bool:
-        """Whether the process stops too soon to send requests to endpoints."""
-        schedule = self._drain_schedule
-        return schedule is not None and self.now() >= schedule.refuse_from
-
     @property
     def aborts_calls(self) -> bool:
         """Whether the process stops too soon to await endpoints' answers."""
@@ -288,6 +285,14 @@
         self._drain_schedule = schedule
         return schedule
 
+    def stops_before(self, call: DirectCall) -> bool:
+        """Return whether the process stops too soon to send a call."""
+        schedule = self._drain_schedule
+        runs_once = call.route.repeat is Repeat.ONCE
+        return schedule is not None and not may_send(
+            schedule, self.now(), call.deadline, runs_once=runs_once
+        )
+
     def set_reader(self, is_reader: bool) -> None:
         """Record whether this entry watches the platform for its peers."""
         if is_reader != self._is_reader:
--- a/mintsaddle/direct/_trial_passage.py
+++ b/mintsaddle/direct/_trial_passage.py
@@ -51,7 +51,7 @@
         def is_waiting_in_vain() -> bool:
             if self._gateway.quarantine.is_quarantined(call.features):
                 raise _CallRefusedError(Reason.QUARANTINED)
-            if self._gateway.refuses_calls:
+            if self._gateway.stops_before(call):
                 raise _CallRefusedError(Reason.LEAVING)
             return is_disconnected()
 
@@ -60,7 +60,7 @@
                 refusal = self._await_admission(call, is_waiting_in_vain)
                 if refusal is not None:
                     return refusal
-                if self._gateway.refuses_calls:
+                if self._gateway.stops_before(call):
                     return Reason.LEAVING
                 endpoint = choose_endpoint(self._gateway, call, is_waiting_in_vain)
             except _CallRefusedError as error:
--- a/mintsaddle/platform/tests/test_drain.py
+++ b/mintsaddle/platform/tests/test_drain.py
@@ -24,6 +24,12 @@
 
 LATE_ACCEPT_SECONDS = ACCEPT_SECONDS + 0.6
 LONG_DEADLINE_MS = 10_000
+LATE_SECONDS = 6.0
+"""Seconds after SIGTERM; before the process refuses every request."""
+
+LATE_WORK_SECONDS = 2.0
+"""Seconds that a request takes, beyond the end of the stop."""
+
 PAUSED_CALLERS = 40
 WAIT_BEYOND_STOP = "7.5"
 """Seconds: after the stop, and with its random part before the deadline."""
@@ -106,6 +112,19 @@
     return connection
 
 
+def send_half(site: Site, **headers: str) -> http.client.HTTPConnection:
+    """Send an order but for half of its body."""
+    connection = http.client.HTTPConnection("127.0.0.1", site.entry.front)
+    connection.putrequest("POST", "/order/1", skip_host=True)
+    sent = {**standins.make_caller_headers("attempt-1"), "Content-Length": "8"}
+    sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+    for name, value in sent.items():
+        connection.putheader(name, value)
+    connection.endheaders()
+    connection.send(b"half")
+    return connection
+
+
 class TestSlowCallers:
     def test_a_caller_that_reads_slowly_gets_its_whole_answer(self, site: Site) -> None:
         """Guards against a process that ends with unsent bytes."""
@@ -124,13 +143,7 @@
 
     def test_a_request_that_is_arriving_is_answered(self, site: Site) -> None:
         """Guards against a process that ends while a body arrives."""
-        connection = http.client.HTTPConnection("127.0.0.1", site.entry.front)
-        connection.putrequest("POST", "/order/1", skip_host=True)
-        headers = standins.make_caller_headers("attempt-1")
-        for name, value in {**headers, "Content-Length": "8"}.items():
-            connection.putheader(name, value)
-        connection.endheaders()
-        connection.send(b"half")
+        connection = send_half(site)
         site.entry.terminate()
         time.sleep(LATE_ACCEPT_SECONDS)
         connection.send(b"half")
@@ -183,6 +196,28 @@
         assert slow.getresponse().status == 200
 
 
+class TestLateRequests:
+    """Requests that an entry has read whole only late in its stop."""
+
+    def test_one_that_could_be_cut_is_refused(self, site: Site) -> None:
+        """Guards against orders in doubt since their entry has ended."""
+        site.script(respond_after(LATE_WORK_SECONDS))
+        deadline = {"X_Mintsaddle_Deadline_Ms": str(LONG_DEADLINE_MS)}
+        connection = send_half(site, **deadline)
+        site.entry.terminate()
+        time.sleep(LATE_SECONDS)
+        connection.send(b"half")
+        assert connection.getresponse().status == 503
+        assert site.requests() == []
+
+    def test_one_that_ends_in_time_is_answered(self, site: Site) -> None:
+        connection = send_half(site, X_Mintsaddle_Deadline_Ms="800")
+        site.entry.terminate()
+        time.sleep(LATE_SECONDS)
+        connection.send(b"half")
+        assert connection.getresponse().status == 200
+
+
 class TestEndOfTheStop:
     def test_a_waiting_request_is_refused(self, site: Site) -> None:
         """Guards against a process that ends while requests wait."""
--- a/mintsaddle/platform/tests/test_endless_calls.py
+++ b/mintsaddle/platform/tests/test_endless_calls.py
@@ -13,6 +13,7 @@
 from mintsaddle.engines import probe_engine
 from mintsaddle.platform import StoreClient, call_rank, report_call
 from mintsaddle.rank_agent import NO_RESPONSE
+from mintsaddle.rank_agent._engine import EngineConnection
 
 Call: TypeAlias = Callable[[str], object]
 
@@ -27,6 +28,8 @@
 
 CALLS: dict[str, Call] = {
     "rank": lambda address: call_rank(address, report_call()),
+    "agent": lambda address: EngineConnection(address).call(report_call()),
+    "watch": lambda address: StoreClient(address).watch("", 1, 0.0),
     "store": call_store,
     "probe": probe_engine,
 }
