Don't take an aborted connection for one closed while idle

A kept connection that the entry itself aborts, at its time limit or as its caller leaves, seems to be closed by its endpoint. Within half a second of sending it counted as stale, so a silent endpoint wasn't avoided. Found on reading the change again, before it landed.

Evidence: TestSilence::test_a_silent_endpoint_is_avoided failed before.

--- a/mintsaddle/direct/_attempt.py
+++ b/mintsaddle/direct/_attempt.py
@@ -100,7 +100,8 @@
         if exchange.aborted and gateway.quarantine.is_quarantined(call.features):
             return Ending.WITHDRAWN, None
         now = gateway.now()
-        if is_stale_break(exchange.is_reused, error, now - sent_at):
+        is_reused = exchange.is_reused and not exchange.aborted
+        if is_stale_break(is_reused, error, now - sent_at):
             return Ending.STALE, None
         return Ending.SILENT if now >= watched.expires_at else Ending.BROKEN, None
     head = read_response_head(response, call.request_id, endpoint.slots)
--- a/mintsaddle/platform/tests/test_broken_reuse.py
+++ b/mintsaddle/platform/tests/test_broken_reuse.py
@@ -26,6 +26,8 @@
 """The limit of retries in the settings of the entries."""
 
 DEADLINE_MS = "2000"
+SHORT_DEADLINE_MS = "200"
+"""Shorter than the time in which a connection counts as closed while idle."""
 
 
 @pytest.fixture
@@ -81,6 +83,24 @@
     site.store.delete("servers/e-1")
 
 
+def fall_silent_if_reused(endpoint: Endpoint, handler: Any) -> None:
+    """Leave the caller of a reused connection without an answer."""
+    if is_reused(handler):
+        standins.never_respond(endpoint, handler)
+    else:
+        standins.respond_ok(endpoint, handler)
+
+
+class TestSilence:
+    def test_a_silent_endpoint_is_avoided(self, site: Site) -> None:
+        """Guards against an aborted connection taken for an idle one."""
+        endpoint = keep_connection(site)
+        endpoint.default_responder = fall_silent_if_reused
+        site.entry.call(*LOOKUP, X_Mintsaddle_Deadline_Ms=SHORT_DEADLINE_MS)
+        assert "ending=silent" in site.entry.log()
+        assert "ending=stale" not in site.entry.log()
+
+
 class TestRepeats:
     def test_a_connection_closed_as_idle_costs_no_caller(self, site: Site) -> None:
         """Guards against requests that fail by the endpoint's idle timeout."""
