Use the reset that the tests of answers already had

The tests of long uploads wrote again how an endpoint resets a connection. Both use the same function now; the assertions stay.

--- a/mintsaddle/engines/tests/test_responses.py
+++ b/mintsaddle/engines/tests/test_responses.py
@@ -71,10 +71,7 @@
         response, body = read(line + b"\r\n" + WHOLE)
         assert (response.status, body) == (status, b"whole")
 
-    @pytest.mark.parametrize(
-        "status",
-        ODD_STATUSES,
-    )
+    @pytest.mark.parametrize("status", ODD_STATUSES)
     def test_a_status_has_three_digits_and_a_class(self, status: str) -> None:
         """Guards against an answer of an engine in trouble passed on."""
         line = f"HTTP/1.1 {status} OK\r\n".encode("latin-1")
@@ -168,7 +165,7 @@
         ],
     )
     def test_an_odd_size_is_refused(self, size: bytes) -> None:
-        """Guards against a body whose parts are told apart by guessing."""
+        """Guards against a body whose parts are found by guessing."""
         with pytest.raises(http.client.HTTPException):
             read(CHUNKED + size + b"\r\nwhole\r\n" + CHUNKS_END)
 
--- a/mintsaddle/platform/tests/test_long_uploads.py
+++ b/mintsaddle/platform/tests/test_long_uploads.py
@@ -2,9 +2,8 @@
 
 import http.client
 import socket
-import struct
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +11,7 @@
 
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.standins import Endpoint, Site
+from mintsaddle.platform.tests.test_answers_without_length import Ending, reset
 
 UPLOAD = b"u" * 4_000_000
 HALF = b"half an answer\n" * 30
@@ -19,15 +19,6 @@
 ANSWER = b"whole answer"
 PAUSES = (0.0, 0.02, 0.2)
 
-Ending = Callable[[Any], None]
-
-
-def reset(handler: Any) -> None:
-    """Reset the connection."""
-    linger = struct.pack("ii", 1, 0)
-    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    handler.connection.close()
-
 
 def close(handler: Any) -> None:
     """Close the connection with the upload unread, which resets it."""
