Pass on an event id that is no number of a usual length

Cause of the first exception: `_read_event_id` called int on a text that str.isdecimal lets pass, and Python refuses more than 4,300 digits. Why an exception of one connection ends the loop is a fault of its own and isn't mended here.

Change: ids are read by values.read_digits. An id that can't be read goes to the endpoint as the caller sent it, whose ids they are: dropping it would start the stream anew. Before, ids of other digits and letters were dropped. Once an event with a readable id was relayed, that id replaces it.

--- a/mintsaddle/platform/_requests.py
+++ b/mintsaddle/platform/_requests.py
@@ -6,7 +6,7 @@
 
 from mintsaddle.platform._headers import HOP_BY_HOP_HEADERS, REQUEST_ID
 from mintsaddle.platform._prompt_parts import read_shared_parts
-from mintsaddle.values import MILLISECONDS
+from mintsaddle.values import MILLISECONDS, read_digits
 
 READY_PATH = "/mintsaddle/ready"
 """Path of the balancer's readiness check."""
@@ -27,7 +27,6 @@
         _WORKSPACE,
         _EXPECTED_ENDPOINT,
         _DEADLINE,
-        _LAST_EVENT_ID,
         _URGENCY,
         "Content-Length",
     )
@@ -45,7 +44,8 @@
     """Remaining time until the caller's deadline; None if it sent none."""
 
     last_event: int | None
-    """Id of the last event that the caller received of a resumed stream."""
+    """Id of the last event that the caller received of a resumed stream; None
+    if it sent none or one that is no number of a usual length."""
 
     tokens: tuple[float, float] | None = None
     """Tokens of input and maximum tokens of output; None if not stated."""
@@ -60,7 +60,7 @@
         request_id=_request_header(environ, REQUEST_ID),
         key=_request_header(environ, _API_KEY),
         seconds_left=_read_seconds(_request_header(environ, _DEADLINE)),
-        last_event=_read_event_id(_request_header(environ, _LAST_EVENT_ID)),
+        last_event=read_digits(_request_header(environ, _LAST_EVENT_ID)),
         tokens=_read_tokens(_request_header(environ, _TOKEN_USAGE)),
         parts=read_shared_parts(_request_header(environ, _PROMPT_PARTS)),
     )
@@ -83,7 +83,8 @@
         workspace: The workspace that owns the caller's key, regardless of any
             header that the caller sent.
         seconds_left: Time that the endpoint has for the request.
-        last_event: Id of the last event that the caller received, if any.
+        last_event: Id of the last event that the caller received. If None, the
+            endpoint gets the id that the caller sent, if any, as it is.
         urgency: 0 (most urgent) to 9, for endpoints that admit by urgency.
     """
     listed = str(environ.get("HTTP_CONNECTION", "")).split(",")
@@ -92,6 +93,8 @@
         | HOP_BY_HOP_HEADERS
         | _REPLACED_HEADERS
     )
+    if last_event is not None:
+        dropped.add(_LAST_EVENT_ID.lower())
     headers = [
         (name, value)
         for name, value in _request_headers(environ)
@@ -128,10 +131,6 @@
         return None
 
 
-def _read_event_id(text: str) -> int | None:
-    return int(text) if text.isdecimal() else None
-
-
 def _read_tokens(text: str) -> tuple[float, float] | None:
     """Return the tokens from ``PROMPT,MAX_OUTPUT``."""
     parts = [part.strip() for part in text.split(",")]
--- a/mintsaddle/platform/tests/test_translation.py
+++ b/mintsaddle/platform/tests/test_translation.py
@@ -161,6 +161,25 @@
         assert (head.seconds_left, head.last_event) == (None, None)
         assert head.tokens is None
 
+    @pytest.mark.parametrize(
+        "text", ["9" * 19, "9" * 5_000, "9" * 15_000, "\u0661", "\xb2", "7a", "-1"]
+    )
+    def test_an_event_id_that_is_no_number_goes_to_the_endpoint(
+        self, text: str
+    ) -> None:
+        """Guards against an exception for each request with such an id."""
+        environ = {"HTTP_LAST_EVENT_ID": text}
+        head = read_request_head(environ)
+        assert head.last_event is None
+        sent = make_endpoint_headers(environ, "i-1", "", 1.0, head.last_event)
+        assert dict(sent)["Last-Event-Id"] == text
+
+    def test_an_event_that_was_relayed_replaces_the_callers_id(self) -> None:
+        """Guards against events that come twice after a cut."""
+        environ = {"HTTP_LAST_EVENT_ID": "9" * 5_000}
+        sent = make_endpoint_headers(environ, "i-1", "", 1.0, last_event=4)
+        assert [value for name, value in sent if name == "Last-Event-Id"] == ["4"]
+
     @pytest.mark.parametrize(
         ("text", "tokens"),
         [
