Wait for the log line that a test of silent endpoints reads

Cause: log lines are written by a thread of their own, and the test reads the file as soon as the caller has its answer.

Change: the test waits for the line that it asks for, as others do. What it asks is the same: an ending "silent", and none that is "stale".

--- a/mintsaddle/platform/tests/test_broken_reuse.py
+++ b/mintsaddle/platform/tests/test_broken_reuse.py
@@ -97,7 +97,7 @@
         endpoint = keep_connection(site)
         endpoint.default_responder = fall_silent_if_reused
         site.entry.call(*LOOKUP, X_Mintsaddle_Deadline_Ms=SHORT_DEADLINE_MS)
-        assert "ending=silent" in site.entry.log()
+        standins.wait_for(lambda: "ending=silent" in site.entry.log(), "log line")
         assert "ending=stale" not in site.entry.log()
 
 
