Let an exception of one connection cost only that connection

Cause: waitress guards handle_read_event and handle_write_event only. readable, writable, the upkeep of connections and handle_accept run outside; handle_error calls handle_close, which raised again where the record of a cut had failed; after an exception of its own the listener or the wake-up pipe is closed for good, while the loop runs on. EMFILE was tried again in each pass, as fast as the loop could.

Change: the loop is ours, pass by pass, over the same map. The listener and the pipe stay open and are left alone for 0.1 s. A connection is closed before its cut is recorded. Steps of the upkeep, and connections within them, are independent. A pass that fails as a whole is followed by the next.

--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -194,11 +194,24 @@
 
     def handle_close(self) -> None:
         """Close the connection, and record it if an answer is cut."""
-        if self.connected and self.has_answer():
-            self.server.record_cut(self._describe_cut())
+        if self.socket is None:
+            return
+        is_cut = self.connected and self.has_answer()
+        cut = self._describe_cut() if is_cut else None
         super().handle_close()
         if self.request is not None:
             self.request.close()
+        if cut is not None:
+            self.server.record_cut(cut)
+
+    def drop(self, reason: CloseReason) -> None:
+        """Close the connection after an exception; raises none itself."""
+        self._close_reason = reason
+        with contextlib.suppress(Exception):
+            self.handle_close()
+        # It closes nothing if the cut can't be described.
+        with contextlib.suppress(Exception):
+            super().handle_close()
 
     def abandon(self) -> None:
         """Close an inactive connection, even if its caller reads nothing.
--- a/mintsaddle/callers/_cuts.py
+++ b/mintsaddle/callers/_cuts.py
@@ -22,6 +22,9 @@
     ELSEWHERE = "elsewhere"
     """Callers are served better by other entries."""
 
+    FAILURE = "failure"
+    """Serving it raised an exception."""
+
 
 class CutConnection(NamedTuple):
     """A connection that was closed before its requests were answered."""
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from waitress.server import TcpWSGIServer, create_server
-
 from mintsaddle.callers._arriving import ArrivalLimits
 from mintsaddle.callers._bodies import RequestBuffers
-from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason, CutConnection
+from mintsaddle.callers._listener import CallerListener
+from mintsaddle.callers._loop import PAUSE_SECONDS, ServingLoop
 from mintsaddle.callers._refusals import (
     RefuseFault,
     ScreenRequest,
@@ -25,6 +24,7 @@
     ParsingTurns,
 )
 from mintsaddle.engines import is_readable
+from mintsaddle.process import FailureLog
 from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, RequestLimits
 
 _REFUSAL_THREADS = 4
@@ -92,6 +92,8 @@
         limits: RequestLimits = DEFAULT_REQUEST_LIMITS,
         screen: ScreenRequest = accept_any,
         refuse: RefuseFault = refuse_plainly,
+        failures: FailureLog | None = None,
+        name: str = "callers",
     ) -> None:
         """Create the server.
 
@@ -108,6 +110,8 @@
             limits: What the requests of all callers may take together.
             screen: Refuses a request by its head while its body arrives.
             refuse: Renders and records the refusals of the server itself.
+            failures: Records exceptions of connections and of the server.
+            name: Name of the server in that record, and of its thread.
         """
         self._max_connections = max_connections
         self._limits = limits
@@ -116,25 +120,28 @@
         self._is_listening = True
         self._dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
         self._dispatcher.set_thread_count(min(INITIAL_THREADS, max_callers))
-        self._server: TcpWSGIServer = create_server(
+        self._failures = failures or FailureLog()
+        self._name = name
+        self._server = CallerListener(
             app,
+            dispatcher=self._dispatcher,
             listen=address,
-            _dispatcher=self._dispatcher,
             backlog=_BACKLOG,
             connection_limit=max_connections,
             cleanup_interval=_CLEANUP_SECONDS,
             recv_bytes=_READ_BYTES,
             outbuf_high_watermark=MAX_UNSENT_BYTES,
             channel_request_lookahead=1,
-            asyncore_use_poll=True,
             ident=None,
             clear_untrusted_proxy_headers=False,
             # The app logs truncated streams and callers that disconnect.
             log_socket_errors=False,
         )
-        self._server.channel_class = CallerChannel
+        self._server.record_failure = self._record_failure
         self._server.should_close_connections = should_close_connections
-        self._upkeep = ConnectionUpkeep(self._server, max_connections)
+        self._upkeep = ConnectionUpkeep(
+            self._server, max_connections, self._record_failure
+        )
         self._server.is_crowded = self._upkeep.is_crowded
         self._server.record_cut = record_cut
         self._server.buffers = self._buffers
@@ -182,7 +189,7 @@
 
     def start(self) -> None:
         """Start serving in a separate thread."""
-        threading.Thread(target=self._server.run, name="callers", daemon=True).start()
+        threading.Thread(target=self._run, name=self._name, daemon=True).start()
 
     def set_limits(
         self, limits: CallerLimits, requests: RequestLimits | None = None
@@ -235,25 +242,42 @@
         """Close connections without a request; callers open new ones."""
         self._upkeep.close_all(self._upkeep.channels(), CloseReason.ELSEWHERE)
 
+    def _run(self) -> None:
+        loop = ServingLoop(self._server._map, self._failures, self._name)
+        while True:
+            try:
+                loop.run_pass()
+            except Exception:
+                self._record_failure()
+                time.sleep(PAUSE_SECONDS)
+
+    def _record_failure(self) -> None:
+        self._failures.record(self._name)
+
     def _stop_listening(self) -> None:
         """Close the listening socket; called in the server's loop.
 
         Callers whose connections the kernel has accepted may have sent their
         requests; the others must not wait for the end of the process.
         """
-        for _ in range(_BACKLOG):
-            if not is_readable(self._server.socket, 0.0):
-                break
-            self._server.handle_accept()
+        with self._failures.contain(self._name):
+            for _ in range(_BACKLOG):
+                if not is_readable(self._server.socket, 0.0):
+                    break
+                self._server.handle_accept()
         self._server.del_channel()
         self._server.socket.close()
         self._is_listening = False
 
     def _maintain(self, _: float) -> None:
         """Close idle connections; called in the server's loop."""
-        self._upkeep.close_expired()
-        self._upkeep.refuse_excess()
-        self._upkeep.close_excess()
+        for step in (
+            self._upkeep.close_expired,
+            self._upkeep.refuse_excess,
+            self._upkeep.close_excess,
+        ):
+            with self._failures.contain(self._name):
+                step()
 
     def _receive_bytes(self) -> int:
         """Return the size of a connection's receive buffer."""
--- a/mintsaddle/callers/_upkeep.py
+++ b/mintsaddle/callers/_upkeep.py
@@ -1,7 +1,7 @@
 """Which connections are closed while the server runs."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from mintsaddle.callers._connections import CallerChannel
@@ -28,14 +28,18 @@
     Its methods are called in the server's loop, if not stated otherwise.
     """
 
-    def __init__(self, server: Any, max_connections: int) -> None:
+    def __init__(
+        self, server: Any, max_connections: int, record_failure: Callable[[], None]
+    ) -> None:
         """Set up the upkeep.
 
         Args:
             server: The server, as waitress runs it.
             max_connections: How many connections are open at the same time.
+            record_failure: Records the exception that is being handled.
         """
         self._server = server
+        self._record_failure = record_failure
         self._max_connections = max_connections
         self._max_unfinished = max_connections
         self._looked_at: Instant = time.monotonic()
@@ -68,13 +72,11 @@
         idle_seconds = self._server.adj.channel_timeout
         has_read = self._has_read()
         for channel in self.channels():
-            request = channel.request
-            if request is not None and request.is_late and has_read:
-                has_head = request.headers_finished
-                fault = RequestFault.SLOW_BODY if has_head else RequestFault.SLOW_HEAD
-                channel.refuse_arriving(fault)
-            elif channel.is_inactive(idle_seconds):
-                channel.abandon()
+            try:
+                _end_if_expired(channel, idle_seconds, has_read=has_read)
+            except Exception:
+                self._record_failure()
+                channel.drop(CloseReason.FAILURE)
 
     def refuse_excess(self) -> None:
         """Refuse the requests that arrive for longest if many do."""
@@ -121,3 +123,15 @@
         """Return whether callers should close their connections."""
         kept = self._max_connections * KEPT_CONNECTIONS_SHARE
         return len(self._server.active_channels) > kept
+
+
+def _end_if_expired(
+    channel: CallerChannel, idle_seconds: float, *, has_read: bool
+) -> None:
+    request = channel.request
+    if request is not None and request.is_late and has_read:
+        has_head = request.headers_finished
+        fault = RequestFault.SLOW_BODY if has_head else RequestFault.SLOW_HEAD
+        channel.refuse_arriving(fault)
+    elif channel.is_inactive(idle_seconds):
+        channel.abandon()
