Start long-lived threads in one place, and again after an exception

Cause: each thread was started by hand, and most had no guard. The guard of `follow` didn't cover the pause in which it waited after a failure.

Change: a Supervisor starts the threads callers, readiness, metrics, follow, peers, maps, groups, paths, limits, watchdog and those of entry and endpoint daemons. Whatever a thread raises is counted (mintsaddle_failures{loop}), logged with its traceback within limits, and the thread runs on: at once after a first failure, then after pauses of 0.05 to 1 s. What comes while that is handled ends the thread; the main thread starts it anew within 0.25 s, also during a planned stop. If a loop that callers need fails ten times in a row, or the main thread ends, the process exits with 1, without joining threads, and the platform starts it again. The steps of "limits" don't depend on each other now.

Ruled out: a guard in each thread, seven copies with the same gap; ending the process at each exception, which cuts all streams for one.

--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -1,16 +1,15 @@
 """The HTTP server for callers, based on waitress."""
 
 import socket
-import threading
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, NoReturn
 
 from mintsaddle.callers._arriving import ArrivalLimits
 from mintsaddle.callers._bodies import RequestBuffers
 from mintsaddle.callers._cuts import CloseReason, CutConnection
 from mintsaddle.callers._listener import CallerListener
-from mintsaddle.callers._loop import PAUSE_SECONDS, ServingLoop
+from mintsaddle.callers._loop import ServingLoop
 from mintsaddle.callers._refusals import (
     RefuseFault,
     ScreenRequest,
@@ -24,7 +23,7 @@
     ParsingTurns,
 )
 from mintsaddle.engines import is_readable
-from mintsaddle.process import FailureLog
+from mintsaddle.process import FailureLog, Supervisor
 from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, RequestLimits
 
 _REFUSAL_THREADS = 4
@@ -137,6 +136,7 @@
             # The app logs truncated streams and callers that disconnect.
             log_socket_errors=False,
         )
+        self._loop = ServingLoop(self._server._map, self._failures, self._name)
         self._server.record_failure = self._record_failure
         self._server.should_close_connections = should_close_connections
         self._upkeep = ConnectionUpkeep(
@@ -187,9 +187,9 @@
         """Bytes that they may hold."""
         return self._buffers.limit
 
-    def start(self) -> None:
-        """Start serving in a separate thread."""
-        threading.Thread(target=self._run, name=self._name, daemon=True).start()
+    def start(self, supervisor: Supervisor) -> None:
+        """Start serving in a thread of its own."""
+        supervisor.start(self._name, self._run, is_vital=True)
 
     def set_limits(
         self, limits: CallerLimits, requests: RequestLimits | None = None
@@ -242,14 +242,9 @@
         """Close connections without a request; callers open new ones."""
         self._upkeep.close_all(self._upkeep.channels(), CloseReason.ELSEWHERE)
 
-    def _run(self) -> None:
-        loop = ServingLoop(self._server._map, self._failures, self._name)
+    def _run(self) -> NoReturn:
         while True:
-            try:
-                loop.run_pass()
-            except Exception:
-                self._record_failure()
-                time.sleep(PAUSE_SECONDS)
+            self._loop.run_pass()
 
     def _record_failure(self) -> None:
         self._failures.record(self._name)
--- a/mintsaddle/callers/tests/test_failing_callbacks.py
+++ b/mintsaddle/callers/tests/test_failing_callbacks.py
@@ -16,7 +16,7 @@
 from mintsaddle.callers._listener import CallerListener
 from mintsaddle.callers._server import CallerServer
 from mintsaddle.platform.tests.standins import free_ports, wait_for
-from mintsaddle.process import FailureLog
+from mintsaddle.process import FailureLog, Supervisor
 
 ERRORS = [
     RuntimeError("odd"),
@@ -101,7 +101,7 @@
         record_cut=record_cut or cuts.append,
         failures=failures,
     )
-    server.start()
+    server.start(Supervisor(failures))
     return Running(port, server, failures, cuts)
 
 
--- a/mintsaddle/callers/tests/test_server.py
+++ b/mintsaddle/callers/tests/test_server.py
@@ -16,6 +16,7 @@
 from mintsaddle.callers._server import CallerServer
 from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.platform.tests.standins import free_ports, wait_for
+from mintsaddle.process import Supervisor
 
 LIMITS = CallerLimits(
     header_bytes=16_384, body_bytes=4_194_304, header_seconds=3.0, idle_seconds=15.0
@@ -54,7 +55,7 @@
         # left of an answer as soon as the caller reads on.
         listener = self.server._server.socket
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        self.server.start()
+        self.server.start(Supervisor())
 
     def _answer(self, environ: dict[str, Any], start: Any) -> Iterator[bytes]:
         self.begun.add(environ["PATH_INFO"])
--- a/mintsaddle/callers/tests/test_waiting_requests.py
+++ b/mintsaddle/callers/tests/test_waiting_requests.py
@@ -10,6 +10,7 @@
 
 from mintsaddle.callers import CallerServer
 from mintsaddle.platform.tests.standins import free_ports, wait_for
+from mintsaddle.process import Supervisor
 
 MAX_CONNECTIONS = 20
 MEMORY_MEGABYTES = 16.0
@@ -37,7 +38,7 @@
             record_cut=lambda _: None,
             memory_megabytes=MEMORY_MEGABYTES,
         )
-        self.server.start()
+        self.server.start(Supervisor())
         self.connection = socket.socket()
         self.connection.settimeout(10.0)
         self.connection.connect(("127.0.0.1", port))
--- a/mintsaddle/daemon/_serve.py
+++ b/mintsaddle/daemon/_serve.py
@@ -7,7 +7,7 @@
 from mintsaddle.daemon._follow import follow_configuration
 from mintsaddle.daemon._node import DaemonNode
 from mintsaddle.observe import make_logger
-from mintsaddle.process import SignalReceiver
+from mintsaddle.process import SignalReceiver, Supervisor
 from mintsaddle.transport import BoundedServer, PeerLimits
 
 MAX_PEER_CONNECTIONS = 400
@@ -40,9 +40,13 @@
     return server
 
 
-def wait_for_stop() -> None:
-    """Block until SIGTERM or SIGINT; must run in the main thread."""
+def wait_for_stop(supervisor: Supervisor) -> None:
+    """Block until SIGTERM or SIGINT; must run in the main thread.
+
+    Raises:
+        BeyondHelpError: The process can't go on without one of its threads.
+    """
     receiver = SignalReceiver(signal.SIGTERM, signal.SIGINT)
     while not receiver.wait(_SIGNAL_POLL_SECONDS):
-        pass
+        supervisor.check()
     _log.info("Received a stop signal.")
--- a/mintsaddle/decisions/supervision/__init__.py
+++ b/mintsaddle/decisions/supervision/__init__.py
@@ -7,11 +7,23 @@
     ReportLimit,
     take_report,
 )
+from mintsaddle.decisions.supervision._restarts import (
+    MAX_PAUSE_SECONDS,
+    SOUND_SECONDS,
+    Restarts,
+    is_beyond_help,
+    record_failure,
+)
 
 __all__ = [
+    "MAX_PAUSE_SECONDS",
     "REPORTS_PER_PERIOD",
     "REPORT_PERIOD_SECONDS",
+    "SOUND_SECONDS",
     "Report",
     "ReportLimit",
+    "Restarts",
+    "is_beyond_help",
+    "record_failure",
     "take_report",
 ]
--- a/mintsaddle/direct/_drain.py
+++ b/mintsaddle/direct/_drain.py
@@ -5,13 +5,22 @@
 from mintsaddle.callers import CallerServer
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.process import Supervisor
 
+_CHECK_SECONDS = 0.25
 
-def drain(gateway: Gateway, app: DirectApp, server: CallerServer) -> None:
+
+def drain(
+    gateway: Gateway, app: DirectApp, server: CallerServer, supervisor: Supervisor
+) -> None:
     """Fail the readiness check, then wait until all connections have ended."""
     schedule = gateway.begin_drain()
-    time.sleep(max(0.0, schedule.accept_until - gateway.now()))
-    server.drain(
-        has_calls=lambda: app.open_calls > 0,
-        must_end=lambda: gateway.now() >= schedule.exit_at,
-    )
+    while (seconds_left := schedule.accept_until - gateway.now()) > 0:
+        time.sleep(min(seconds_left, _CHECK_SECONDS))
+        supervisor.check()
+
+    def must_end() -> bool:
+        supervisor.check()
+        return gateway.now() >= schedule.exit_at
+
+    server.drain(has_calls=lambda: app.open_calls > 0, must_end=must_end)
--- a/mintsaddle/direct/_follow.py
+++ b/mintsaddle/direct/_follow.py
@@ -16,6 +16,7 @@
 from mintsaddle.direct._gateway import PLATFORM_SOURCE, Gateway, describe_position
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import StoreClient, StoreProblem, is_followed_key
+from mintsaddle.process import Supervisor
 from mintsaddle.values import Instant
 
 IDLE_INTERVAL_SECONDS = 0.2
@@ -28,23 +29,9 @@
 _log = make_logger("directory")
 
 
-def start_store_polling(gateway: Gateway) -> None:
+def start_store_polling(gateway: Gateway, supervisor: Supervisor) -> None:
     """Start a thread that polls the store until the process ends."""
-    threading.Thread(
-        target=_poll_forever, args=(gateway,), name="follow", daemon=True
-    ).start()
-
-
-def _poll_forever(gateway: Gateway) -> None:
-    """Poll the store; start again after any exception."""
-    while True:
-        try:
-            _StorePoller(gateway).run()
-        except Exception:
-            _log.exception("Polling the store failed; retrying.")
-            threading.Event().wait(
-                gateway.settings.propagation_time * RETRY_INTERVAL_FRACTION
-            )
+    supervisor.start("follow", lambda: _StorePoller(gateway).run())
 
 
 class _StorePoller:
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -1,21 +1,24 @@
 """Checks whether groups that are down have formed again."""
 
 import threading
+from functools import partial
+from typing import NoReturn
 
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._rank_calls import RankCalls
+from mintsaddle.process import Supervisor
 
 CHECK_INTERVAL_SECONDS = 0.15
 """Seconds between two checks of a group: a fraction of the 0.6 s that a group
 takes to form. Each check costs about as much as a health check."""
 
 
-def start_group_checks(gateway: Gateway) -> None:
-    """Start a daemon thread that checks groups until the process ends."""
-    threading.Thread(target=_run, args=(gateway,), name="groups", daemon=True).start()
+def start_group_checks(gateway: Gateway, supervisor: Supervisor) -> None:
+    """Start a thread that checks groups until the process ends."""
+    supervisor.start("groups", partial(_run, gateway))
 
 
-def _run(gateway: Gateway) -> None:
+def _run(gateway: Gateway) -> NoReturn:
     pause = threading.Event()
     calls = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
     while True:
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -1,6 +1,5 @@
 """Management of rank groups' expert maps; each group is a duty of its own."""
 
-import threading
 import time
 
 from mintsaddle.decisions.direct import Membership, shortest_allowed_pause
@@ -23,6 +22,7 @@
 from mintsaddle.direct._rank_groups import RankGroup, find_rank_groups
 from mintsaddle.direct._switches import REPORT_WAIT_SECONDS, SwitchRunner
 from mintsaddle.observe import fields, make_logger
+from mintsaddle.process import Supervisor
 from mintsaddle.values import MILLISECONDS
 
 POLL_SECONDS = 0.5
@@ -64,9 +64,9 @@
         self._has_reachable_group = False
         self._known_maps: dict[str, tuple[int, ExpertMap | None]] = {}
 
-    def start(self) -> None:
+    def start(self, supervisor: Supervisor) -> None:
         """Start the thread."""
-        threading.Thread(target=self._run, name="maps", daemon=True).start()
+        supervisor.start("maps", self._run)
 
     def _run(self) -> None:
         while True:
--- a/mintsaddle/direct/_pages.py
+++ b/mintsaddle/direct/_pages.py
@@ -1,10 +1,11 @@
 """Small pages, such as readiness and metrics."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from mintsaddle.callers import CallerServer
 from mintsaddle.decisions.direct import CallerLimits
+from mintsaddle.process import Supervisor
 
 PAGE_CONNECTIONS = 48
 """Connections for pages at each address. The balancer and the collector of
@@ -17,13 +18,16 @@
 
 
 def serve_pages(
-    addresses: Iterable[str], pages: dict[str, Callable[[], tuple[str, str]]]
+    addresses: Mapping[str, str],
+    pages: dict[str, Callable[[], tuple[str, str]]],
+    supervisor: Supervisor,
 ) -> None:
     """Serve small pages, such as readiness, in threads of their own.
 
     Args:
-        addresses: IP and port of each listener.
+        addresses: IP and port of each listener, by the name of its thread.
         pages: For each path, a function that returns status line and text.
+        supervisor: Starts the threads.
     """
 
     def app(environ: dict[str, Any], start: Any) -> list[bytes]:
@@ -32,7 +36,7 @@
         start(status, [("Content-Type", "text/plain; charset=utf-8")])
         return [text.encode()]
 
-    for address in addresses:
+    for name, address in addresses.items():
         server = CallerServer(
             app,
             address,
@@ -41,6 +45,8 @@
             max_connections=PAGE_CONNECTIONS,
             record_cut=lambda _: None,
             memory_megabytes=_PAGE_MEMORY_MEGABYTES,
+            failures=supervisor.failures,
+            name=name,
         )
         server.set_limits(_PAGE_LIMITS)
-        server.start()
+        server.start(supervisor)
--- a/mintsaddle/direct/_paths.py
+++ b/mintsaddle/direct/_paths.py
@@ -3,24 +3,25 @@
 import threading
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from typing import NoReturn
 
 from mintsaddle.decisions.direct import ENDPOINTS_PER_CHECK
 from mintsaddle.direct._engine_checks import EngineState, check_engine
 from mintsaddle.direct._gateway import Gateway
+from mintsaddle.process import Supervisor
 
 CHECK_SECONDS = 0.15
 """Timeout of a test connection, and interval between checks. Round trips take
 a few milliseconds within a region."""
 
 
-def start_checking_paths(gateway: Gateway) -> None:
+def start_checking_paths(gateway: Gateway, supervisor: Supervisor) -> None:
     """Start a thread that runs checks until the process ends."""
-    threading.Thread(
-        target=_check_forever, args=(gateway,), name="paths", daemon=True
-    ).start()
+    supervisor.start("paths", partial(_check_forever, gateway))
 
 
-def _check_forever(gateway: Gateway) -> None:
+def _check_forever(gateway: Gateway) -> NoReturn:
     pause = threading.Event()
     with ThreadPoolExecutor(ENDPOINTS_PER_CHECK + 1, "paths") as pool:
         while True:
--- a/mintsaddle/direct/_peer_start.py
+++ b/mintsaddle/direct/_peer_start.py
@@ -10,6 +10,7 @@
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._peers import PeerExchange
 from mintsaddle.observe import make_logger
+from mintsaddle.process import Supervisor
 from mintsaddle.transport import BoundedServer, LoopThread
 from mintsaddle.values import Instant
 
@@ -19,9 +20,11 @@
 _log = make_logger("peers")
 
 
-def start_peer_exchange(gateway: Gateway, membership: Membership) -> None:
+def start_peer_exchange(
+    gateway: Gateway, membership: Membership, supervisor: Supervisor
+) -> None:
     """Start gossip in an event loop and thread of its own."""
-    loop_thread = LoopThread("peers")
+    loop_thread = LoopThread("peers", supervisor)
     loop_thread.start()
     exchange = loop_thread.submit(_start(gateway, membership)).result()
     permits = exchange.permits
--- a/mintsaddle/direct/_program.py
+++ b/mintsaddle/direct/_program.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from mintsaddle.direct._run import run_direct
-from mintsaddle.observe import start_logging, stop_logging
+from mintsaddle.observe import make_logger, start_logging, stop_logging
 from mintsaddle.platform import load_direct_settings
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import render_findings
@@ -15,6 +15,11 @@
 EXIT_BAD_SETTINGS = 2
 """Exit code for invalid settings."""
 
+EXIT_FAILURE = 1
+"""Exit code after an exception; the platform starts the process again."""
+
+_log = make_logger("daemon")
+
 
 def run_settings_file(path: str) -> NoReturn:
     """Run a direct entry with a settings file until a stop signal.
@@ -32,8 +37,12 @@
             sys.exit(EXIT_BAD_SETTINGS)
         case Success(settings):
             start_logging(settings.log_level)
-            code = run_direct(settings, reload)
+            try:
+                code = run_direct(settings, reload)
+            except BaseException:
+                _log.exception("Ending after an exception.")
+                code = EXIT_FAILURE
     stop_logging()
     # A normal exit would join threads, which may be blocked in a watch of the
-    # store.
+    # store, and callers would go on meeting a process without its main thread.
     os._exit(code)
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -1,13 +1,11 @@
 """Startup, main loop and shutdown of a direct entry."""
 
 import signal
-import threading
-import time
 from collections.abc import Callable
 from functools import partial
 
 from mintsaddle.callers import CallerServer, CutConnection, render_cut
-from mintsaddle.decisions.direct import CallerLimits, Membership
+from mintsaddle.decisions.direct import Membership
 from mintsaddle.direct._app import DirectApp
 from mintsaddle.direct._capacity import max_callers, max_connections
 from mintsaddle.direct._drain import drain
@@ -19,12 +17,13 @@
 from mintsaddle.direct._pages import serve_pages
 from mintsaddle.direct._paths import start_checking_paths
 from mintsaddle.direct._peer_start import start_peer_exchange
-from mintsaddle.direct._server_metrics import render_limits, render_server
+from mintsaddle.direct._server_metrics import render_failures, render_server
+from mintsaddle.direct._upkeep import start_upkeep
 from mintsaddle.direct._watchdog import Watchdog
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform import READY_PATH, read_request_head
-from mintsaddle.process import SignalReceiver
-from mintsaddle.settings import DirectSettings, RequestLimits
+from mintsaddle.process import SignalReceiver, Supervisor
+from mintsaddle.settings import DirectSettings
 
 METRICS_PATH = "/metrics"
 
@@ -33,7 +32,6 @@
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _SIGNAL_POLL_SECONDS = 0.25
-_MAINTENANCE_INTERVAL_SECONDS = 0.5
 _log = make_logger("daemon")
 
 
@@ -48,6 +46,7 @@
     """
     # Without a handler, SIGHUP ends the process.
     signals = SignalReceiver(*_STOP_SIGNALS, signal.SIGHUP)
+    supervisor = Supervisor()
     gateway = Gateway(settings)
     watchdog = Watchdog(gateway.now)
     callers = max_callers(settings)
@@ -67,16 +66,19 @@
         settings.requests,
         app.screening.screen,
         app.screening.refuse_fault,
+        supervisor.failures,
     )
+    pages = {"readiness": settings.ready, "metrics": settings.metrics}
     serve_pages(
-        [address for address in (settings.ready, settings.metrics) if address],
+        {name: address for name, address in pages.items() if address},
         {
             READY_PATH: lambda: _render_readiness(gateway),
-            METRICS_PATH: lambda: _render_metrics(gateway, app, server),
+            METRICS_PATH: lambda: _render_metrics(gateway, app, server, supervisor),
         },
+        supervisor,
     )
-    watchdog.start()
-    start_store_polling(gateway)
+    watchdog.start(supervisor)
+    start_store_polling(gateway, supervisor)
     membership = Membership(
         settings.vm,
         settings.control,
@@ -84,17 +86,15 @@
         gateway.now(),
         settings.data_centre,
     )
-    start_peer_exchange(gateway, membership)
-    MapCoordinator(gateway, membership).start()
-    start_group_checks(gateway)
-    start_checking_paths(gateway)
-    threading.Thread(
-        target=_run_maintenance, args=(gateway, server), name="limits", daemon=True
-    ).start()
-    server.start()
+    start_peer_exchange(gateway, membership, supervisor)
+    MapCoordinator(gateway, membership).start(supervisor)
+    start_group_checks(gateway, supervisor)
+    start_checking_paths(gateway, supervisor)
+    start_upkeep(gateway, server, supervisor)
+    server.start(supervisor)
     _log.info("Started %s.", fields(vm=settings.vm, callers=settings.callers))
-    _wait_for_stop(gateway, signals, reload)
-    drain(gateway, app, server)
+    _wait_for_stop(gateway, signals, reload, supervisor)
+    drain(gateway, app, server, supervisor)
     _log.info(
         "Stopped %s.",
         fields(vm=settings.vm, open=app.open_calls, **server.load._asdict()),
@@ -106,8 +106,9 @@
     gateway: Gateway,
     signals: SignalReceiver,
     reload: Callable[[], DirectSettings | None],
+    supervisor: Supervisor,
 ) -> None:
-    """Wait for a stop signal, and reload the settings meanwhile.
+    """Wait for a stop signal; reload settings and check threads meanwhile.
 
     The settings file may also change without a signal.
     """
@@ -119,6 +120,7 @@
             read_at = gateway.now()
             _reload(gateway, reload)
         received = signals.wait(_SIGNAL_POLL_SECONDS)
+        supervisor.check()
 
 
 def _reload(gateway: Gateway, reload: Callable[[], DirectSettings | None]) -> None:
@@ -143,7 +145,7 @@
 
 
 def _render_metrics(
-    gateway: Gateway, app: DirectApp, server: CallerServer
+    gateway: Gateway, app: DirectApp, server: CallerServer, supervisor: Supervisor
 ) -> tuple[str, str]:
     lines = gateway.metrics.lines()
     with gateway.lock:
@@ -152,23 +154,5 @@
     lines.append(f"mintsaddle_open_calls {app.open_calls}")
     lines.append(f"mintsaddle_answer_bytes {gateway.answers.used_bytes}")
     lines += render_server(server)
+    lines += render_failures(supervisor.failures)
     return "200 OK", "\n".join(sorted(lines)) + "\n"
-
-
-def _run_maintenance(gateway: Gateway, server: CallerServer) -> None:
-    applied_limits: tuple[CallerLimits, RequestLimits] | None = None
-    while True:
-        table = gateway.directory.table
-        if table is not None:
-            limits = (table.limits, gateway.settings.requests)
-            if limits != applied_limits:
-                applied_limits = limits
-                server.set_limits(*limits)
-                _log.info("Limits %s.", render_limits(server, *limits))
-        if gateway.is_cut_off():
-            server.close_idle()
-        with gateway.lock:
-            gateway.overload.end_overloads(gateway.now())
-        gateway.quarantine.discard_expired()
-        gateway.pool.sweep(gateway.directory.endpoints.keys())
-        time.sleep(_MAINTENANCE_INTERVAL_SECONDS)
--- a/mintsaddle/direct/_server_metrics.py
+++ b/mintsaddle/direct/_server_metrics.py
@@ -3,6 +3,7 @@
 from mintsaddle.callers import CallerServer
 from mintsaddle.decisions.direct import CallerLimits
 from mintsaddle.observe import fields
+from mintsaddle.process import FailureLog
 from mintsaddle.settings import RequestLimits
 
 
@@ -20,6 +21,14 @@
     return [f"mintsaddle_{name} {value}" for name, value in values.items()]
 
 
+def render_failures(failures: FailureLog) -> list[str]:
+    """Return how many exceptions each loop of the process has survived."""
+    return [
+        f'mintsaddle_failures{{loop="{name}"}} {count}'
+        for name, count in failures.counts.items()
+    ]
+
+
 def render_limits(
     server: CallerServer, limits: CallerLimits, requests: RequestLimits
 ) -> str:
--- a/mintsaddle/direct/_watchdog.py
+++ b/mintsaddle/direct/_watchdog.py
@@ -6,9 +6,10 @@
 
 import threading
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 from mintsaddle.direct._exchange import Exchange
+from mintsaddle.process import Supervisor
 from mintsaddle.values import Instant
 
 POLL_SECONDS = 0.1
@@ -34,9 +35,9 @@
         self._watched: set[WatchedExchange] = set()
         self._changed = threading.Condition()
 
-    def start(self) -> None:
+    def start(self, supervisor: Supervisor) -> None:
         """Start the thread."""
-        threading.Thread(target=self._run, name="watchdog", daemon=True).start()
+        supervisor.start("watchdog", self._run)
 
     def add(self, watched: WatchedExchange) -> None:
         """Start to monitor an exchange."""
@@ -60,7 +61,7 @@
             if watched_exchange in self._watched:
                 watched_exchange.exchange.abort()
 
-    def _run(self) -> None:
+    def _run(self) -> NoReturn:
         pause = threading.Event()
         while True:
             with self._changed:
--- a/mintsaddle/endpoint/_run.py
+++ b/mintsaddle/endpoint/_run.py
@@ -28,6 +28,7 @@
 from mintsaddle.endpoint._service import CallService
 from mintsaddle.engines import probe_engine
 from mintsaddle.observe import make_logger
+from mintsaddle.process import Supervisor
 from mintsaddle.settings import Settings
 from mintsaddle.transport import LoopThread, read_bequest, write_load
 from mintsaddle.transport.proto import peer_pb2 as pb
@@ -55,13 +56,14 @@
 
     Requests in flight are finished before it returns.
     """
-    loop_thread = LoopThread("mintsaddle")
+    supervisor = Supervisor()
+    loop_thread = LoopThread("mintsaddle", supervisor)
     node = DaemonNode(settings, loop_thread)
     state = EndpointState(settings.vm, node.boot, node.boot_at, node.configuration)
     host = EndpointHost(node, state)
     loop_thread.start()
     loop_thread.submit(_start(host)).result()
-    wait_for_stop()
+    wait_for_stop(supervisor)
     loop_thread.submit(_shut_down(host)).result()
     loop_thread.stop()
     _log.info("Stopped after all calls ended.")
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -14,6 +14,7 @@
 from mintsaddle.entry._refusals import refuse_fault
 from mintsaddle.entry._requests import MAX_BODY_BYTES
 from mintsaddle.observe import make_logger
+from mintsaddle.process import Supervisor
 from mintsaddle.settings import Settings
 from mintsaddle.transport import LoopThread, read_load, read_stamp, write_stamp
 from mintsaddle.transport.proto import peer_pb2 as pb
@@ -39,7 +40,8 @@
 
 def run_entry(settings: Settings) -> int:
     """Run an entry daemon until a stop signal, then finish open calls."""
-    loop_thread = LoopThread("mintsaddle")
+    supervisor = Supervisor()
+    loop_thread = LoopThread("mintsaddle", supervisor)
     node = DaemonNode(settings, loop_thread)
     routing = RoutingState(settings.vm, settings.data_centre)
     app = EntryApp(node, routing)
@@ -53,13 +55,14 @@
         settings.memory / _MEGABYTE,
         settings.requests,
         refuse=refuse_fault,
+        failures=supervisor.failures,
     )
     server.set_limits(_CALLER_LIMITS)
     loop_thread.start()
     loop_thread.submit(_start(node, routing, app)).result()
-    server.start()
+    server.start(supervisor)
     _log.info("Serving HTTP at %s.", settings.http)
-    wait_for_stop()
+    wait_for_stop(supervisor)
     _drain(node, app, server)
     loop_thread.stop()
     _log.info("Stopped after all calls ended.")
--- a/mintsaddle/entry/tests/test_calls.py
+++ b/mintsaddle/entry/tests/test_calls.py
@@ -15,6 +15,7 @@
 from mintsaddle.decisions.routing import RoutingState
 from mintsaddle.entry._calls import Delivery, EntryCall, ForwardedRequest, Outbox
 from mintsaddle.fleet import read_fleet
+from mintsaddle.process import Supervisor
 from mintsaddle.settings import Role, Settings
 from mintsaddle.transport import LoopThread
 from mintsaddle.transport.proto import peer_pb2 as pb
@@ -97,7 +98,7 @@
         grace=0.0,
         log_level="INFO",
     )
-    loop_thread = LoopThread("test")
+    loop_thread = LoopThread("test", Supervisor())
     node = DaemonNode(settings, loop_thread)
     text = FLEET_TEXT.format(address=address)
     adopt_text(node.configuration, 7, text, read_fleet)
--- /dev/null
+++ b/mintsaddle/platform/tests/failing_entry.py
@@ -0,0 +1,54 @@
+"""Runs an entry in whose threads exceptions can be raised from outside.
+
+A file beside the settings lists the threads, a name and an exception a line.
+Each line raises once, at whatever step the thread then is.
+"""
+
+import builtins
+import ctypes
+import sys
+import threading
+import time
+from pathlib import Path
+
+from mintsaddle.direct import run_settings_file
+from mintsaddle.platform import settings_path
+
+_POLL_SECONDS = 0.02
+
+
+def orders_path(settings: str) -> Path:
+    """Return the path of the file that lists threads."""
+    return Path(settings).with_suffix(".raise")
+
+
+def _raise_in(name: str, error: type[BaseException]) -> int:
+    threads = [thread for thread in threading.enumerate() if thread.name == name]
+    for thread in threads:
+        assert thread.ident is not None
+        ctypes.pythonapi.PyThreadState_SetAsyncExc(
+            ctypes.c_ulong(thread.ident), ctypes.py_object(error)
+        )
+    return len(threads)
+
+
+def _follow_orders(path: Path) -> None:
+    done = 0
+    while True:
+        time.sleep(_POLL_SECONDS)
+        if not path.exists():
+            continue
+        lines = path.read_text().splitlines()
+        for line in lines[done:]:
+            name, _, error = line.partition(" ")
+            count = _raise_in(name, getattr(builtins, error or "RuntimeError"))
+            sys.stdout.write(f"raised in {count} threads {name}\n")
+            sys.stdout.flush()
+        done = len(lines)
+
+
+if __name__ == "__main__":
+    threading.Thread(
+        target=_follow_orders, args=(orders_path(settings_path()),), daemon=True
+    ).start()
+    run_settings_file(settings_path())
--- /dev/null
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -0,0 +1,181 @@
+"""Exceptions in the long-lived threads of a real entry."""
+
+import re
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from mintsaddle.decisions.supervision import REPORTS_PER_PERIOD
+from mintsaddle.direct import EXIT_FAILURE
+from mintsaddle.platform.tests import standins
+from mintsaddle.platform.tests.failing_entry import orders_path
+from mintsaddle.platform.tests.standins import Site, wait_for
+
+FAILING_MODULE = "mintsaddle.platform.tests.failing_entry"
+THREADS = [
+    "callers",
+    "readiness",
+    "metrics",
+    "follow",
+    "peers",
+    "maps",
+    "groups",
+    "paths",
+    "limits",
+    "watchdog",
+]
+WAITING_THREADS = {"groups", "paths"}
+"""Threads without anything to check, in which nothing is raised until then."""
+
+FAILURES = 5
+INTERVAL_SECONDS = 0.6
+RAISING_SECONDS = 12.0
+SOUND_CALLS = 24
+REMOVAL_SECONDS = 2.0
+"""Time by when an endpoint that was removed gets no request."""
+
+MAX_LOGGED = 2 * REPORTS_PER_PERIOD
+"""Log lines of failures in a test, which takes less than two periods."""
+
+
+class FailingSite(Site):
+    """A site whose entries raise exceptions on order."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self._orders = orders_path(str(folder / "entry-1.toml"))
+        self._count = 0
+        self.module = FAILING_MODULE
+
+    def raise_in(self, thread: str, error: str = "RuntimeError") -> None:
+        """Raise an exception in a thread of the first entry."""
+        with self._orders.open("a") as file:
+            file.write(f"{thread} {error}\n")
+        self._count += 1
+        wait_for(lambda: len(self._raised()) >= self._count, "exception")
+        assert self._raised()[-1] == f"raised in 1 threads {thread}"
+
+    def _raised(self) -> list[str]:
+        return re.findall(r"^raised in .*", self.entry.log(), re.MULTILINE)
+
+    def failures(self) -> dict[str, int]:
+        """Return the failures that the entry has counted, by thread."""
+        found = re.findall(r'failures{loop="(.*)"} (\d+)', self.entry.fetch_metrics())
+        return {name: int(count) for name, count in found}
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[FailingSite]:
+    yield from standins.run(FailingSite(tmp_path))
+
+
+def raise_often(site: FailingSite, thread: str) -> None:
+    """Raise exceptions one by one, until the thread has survived some.
+
+    Python drops one that is raised in a destructor.
+    """
+    seconds = RAISING_SECONDS
+    if thread in WAITING_THREADS:
+        seconds = FAILURES * INTERVAL_SECONDS
+    end = time.monotonic() + seconds
+    while not has_survived(site, thread) and time.monotonic() < end:
+        site.raise_in(thread)
+        time.sleep(INTERVAL_SECONDS)
+        # Wakes up the threads that wait for something to do.
+        check_service(site, calls=1)
+
+
+def has_survived(site: FailingSite, thread: str) -> bool:
+    return site.failures().get(thread, 0) >= FAILURES
+
+
+def check_service(site: FailingSite, calls: int = SOUND_CALLS) -> None:
+    """Check what callers, the platform and the collector of metrics see."""
+    for number in range(calls):
+        assert site.entry.call("GET", f"/lookup/{number}")[0] == 200
+    assert site.entry.is_ready()
+    assert "mintsaddle_open_calls" in site.entry.fetch_metrics()
+
+
+class TestThreads:
+    @pytest.mark.parametrize("thread", THREADS)
+    def test_one_that_fails_runs_again(self, site: FailingSite, thread: str) -> None:
+        """Guards against a thread that is gone without a word."""
+        raise_often(site, thread)
+        check_service(site)
+        if thread not in WAITING_THREADS:
+            assert has_survived(site, thread)
+            assert f"Failure survived name={thread}" in site.entry.log()
+        assert site.entry.process.poll() is None
+
+    @pytest.mark.parametrize(
+        "error", ["SystemExit", "KeyboardInterrupt", "MemoryError"]
+    )
+    def test_any_exception_is_survived(self, site: FailingSite, error: str) -> None:
+        """Guards against a loop that takes an exception for its own end."""
+        for thread in ("callers", "readiness", "peers", "follow"):
+            site.raise_in(thread, error)
+            time.sleep(INTERVAL_SECONDS)
+        check_service(site)
+
+    def test_callers_lose_no_answer_meanwhile(self, site: FailingSite) -> None:
+        """Guards against connections that are forgotten as the loop fails."""
+        site.endpoints[0].default_responder = standins.stream_events(1, 9, pause=0.3)
+        site.endpoints[1].default_responder = standins.stream_events(1, 9, pause=0.3)
+        connections = [site.entry.open("POST", "/letter/1") for _ in range(4)]
+        for _ in range(3):
+            site.raise_in("callers")
+            time.sleep(INTERVAL_SECONDS)
+        for connection in connections:
+            response = connection.getresponse()
+            assert response.status == 200
+            assert response.read().count(b"data: piece") == 9
+
+
+class TestChanges:
+    @pytest.mark.parametrize("thread", ["follow", "peers", "limits"])
+    def test_a_removed_endpoint_gets_no_request(
+        self, site: FailingSite, thread: str
+    ) -> None:
+        """Guards against an entry that hears of no change any more."""
+        # Two in a row may come while the thread handles the first.
+        for _ in range(FAILURES):
+            site.raise_in(thread)
+        site.store.delete("servers/e-1")
+        time.sleep(REMOVAL_SECONDS)
+        before = len(site.endpoints[0].requests)
+        check_service(site)
+        assert len(site.endpoints[0].requests) == before
+
+
+class TestCallersThatLeave:
+    def test_their_endpoint_is_freed(self, site: FailingSite) -> None:
+        """Guards against endpoints that work for callers that have left."""
+        raise_often(site, "watchdog")
+        for endpoint in site.endpoints:
+            endpoint.default_responder = standins.never_respond
+        count = len(site.requests())
+        connection = site.entry.open("POST", "/order/1")
+        wait_for(lambda: len(site.requests()) > count, "request")
+        connection.close()
+        wait_for(
+            lambda: any(one.connection_closed.is_set() for one in site.endpoints),
+            "freed endpoint",
+        )
+
+
+class TestBeyondHelp:
+    def test_the_process_ends(self, site: FailingSite) -> None:
+        """Guards against an entry that stays without the loop it needs."""
+
+        def has_ended() -> bool:
+            if site.entry.process.poll() is None:
+                with site._orders.open("a") as file:
+                    file.write("callers\n" * 3)
+            return site.entry.process.poll() is not None
+
+        wait_for(has_ended, "end of the process")
+        assert site.entry.process.returncode == EXIT_FAILURE
+        assert site.entry.log().count("Failure survived") <= MAX_LOGGED
--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -2,5 +2,18 @@
 
 from mintsaddle.process._failures import FailureLog
 from mintsaddle.process._signals import SignalReceiver, clear_wakeup, open_wakeup
+from mintsaddle.process._supervisor import (
+    BeyondHelpError,
+    SupervisedThread,
+    Supervisor,
+)
 
-__all__ = ["FailureLog", "SignalReceiver", "clear_wakeup", "open_wakeup"]
+__all__ = [
+    "BeyondHelpError",
+    "FailureLog",
+    "SignalReceiver",
+    "SupervisedThread",
+    "Supervisor",
+    "clear_wakeup",
+    "open_wakeup",
+]
--- a/mintsaddle/transport/_loop.py
+++ b/mintsaddle/transport/_loop.py
@@ -1,11 +1,12 @@
 """The thread that runs the event loop of grpclib and all decisions."""
 
 import asyncio
-import threading
 from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
+from mintsaddle.process import SupervisedThread, Supervisor
+
 _Value = TypeVar("_Value")
 
 
@@ -16,11 +17,11 @@
     state needs no locks.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, supervisor: Supervisor) -> None:
+        self._name = name
+        self._supervisor = supervisor
         self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(
-            target=self._loop.run_forever, name=name, daemon=True
-        )
+        self._thread: SupervisedThread | None = None
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
@@ -29,7 +30,9 @@
 
     def start(self) -> None:
         """Start the thread."""
-        self._thread.start()
+        self._thread = self._supervisor.start(
+            self._name, self._loop.run_forever, is_vital=True
+        )
 
     def submit(self, coroutine: Coroutine[Any, Any, _Value]) -> "Future[_Value]":
         """Schedule a coroutine in the loop from another thread."""
@@ -42,4 +45,5 @@
     def stop(self) -> None:
         """Stop the loop and wait for its thread."""
         self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
+        if self._thread is not None:
+            self._thread.join()
