Let readiness tell whether callers are served

Cause: the readiness page is served by another thread, and asked only whether the configuration is known.

Change: readiness asks whether the callers' loop has lately ended a pass in which connections were accepted. An idle pass takes a second, and callers leave after another one, so 2 s count as lately.

Evidence: two cases of a blocked loop in a real process: not ready within 3 s and ready again once the loop goes on; the process exits with 1 if it stays blocked. Both can't pass before, as nothing asked the loop. An entry without descriptors for 3 s answers on kept connections and serves all calls once it has some.

--- a/mintsaddle/callers/_loop.py
+++ b/mintsaddle/callers/_loop.py
@@ -44,6 +44,19 @@
         self._paused: dict[int, Instant] = {}
         """Until when the listener or the wake-up pipe is left alone."""
 
+        self._passed_at: Instant = float("-inf")
+        self._sound_at: Instant = float("-inf")
+
+    @property
+    def passed_at(self) -> Instant:
+        """When the last pass ended, on the monotonic clock."""
+        return self._passed_at
+
+    @property
+    def sound_at(self) -> Instant:
+        """When a pass last ended with new connections being accepted."""
+        return self._sound_at
+
     def run_pass(self) -> None:
         """Wait for events and handle them.
 
@@ -72,6 +85,9 @@
                 _handle_events(dispatcher, events)
             except Exception as error:
                 self._handle_failure(descriptor, dispatcher, error)
+        self._passed_at = time.monotonic()
+        if not self._paused:
+            self._sound_at = self._passed_at
 
     def _handle_failure(
         self, descriptor: int, dispatcher: Any, error: Exception
--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -22,6 +22,7 @@
     CallerLimits,
     ParsingTurns,
 )
+from mintsaddle.decisions.supervision import is_alive
 from mintsaddle.engines import is_readable
 from mintsaddle.process import FailureLog, Supervisor
 from mintsaddle.settings import DEFAULT_REQUEST_LIMITS, RequestLimits
@@ -167,6 +168,11 @@
             sum(channel.total_outbufs_len for channel in channels),
         )
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers have been accepted and read lately."""
+        return is_alive(self._loop.sound_at, time.monotonic())
+
     @property
     def max_connections(self) -> int:
         """How many connections are open at the same time."""
@@ -190,6 +196,7 @@
     def start(self, supervisor: Supervisor) -> None:
         """Start serving in a thread of its own."""
         supervisor.start(self._name, self._run, is_vital=True)
+        supervisor.watch(self._name, lambda: self._loop.passed_at)
 
     def set_limits(
         self, limits: CallerLimits, requests: RequestLimits | None = None
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -72,7 +72,7 @@
     serve_pages(
         {name: address for name, address in pages.items() if address},
         {
-            READY_PATH: lambda: _render_readiness(gateway),
+            READY_PATH: lambda: _render_readiness(gateway, server),
             METRICS_PATH: lambda: _render_metrics(gateway, app, server, supervisor),
         },
         supervisor,
@@ -138,8 +138,9 @@
     _log.info("Connection cut %s %s.", fields(request=request_id), render_cut(cut))
 
 
-def _render_readiness(gateway: Gateway) -> tuple[str, str]:
-    if gateway.leaving or not gateway.is_initialized or gateway.is_cut_off():
+def _render_readiness(gateway: Gateway, server: CallerServer) -> tuple[str, str]:
+    may_serve = gateway.is_initialized and not gateway.leaving
+    if not may_serve or gateway.is_cut_off() or not server.is_serving:
         return "503 Service Unavailable", "not serving\n"
     return "200 OK", "serving\n"
 
--- a/mintsaddle/platform/tests/failing_entry.py
+++ b/mintsaddle/platform/tests/failing_entry.py
@@ -1,20 +1,27 @@
 """Runs an entry in whose threads exceptions can be raised from outside.
 
 A file beside the settings lists the threads, a name and an exception a line.
-Each line raises once, at whatever step the thread then is.
+Each line raises once, at whatever step the thread then is. A request with the
+header ``Block-Loop`` blocks the loop that reads it for so many seconds.
 """
 
 import builtins
 import ctypes
+import re
+import socket
 import sys
 import threading
 import time
 from pathlib import Path
 
+from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.direct import run_settings_file
 from mintsaddle.platform import settings_path
 
 _POLL_SECONDS = 0.02
+_PEEKED_BYTES = 4_096
+
+_handle_read = CallerChannel.handle_read
 
 
 def orders_path(settings: str) -> Path:
@@ -47,7 +54,16 @@
         done = len(lines)
 
 
+def _block_if_asked(channel: CallerChannel) -> None:
+    peeked = channel.socket.recv(_PEEKED_BYTES, socket.MSG_PEEK)
+    asked = re.search(rb"Block-Loop: (\d+)", peeked)
+    if asked:
+        time.sleep(int(asked[1]))
+    _handle_read(channel)
+
+
 if __name__ == "__main__":
+    CallerChannel.handle_read = _block_if_asked  # type: ignore[method-assign, assignment]
     threading.Thread(
         target=_follow_orders, args=(orders_path(settings_path()),), daemon=True
     ).start()
--- a/mintsaddle/platform/tests/test_failing_threads.py
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -1,13 +1,19 @@
 """Exceptions in the long-lived threads of a real entry."""
 
 import re
+import resource
+import socket
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from mintsaddle.decisions.supervision import REPORTS_PER_PERIOD
+from mintsaddle.decisions.supervision import (
+    MAX_SILENCE_SECONDS,
+    REPORTS_PER_PERIOD,
+    STALL_SECONDS,
+)
 from mintsaddle.direct import EXIT_FAILURE
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.failing_entry import orders_path
@@ -36,6 +42,10 @@
 REMOVAL_SECONDS = 2.0
 """Time by when an endpoint that was removed gets no request."""
 
+CONTACT_SECONDS = 3.0
+"""Time in which an entry that says it is ready takes a connection."""
+
+STALLED_SECONDS = 2 * (MAX_SILENCE_SECONDS + STALL_SECONDS)
 MAX_LOGGED = 2 * REPORTS_PER_PERIOD
 """Log lines of failures in a test, which takes less than two periods."""
 
@@ -166,6 +176,44 @@
         )
 
 
+class TestReadiness:
+    def test_an_entry_that_serves_nobody_is_not_ready(self, site: FailingSite) -> None:
+        """Guards against a check that another thread answers for the loop."""
+        site.entry.open("GET", "/lookup/1", Block_Loop="5")
+        blocked_at = time.monotonic()
+        wait_for(lambda: not site.entry.is_ready(), "entry out of service")
+        assert time.monotonic() - blocked_at < CONTACT_SECONDS
+        wait_for(site.entry.is_ready, "ready entry")
+        check_service(site)
+
+    def test_a_loop_that_stays_blocked_ends_the_process(
+        self, site: FailingSite
+    ) -> None:
+        """Guards against an entry that is out of service for good."""
+        site.entry.open("GET", "/lookup/1", Block_Loop="60")
+        assert site.entry.process.wait(STALLED_SECONDS) == EXIT_FAILURE
+
+
+class TestDescriptors:
+    def test_callers_are_accepted_once_there_are_some(self, site: FailingSite) -> None:
+        """Guards against a listener that gives up while it can accept none."""
+        pid = site.entry.process.pid
+        limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        kept = site.entry.open("GET", "/lookup/1")
+        assert kept.getresponse().read()
+        used = len(list(Path(f"/proc/{pid}/fd").iterdir()))
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, limits[1]))
+        waiting = socket.create_connection(("127.0.0.1", site.entry.front), 5.0)
+        time.sleep(CONTACT_SECONDS)
+        kept.request("GET", "/nowhere", headers=standins.make_caller_headers("a-2"))
+        # It knows neither store nor endpoints by then.
+        assert kept.getresponse().status in (404, 503)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        check_service(site)
+        waiting.close()
+        assert site.failures()["callers"] > 0
+
+
 class TestBeyondHelp:
     def test_the_process_ends(self, site: FailingSite) -> None:
         """Guards against an entry that stays without the loop it needs."""
--- a/mintsaddle/process/_supervisor.py
+++ b/mintsaddle/process/_supervisor.py
@@ -4,13 +4,20 @@
 import time
 from collections.abc import Callable
 
-from mintsaddle.decisions.supervision import Restarts, is_beyond_help, record_failure
+from mintsaddle.decisions.supervision import (
+    Restarts,
+    Stall,
+    is_beyond_help,
+    is_stalled_for_good,
+    record_check,
+    record_failure,
+)
 from mintsaddle.process._failures import FailureLog
 from mintsaddle.values import Clock, Instant
 
 
 class BeyondHelpError(Exception):
-    """A thread that the process can't do without ends again and again."""
+    """What the process can't do without fails again and again, or stalls."""
 
 
 class SupervisedThread:
@@ -117,6 +124,8 @@
         self._failures = failures or FailureLog()
         self._now = now
         self._threads: list[SupervisedThread] = []
+        self._passes: dict[str, Callable[[], Instant]] = {}
+        self._stalls: dict[str, Stall] = {}
 
     @property
     def failures(self) -> FailureLog:
@@ -144,8 +153,20 @@
         self._threads.append(thread)
         return thread
 
+    def watch(self, name: str, passed_at: Callable[[], Instant]) -> None:
+        """End the process if a loop makes no pass for long.
+
+        Args:
+            name: Name of the loop.
+            passed_at: Returns when the loop made its last pass.
+        """
+        self._passes[name] = passed_at
+        self._stalls[name] = Stall()
+
     def check(self) -> None:
-        """Start threads again that have ended; call it several times a second.
+        """Check threads and loops; call it several times a second.
+
+        Threads that have ended are started again.
 
         Raises:
             BeyondHelpError: The process must end, so that the platform starts
@@ -156,3 +177,8 @@
                 raise BeyondHelpError(thread.name)
             with self._failures.contain(thread.name):
                 thread.revive()
+        for name, passed_at in self._passes.items():
+            stall = record_check(self._stalls[name], passed_at(), self._now())
+            self._stalls[name] = stall
+            if is_stalled_for_good(stall):
+                raise BeyondHelpError(name)
