Let an exception of one exchange, group or path cost no other

One exchange whose check fails would have ended the watchdog's pass for all others, again after each restart; likewise a group or a data centre that can't be checked.

Cause: the loops over all of them had no guard inside. A thread that is started again meets the same item first.

Change: each item is guarded by itself, with the record that the threads have. An exchange that can't be checked is watched no longer: its timeouts still end it. "maps" had such a guard, which logged without a limit; it uses the record now.

Evidence: test_contained_failures.py. With the guards taken out, the cases of watchdog, paths and groups fail; the one of maps guards what was there before.

--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -6,19 +6,22 @@
 
 from mintsaddle.direct._gateway import Gateway
 from mintsaddle.direct._rank_calls import RankCalls
-from mintsaddle.process import Supervisor
+from mintsaddle.process import FailureLog, Supervisor
 
 CHECK_INTERVAL_SECONDS = 0.15
 """Seconds between two checks of a group: a fraction of the 0.6 s that a group
 takes to form. Each check costs about as much as a health check."""
 
 
+_THREAD = "groups"
+
+
 def start_group_checks(gateway: Gateway, supervisor: Supervisor) -> None:
     """Start a thread that checks groups until the process ends."""
-    supervisor.start("groups", partial(_run, gateway))
+    supervisor.start(_THREAD, partial(_run, gateway, supervisor.failures))
 
 
-def _run(gateway: Gateway) -> NoReturn:
+def _run(gateway: Gateway, failures: FailureLog) -> NoReturn:
     pause = threading.Event()
     calls = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
     while True:
@@ -27,7 +30,8 @@
                 gateway.groups_changed.wait()
             down = gateway.groups.down_groups()
         for group in down:
-            _check_group(gateway, calls, group)
+            with failures.contain(_THREAD):
+                _check_group(gateway, calls, group)
         pause.wait(CHECK_INTERVAL_SECONDS)
 
 
--- a/mintsaddle/direct/_maps.py
+++ b/mintsaddle/direct/_maps.py
@@ -22,7 +22,7 @@
 from mintsaddle.direct._rank_groups import RankGroup, find_rank_groups
 from mintsaddle.direct._switches import REPORT_WAIT_SECONDS, SwitchRunner
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.process import Supervisor
+from mintsaddle.process import FailureLog, Supervisor
 from mintsaddle.values import MILLISECONDS
 
 POLL_SECONDS = 0.5
@@ -42,15 +42,19 @@
 step held. At one per REPORT_WAIT_SECONDS they take 2.4 s; the group stops
 before the held step within 0.5 s."""
 
+_THREAD = "maps"
 _log = make_logger("maps")
 
 
 class MapCoordinator:
     """Manages the maps of the groups whose duty this entry has; one thread."""
 
-    def __init__(self, gateway: Gateway, membership: Membership) -> None:
+    def __init__(
+        self, gateway: Gateway, membership: Membership, failures: FailureLog
+    ) -> None:
         self._gateway = gateway
         self._membership = membership
+        self._failures = failures
         self._rank_calls = RankCalls(
             gateway.settings, gateway.now, gateway.metrics.count
         )
@@ -66,7 +70,7 @@
 
     def start(self, supervisor: Supervisor) -> None:
         """Start the thread."""
-        supervisor.start("maps", self._run)
+        supervisor.start(_THREAD, self._run)
 
     def _run(self) -> None:
         while True:
@@ -82,14 +86,12 @@
                 self._has_reachable_group |= self._poller.is_reachable(group)
 
     def _manage_safely(self, group: RankGroup, data_centre: str) -> None:
-        """Manage a group; log any exception and go on.
+        """Manage a group; record any exception and go on.
 
         If the thread ended, groups with a held step would stay held.
         """
-        try:
+        with self._failures.contain(_THREAD):
             self._manage(group, data_centre)
-        except Exception:
-            _log.exception("Poll failed %s.", fields(group=group.name))
 
     def _manage(self, group: RankGroup, data_centre: str) -> None:
         index = self._membership.succession_index(
--- a/mintsaddle/direct/_paths.py
+++ b/mintsaddle/direct/_paths.py
@@ -9,24 +9,28 @@
 from mintsaddle.decisions.direct import ENDPOINTS_PER_CHECK
 from mintsaddle.direct._engine_checks import EngineState, check_engine
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.process import Supervisor
+from mintsaddle.process import FailureLog, Supervisor
 
 CHECK_SECONDS = 0.15
 """Timeout of a test connection, and interval between checks. Round trips take
 a few milliseconds within a region."""
 
 
+_THREAD = "paths"
+
+
 def start_checking_paths(gateway: Gateway, supervisor: Supervisor) -> None:
     """Start a thread that runs checks until the process ends."""
-    supervisor.start("paths", partial(_check_forever, gateway))
+    supervisor.start(_THREAD, partial(_check_forever, gateway, supervisor.failures))
 
 
-def _check_forever(gateway: Gateway) -> NoReturn:
+def _check_forever(gateway: Gateway, failures: FailureLog) -> NoReturn:
     pause = threading.Event()
     with ThreadPoolExecutor(ENDPOINTS_PER_CHECK + 1, "paths") as pool:
         while True:
             for data_centre in gateway.reach.wait_for_checks():
-                _check_data_centre(gateway, pool, data_centre)
+                with failures.contain(_THREAD):
+                    _check_data_centre(gateway, pool, data_centre)
             pause.wait(CHECK_SECONDS)
 
 
--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -87,7 +87,7 @@
         settings.data_centre,
     )
     start_peer_exchange(gateway, membership, supervisor)
-    MapCoordinator(gateway, membership).start(supervisor)
+    MapCoordinator(gateway, membership, supervisor.failures).start(supervisor)
     start_group_checks(gateway, supervisor)
     start_checking_paths(gateway, supervisor)
     start_upkeep(gateway, server, supervisor)
--- a/mintsaddle/direct/_watchdog.py
+++ b/mintsaddle/direct/_watchdog.py
@@ -6,10 +6,11 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple, NoReturn
 
 from mintsaddle.direct._exchange import Exchange
-from mintsaddle.process import Supervisor
+from mintsaddle.process import FailureLog, Supervisor
 from mintsaddle.values import Instant
 
 POLL_SECONDS = 0.1
@@ -17,6 +18,9 @@
 endpoint has to be freed."""
 
 
+_THREAD = "watchdog"
+
+
 class WatchedExchange(NamedTuple):
     """An exchange and the conditions under which it is aborted."""
 
@@ -37,7 +41,7 @@
 
     def start(self, supervisor: Supervisor) -> None:
         """Start the thread."""
-        supervisor.start("watchdog", self._run)
+        supervisor.start(_THREAD, partial(self._run, supervisor.failures))
 
     def add(self, watched: WatchedExchange) -> None:
         """Start to monitor an exchange."""
@@ -51,6 +55,11 @@
         with self._changed:
             self._watched.discard(watched)
 
+    def _check(self, watched_exchange: WatchedExchange, now: Instant) -> None:
+        is_expired = now >= watched_exchange.expires_at
+        if is_expired or watched_exchange.is_disconnected():
+            self._abort(watched_exchange)
+
     def _abort(self, watched_exchange: WatchedExchange) -> None:
         """Abort an exchange that is still monitored.
 
@@ -61,7 +70,7 @@
             if watched_exchange in self._watched:
                 watched_exchange.exchange.abort()
 
-    def _run(self) -> NoReturn:
+    def _run(self, failures: FailureLog) -> NoReturn:
         pause = threading.Event()
         while True:
             with self._changed:
@@ -70,9 +79,10 @@
                 watched = tuple(self._watched)
             now = self._now()
             for watched_exchange in watched:
-                if (
-                    now >= watched_exchange.expires_at
-                    or watched_exchange.is_disconnected()
-                ):
-                    self._abort(watched_exchange)
+                try:
+                    self._check(watched_exchange, now)
+                except Exception:
+                    failures.record(_THREAD)
+                    # Its timeouts still end it; it would fail again each time.
+                    self.remove(watched_exchange)
             pause.wait(POLL_SECONDS)
