Run the jobs of event loops again after an exception

A background job of an entry daemon or an endpoint daemon (configuration, probes, ticks, homes, groups) ended for good with its first exception, with one log line; the daemon went on as if it ran. A failing job logged a traceback three times a second.

Change: run_job runs a job until it returns or its own task is cancelled, with the pauses and the record of the supervised threads. What callbacks raise goes to the same record. One listener for changes of the configuration costs no other.

--- a/mintsaddle/daemon/_follow.py
+++ b/mintsaddle/daemon/_follow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from returns.result import Failure, Result, Success
 
@@ -14,6 +15,7 @@
 )
 from mintsaddle.observe import make_logger
 from mintsaddle.platform import PlatformValue, watch_value
+from mintsaddle.process import run_job
 
 WATCH_SECONDS = 20.0
 """Seconds that a platform watch or a fetch from a peer waits for a change."""
@@ -26,7 +28,11 @@
 async def follow_configuration(node: DaemonNode) -> None:
     """Fetch and adopt each new configuration until cancelled."""
     await _fetch_from_seeds(node)
-    await asyncio.gather(_follow_text(node), _follow_marks(node), _follow_peers(node))
+    failures = node.loop_thread.failures
+    jobs = {"text": _follow_text, "marks": _follow_marks, "relay": _follow_peers}
+    await asyncio.gather(
+        *(run_job(name, partial(job, node), failures) for name, job in jobs.items())
+    )
 
 
 async def refresh_configuration(node: DaemonNode) -> None:
--- a/mintsaddle/daemon/_node.py
+++ b/mintsaddle/daemon/_node.py
@@ -23,6 +23,7 @@
 )
 from mintsaddle.fleet import read_fleet
 from mintsaddle.observe import HistogramRegistry, make_logger
+from mintsaddle.process import run_job
 from mintsaddle.settings import Settings
 from mintsaddle.transport import (
     ChannelPool,
@@ -175,12 +176,17 @@
         for message in messages:
             self._control_bytes += message.ByteSize()
 
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a background task for the daemon's lifetime; log its failure."""
-        task = asyncio.ensure_future(coroutine)
+    def spawn(self, name: str, job: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a background job until it returns, again after any exception.
+
+        Args:
+            name: Name of the job in the record of failures.
+            job: Returns the coroutine of a run.
+        """
+        task = asyncio.ensure_future(run_job(name, job, self._loop_thread.failures))
         # The loop keeps only weak references to tasks.
         self._tasks.add(task)
-        task.add_done_callback(self._record_task_end)
+        task.add_done_callback(self._tasks.discard)
 
     def record_platform_answer(self) -> None:
         """Record that the platform has answered."""
@@ -289,11 +295,6 @@
                 return
             own = self.stamp()
 
-    def _record_task_end(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("A background task failed.", exc_info=task.exception())
-
     async def _pull(self, address: str, peer: str) -> bool:
         answered = await self.fetch(address, 0.0)
         if not answered and peer:
@@ -306,4 +307,5 @@
         self._changed.set()
         self._changed = asyncio.Event()
         for listener in self._change_listeners:
-            listener()
+            with self._loop_thread.failures.contain("listeners"):
+                listener()
--- a/mintsaddle/daemon/_serve.py
+++ b/mintsaddle/daemon/_serve.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Sequence
+from functools import partial
 from typing import Any
 
 from mintsaddle.daemon._follow import follow_configuration
@@ -35,7 +36,7 @@
     server = BoundedServer(list(services), limits)
     host, _, port = node.settings.address.rpartition(":")
     await server.start(host.strip("[]"), int(port))
-    node.spawn(follow_configuration(node))
+    node.spawn("configuration", partial(follow_configuration, node))
     _log.info("%s listens at %s.", node.settings.vm, node.settings.address)
     return server
 
--- a/mintsaddle/endpoint/_groups.py
+++ b/mintsaddle/endpoint/_groups.py
@@ -33,7 +33,7 @@
     def _join(self, group: Group) -> None:
         host = RankHost(self._node, group)
         self._hosts[group.name] = host
-        self._node.spawn(Coordinator(self._node, host).run())
+        self._node.spawn(f"group-{group.name}", Coordinator(self._node, host).run)
 
     async def handle_order(self, message: pb.GroupOrder) -> pb.GroupReply:
         """Forward an order to the rank host of its group."""
--- a/mintsaddle/endpoint/_run.py
+++ b/mintsaddle/endpoint/_run.py
@@ -1,6 +1,7 @@
 """Runs an endpoint daemon from startup to shutdown."""
 
 import asyncio
+from functools import partial
 
 from returns.result import Failure, Success
 
@@ -86,9 +87,9 @@
         handle_group_order=groups.handle_order,
     )
     await start_server(node, [peers, CallService(host)])
-    node.spawn(_run_probe_loop(host))
-    node.spawn(_run_tick_loop(host))
-    node.spawn(run_settle_loop(node, state.orders))
+    node.spawn("probes", partial(_run_probe_loop, host))
+    node.spawn("ticks", partial(_run_tick_loop, host))
+    node.spawn("homes", partial(run_settle_loop, node, state.orders))
 
 
 async def _shut_down(host: EndpointHost) -> None:
--- a/mintsaddle/entry/_run.py
+++ b/mintsaddle/entry/_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 
 from mintsaddle.callers import CallerServer, CutConnection, render_cut
 from mintsaddle.daemon import DaemonNode, PeerService, start_server, wait_for_stop
@@ -98,7 +99,7 @@
     node.on_change(_make_change_listener(node, routing, app))
     peers = PeerService(node, fill_status=lambda status: _fill_status(app, status))
     await start_server(node, [peers])
-    node.spawn(_poll_unknown_homes(node, routing, app))
+    node.spawn("homes", partial(_poll_unknown_homes, node, routing, app))
 
 
 def _make_change_listener(
--- a/mintsaddle/platform/tests/test_unreadable_items.py
+++ b/mintsaddle/platform/tests/test_unreadable_items.py
@@ -1,6 +1,5 @@
 """Items of other writers that can't be read."""
 
-import asyncio
 import json
 import sys
 from collections.abc import Iterator
@@ -19,7 +18,6 @@
     preferred_data_centres,
 )
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.direct._peer_start import run_forever
 from mintsaddle.direct._rank_groups import find_rank_groups
 from mintsaddle.direct._relay import ReplicaRelay
 from mintsaddle.platform import (
@@ -242,19 +240,3 @@
         site.store.put("op/config", make_configuration(version=9))
         wait_for(lambda: "version=9" in other.log(), "relayed table")
         assert "Traceback" not in other.log()
-
-
-class TestJobs:
-    def test_one_that_raises_starts_again(self) -> None:
-        """Guards against gossip that ends for good by one message."""
-        runs: list[int] = []
-
-        async def job() -> None:
-            runs.append(len(runs))
-            if len(runs) < 3:
-                raise RecursionError
-            raise asyncio.CancelledError
-
-        with pytest.raises(asyncio.CancelledError):
-            asyncio.run(run_forever(job, 0.0))
-        assert runs == [0, 1, 2]
--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -1,6 +1,7 @@
 """What all long-running processes share."""
 
 from mintsaddle.process._failures import FailureLog
+from mintsaddle.process._jobs import run_job
 from mintsaddle.process._signals import SignalReceiver, clear_wakeup, open_wakeup
 from mintsaddle.process._supervisor import (
     BeyondHelpError,
@@ -16,4 +17,5 @@
     "Supervisor",
     "clear_wakeup",
     "open_wakeup",
+    "run_job",
 ]
--- a/mintsaddle/process/_failures.py
+++ b/mintsaddle/process/_failures.py
@@ -28,11 +28,12 @@
         with self._lock:
             return dict(self._counts)
 
-    def record(self, name: str) -> None:
-        """Record the exception that is being handled; raises nothing.
+    def record(self, name: str, error: BaseException | None = None) -> None:
+        """Record an exception; raises none itself.
 
         Args:
             name: Name of the loop in which it was raised.
+            error: The exception; by default the one that is being handled.
         """
         # Recording needs memory and stack, which may be what was missing.
         with contextlib.suppress(Exception):
@@ -42,7 +43,7 @@
                 self._limits[name], report = take_report(limit, self._now())
             if report is not None:
                 details = fields(name=name, omitted=report.omitted)
-                _log.exception("Failure survived %s.", details)
+                _log.error("Failure survived %s.", details, exc_info=error or True)
 
     @contextlib.contextmanager
     def contain(self, name: str) -> Iterator[None]:
--- a/mintsaddle/transport/_loop.py
+++ b/mintsaddle/transport/_loop.py
@@ -5,7 +5,7 @@
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
-from mintsaddle.process import SupervisedThread, Supervisor
+from mintsaddle.process import FailureLog, SupervisedThread, Supervisor
 
 _Value = TypeVar("_Value")
 
@@ -21,8 +21,14 @@
         self._name = name
         self._supervisor = supervisor
         self._loop = asyncio.new_event_loop()
+        self._loop.set_exception_handler(self._record_failure)
         self._thread: SupervisedThread | None = None
 
+    @property
+    def failures(self) -> FailureLog:
+        """The record of what callbacks and jobs of the loop have raised."""
+        return self._supervisor.failures
+
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
         """The event loop, for code that already runs in it."""
@@ -47,3 +53,9 @@
         self._loop.call_soon_threadsafe(self._loop.stop)
         if self._thread is not None:
             self._thread.join()
+
+    def _record_failure(
+        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        error = context.get("exception") or RuntimeError(context["message"])
+        self.failures.record(self._name, error)
