End the call of a worker that raises an exception

A request whose worker thread in an endpoint daemon raised an exception kept its place, and its entry waited, for good.

Cause: the exception went into a future that nobody reads.

Change: it is recorded and ends the call as failed, as a broken answer or in doubt in the ledger of orders.

Not played in a real daemon.

--- a/mintsaddle/endpoint/_host.py
+++ b/mintsaddle/endpoint/_host.py
@@ -1,8 +1,10 @@
 """Executes the actions that the arrival decisions return."""
 
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from mintsaddle.daemon import DaemonNode
+from mintsaddle.decisions.admission import EngineFeedback
 from mintsaddle.decisions.arrivals import (
     AcceptArrival,
     AnswerArrival,
@@ -22,6 +24,7 @@
 from mintsaddle.endpoint._mailbox import Mailbox
 from mintsaddle.endpoint._reply_events import (
     Accepted,
+    Broken,
     Chunk,
     End,
     Head,
@@ -41,6 +44,9 @@
 The request limits in the fleet configuration are far lower.
 """
 
+Worker = Callable[["EndpointHost", EngineCall, CallParameters], None]
+"""Runs a call to the engine in a thread of its own."""
+
 _log = make_logger("endpoint")
 
 
@@ -156,10 +162,28 @@
         request = self._make_request(arrival, message)
         call = EngineCall(self._node.settings.engine, request)
         self._calls[request_id] = call
-        worker = run_order if arrival.key else run_call
+        worker: Worker = run_order if arrival.key else run_call
         # If the entry of an order has disconnected, nobody reads the mailbox.
         parameters = self._make_call_parameters(arrival, mailbox or Mailbox(message))
-        self._workers.submit(worker, self, call, parameters)
+        self._workers.submit(self._run_worker, worker, call, parameters)
+
+    def _run_worker(
+        self, worker: Worker, call: EngineCall, parameters: CallParameters
+    ) -> None:
+        """Run a worker; end its call if it raises an exception.
+
+        The request would hold its place for good, and its entry would wait.
+        """
+        try:
+            worker(self, call, parameters)
+        except Exception:
+            self._node.loop_thread.failures.record("engine")
+            result = EngineResult(EngineFeedback.FAILED, reached=True)
+            # The entry of an order is answered from the ledger.
+            event = None if worker is run_order else Broken(Reason.ENGINE_FAILED)
+            self._node.loop_thread.post(
+                self.handle_call_end, parameters.request_id, result, event
+            )
 
     def _make_request(self, arrival: Arrival, message: pb.CallRequest) -> EngineRequest:
         headers = {
