Ask an agent again until its engine answers in a test

Cause: is_reporting says that it asks again and again for 20 s, but took the first reply for the last word, also if the engine of the test had not answered within the 0.04 s that an agent waits. With 24 busy processes one of 12 sound agents "didn't report", after 1.32 s.

Change: it asks on until a report comes or the 20 s are over, as it says.

--- a/mintsaddle/rank_agent/tests/test_hostile_datagrams.py
+++ b/mintsaddle/rank_agent/tests/test_hostile_datagrams.py
@@ -55,9 +55,12 @@
                 while True:
                     reply = decode_reply(self.socket.recv(65_535))
                     if reply.sequence_number == number:
-                        return reply.responses[0].status == 200
+                        break
             except OSError:
                 continue
+            # The engine of a busy machine may answer too late for one call.
+            if reply.responses[0].status == 200:
+                return True
         return False
 
     def stop(self) -> None:
