Replace a thread for requests that an exception has ended

Requests would have waited for threads that were gone: an exception that came while a thread of the pool was idle ended it, and the pool went on counting it.

Cause: waitress guards only the request itself; its count of idle threads is right only while no thread ends by itself.

Change: the threads keep the count in any case, pass on a wake-up that they can't use, and another one is started if requests wait. What a request raises past the application goes to the record of failures.

Evidence: test_threads.py. With waitress's own loop, the case of a thread that fails while idle was not run, as it needs the new record.

--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -118,9 +118,11 @@
         self._memory_bytes = int(memory_megabytes * _MEGABYTE)
         self._buffers = RequestBuffers(0)
         self._is_listening = True
-        self._dispatcher = GrowingDispatcher(max_callers + _REFUSAL_THREADS)
-        self._dispatcher.set_thread_count(min(INITIAL_THREADS, max_callers))
         self._failures = failures or FailureLog()
+        self._dispatcher = GrowingDispatcher(
+            max_callers + _REFUSAL_THREADS, self._failures
+        )
+        self._dispatcher.set_thread_count(min(INITIAL_THREADS, max_callers))
         self._name = name
         self._server = CallerListener(
             app,
--- a/mintsaddle/callers/tests/test_threads.py
+++ b/mintsaddle/callers/tests/test_threads.py
@@ -6,6 +6,8 @@
 import pytest
 
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
+from mintsaddle.platform.tests.standins import wait_for
+from mintsaddle.process import FailureLog
 
 WAIT_SECONDS = 10.0
 
@@ -37,7 +39,7 @@
 class TestGrowth:
     def test_each_request_finds_a_thread_up_to_the_bound(self) -> None:
         """Guards against a request that waits behind a long stream."""
-        dispatcher, release = GrowingDispatcher(20), threading.Event()
+        dispatcher, release = GrowingDispatcher(20, FailureLog()), threading.Event()
         dispatcher.set_thread_count(INITIAL_THREADS)
         tasks = add_tasks(dispatcher, 25, release)
         assert all(one.began.wait(WAIT_SECONDS) for one in tasks[:20])
@@ -47,7 +49,7 @@
         dispatcher.shutdown()
 
     def test_an_idle_entry_keeps_few_threads(self) -> None:
-        dispatcher = GrowingDispatcher(100)
+        dispatcher = GrowingDispatcher(100, FailureLog())
         dispatcher.set_thread_count(INITIAL_THREADS)
         assert len(dispatcher.threads) == INITIAL_THREADS
         dispatcher.shutdown()
@@ -58,7 +60,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against a connection closed after its request was queued."""
-        dispatcher, release = GrowingDispatcher(20), threading.Event()
+        dispatcher, release = GrowingDispatcher(20, FailureLog()), threading.Event()
         dispatcher.set_thread_count(INITIAL_THREADS)
 
         def refuse_thread(*_: object) -> None:
@@ -73,3 +75,48 @@
         assert all(one.began.wait(WAIT_SECONDS) for one in tasks)
         release.set()
         dispatcher.shutdown()
+
+
+class FailingTask(BlockedTask):
+    """A task that raises an exception."""
+
+    def service(self) -> None:
+        raise SystemExit
+
+
+class TestFailures:
+    def test_a_request_that_raises_leaves_its_thread(self) -> None:
+        failures = FailureLog()
+        dispatcher, release = GrowingDispatcher(4, failures), threading.Event()
+        dispatcher.set_thread_count(INITIAL_THREADS)
+        for _ in range(20):
+            dispatcher.add_task(FailingTask(release))
+        release.set()
+        (task,) = add_tasks(dispatcher, 1, release)
+        assert task.began.wait(WAIT_SECONDS)
+        wait_for(lambda: failures.counts == {"requests": 20}, "failures")
+        dispatcher.shutdown()
+
+    def test_a_thread_that_fails_while_idle_is_replaced(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests that wait for threads that are gone."""
+        failures = FailureLog()
+        dispatcher, release = GrowingDispatcher(8, failures), threading.Event()
+        plain = dispatcher.queue_cv.wait
+
+        def fail_once_woken() -> None:
+            plain()
+            raise MemoryError
+
+        monkeypatch.setattr(dispatcher.queue_cv, "wait", fail_once_woken)
+        dispatcher.set_thread_count(INITIAL_THREADS)
+        wait_for(lambda: dispatcher.active_count == 0, "idle threads")
+        release.set()
+        for _ in range(3 * INITIAL_THREADS):
+            (task,) = add_tasks(dispatcher, 1, release)
+            assert task.began.wait(WAIT_SECONDS)
+        assert failures.counts["requests"] >= INITIAL_THREADS
+        wait_for(lambda: dispatcher.active_count == 0, "idle threads")
+        assert len(dispatcher.threads) <= 8
+        dispatcher.shutdown()
