Let an exception cost a rank agent only one datagram

An exception in handling a datagram, or in waiting for one, ended the agent of an engine's VM, which the platform starts again after a delay; the next datagram of the same kind ended it again.

Cause: the loop had no guard; only what decoding raises was caught.

Change: what a request raises is recorded and the next one is served; after a failure to receive, which would come again at once, the agent pauses for 0.1 s. A stop signal still ends it.

Evidence: two cases of test_agent.py, which end the agent's thread without the guard.

--- a/mintsaddle/rank_agent/_agent.py
+++ b/mintsaddle/rank_agent/_agent.py
@@ -2,10 +2,11 @@
 
 import select
 import socket
+import time
 from typing import NoReturn
 
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.process import clear_wakeup
+from mintsaddle.process import FailureLog, clear_wakeup
 from mintsaddle.rank_agent._engine import CALL_TIMEOUT_SECONDS, EngineConnection
 from mintsaddle.rank_agent._messages import (
     NO_RESPONSE,
@@ -20,6 +21,10 @@
 
 _MAX_DATAGRAM_BYTES = 65_535
 _READ_METHOD = "GET"
+_LOOP = "agent"
+_FAILURE_PAUSE_SECONDS = 0.1
+"""Pause after a failure to receive, which would come again at once."""
+
 _log = make_logger("agent")
 
 
@@ -52,6 +57,7 @@
         self._engine = EngineConnection(engine, call_timeout)
         self._prefix = prefix
         self._was_reachable = True
+        self._failures = FailureLog()
         self._wakeup = wakeup
         self._poll = select.poll()
         self._poll.register(self._socket, select.POLLIN)
@@ -67,8 +73,12 @@
     def serve(self) -> NoReturn:
         """Handle requests until the process exits."""
         while True:
-            if self.wait_for_datagram():
-                self.serve_one()
+            try:
+                if self.wait_for_datagram():
+                    self.serve_one()
+            except Exception:
+                self._failures.record(_LOOP)
+                time.sleep(_FAILURE_PAUSE_SECONDS)
 
     def wait_for_datagram(self) -> bool:
         """Wait for a datagram or a signal; return whether it is a datagram."""
@@ -87,7 +97,12 @@
                 "Rejected an invalid datagram %s.", fields(sender=sender, why=error)
             )
             return
-        reply = encode_reply(self._handle_request(request))
+        try:
+            reply = encode_reply(self._handle_request(request))
+        except Exception:
+            # The request costs nobody else a pause.
+            self._failures.record(_LOOP)
+            return
         try:
             self._socket.sendto(reply, sender)
         except OSError as error:
--- a/mintsaddle/rank_agent/tests/test_agent.py
+++ b/mintsaddle/rank_agent/tests/test_agent.py
@@ -72,6 +72,33 @@
         assert response.status == 200
 
 
+class TestFailures:
+    @pytest.mark.parametrize("name", ["_handle_request", "wait_for_datagram"])
+    def test_one_that_fails_costs_no_other(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        agent: RankAgent,
+        client: AgentClient,
+        name: str,
+    ) -> None:
+        """Guards against an agent that one exception ends."""
+        failed: list[bool] = []
+        plain = getattr(RankAgent, name)
+
+        def fail_once(*arguments: object) -> object:
+            if not failed:
+                failed.append(True)
+                raise RecursionError
+            return plain(*arguments)
+
+        monkeypatch.setattr(RankAgent, name, fail_once)
+        for _ in range(3):
+            client.ask({agent.address: [REPORT]})
+        (response,) = client.ask({agent.address: [REPORT]})[agent.address]
+        assert response.status == 200
+        assert failed
+
+
 class TestCalls:
     def test_calls_are_made_in_order_on_one_connection(
         self, engine: FakeEngine, agent: RankAgent, client: AgentClient
