Keep writing the log after a line that fails

A line whose rendering or output raised RecursionError or MemoryError ended the thread that writes the log: the process went on without one. A process that stopped with a full queue of lines raised queue.Full in its last step, or waited for good for a reader that takes nothing.

Change: a line that fails costs only itself. The request to stop waits for room for a second, and the writer for another; if lines are left then, the process ends without them.

--- a/mintsaddle/observe/_logs.py
+++ b/mintsaddle/observe/_logs.py
@@ -1,5 +1,6 @@
 """Logging in one format, with the component as prefix of each message."""
 
+import contextlib
 import json
 import logging
 import logging.handlers
@@ -11,6 +12,9 @@
 """Capacity of the queue of unwritten lines: about 0.5 MB, or a burst of some
 seconds."""
 
+STOP_SECONDS = 1.0
+"""How long a process that stops waits for a slow reader of its log."""
+
 _FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -34,9 +38,15 @@
     """
 
     def __init__(self) -> None:
-        super().__init__(queue.Queue(MAX_QUEUED_LINES))
+        self._records: queue.Queue[Any] = queue.Queue(MAX_QUEUED_LINES)
+        super().__init__(self._records)
         self._dropped = 0
 
+    @property
+    def records(self) -> "queue.Queue[Any]":
+        """Records that wait to be written."""
+        return self._records
+
     @property
     def dropped(self) -> int:
         """Number of records dropped so far because the queue was full."""
@@ -61,7 +71,28 @@
         self._reported = 0
 
     def handle(self, record: logging.LogRecord) -> None:
-        """Write a record, with the number of lines dropped before it."""
+        """Write a record, with the number of lines dropped before it.
+
+        What fails costs one record: the thread writes those of all others.
+        """
+        with contextlib.suppress(Exception):
+            self._write(record)
+
+    def enqueue_sentinel(self) -> None:
+        """Ask the thread to stop; the queue may be full."""
+        with contextlib.suppress(queue.Full):
+            self._source.records.put(None, timeout=STOP_SECONDS)
+
+    def stop_in_time(self) -> bool:
+        """Stop the thread; return whether all records are written."""
+        thread = self._thread
+        if thread is None:
+            return True
+        self.enqueue_sentinel()
+        thread.join(STOP_SECONDS)
+        return not thread.is_alive()
+
+    def _write(self, record: logging.LogRecord) -> None:
         dropped = self._source.dropped
         if dropped > self._reported:
             record.msg = (
@@ -86,10 +117,15 @@
 
 
 def stop_logging() -> None:
-    """Write the queued records and stop the writer threads."""
+    """Write the queued records and stop the writer threads.
+
+    A reader that takes nothing doesn't keep the process from ending.
+    """
+    are_written = True
     while _writers:
-        _writers.pop().stop()
-    logging.shutdown()
+        are_written &= _writers.pop().stop_in_time()
+    if are_written:
+        logging.shutdown()
 
 
 def fields(**values: object) -> str:
