Take all descriptors from an entry in the test that needs it

test_callers_are_accepted_once_there_are_some failed once in eight runs, on its own check that a failure was recorded. Cause: the limit that it set was the number of open descriptors, but what counts is the number of the next one, and a lower one may be free.

Change: the limit is the first free number. What the test asks is the same.

--- a/mintsaddle/platform/tests/test_failing_threads.py
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -1,5 +1,6 @@
 """Exceptions in the long-lived threads of a real entry."""
 
+import itertools
 import re
 import resource
 import socket
@@ -201,8 +202,9 @@
         limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
         kept = site.entry.open("GET", "/lookup/1")
         assert kept.getresponse().read()
-        used = len(list(Path(f"/proc/{pid}/fd").iterdir()))
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, limits[1]))
+        used = {int(one.name) for one in Path(f"/proc/{pid}/fd").iterdir()}
+        first_free = next(number for number in itertools.count() if number not in used)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (first_free, limits[1]))
         waiting = socket.create_connection(("127.0.0.1", site.entry.front), 5.0)
         time.sleep(CONTACT_SECONDS)
         kept.request("GET", "/nowhere", headers=standins.make_caller_headers("a-2"))
