--- a/mintsaddle/callers/_connections.py
+++ b/mintsaddle/callers/_connections.py
@@ -6,11 +6,8 @@
 import time
 from typing import Any
 
-from waitress.channel import HTTPChannel
-
-from mintsaddle.callers._arriving import ArrivingRequest, Intake
 from mintsaddle.callers._cuts import CloseReason, CutConnection, make_environ_headers
-from mintsaddle.callers._refusals import HttpRefusal, RequestFault
+from mintsaddle.callers._receiving import ReceivingChannel
 from mintsaddle.callers._tasks import ClosingTask, RefusalTask
 from mintsaddle.engines import is_readable, shut_down
 from mintsaddle.values import Instant
@@ -26,18 +23,16 @@
 _numbers = itertools.count(1)
 
 
-class CallerChannel(HTTPChannel):  # type: ignore[misc]
+class CallerChannel(ReceivingChannel):
     """The connection of one caller."""
 
     task_class = ClosingTask
     error_task_class = RefusalTask
-    request: ArrivingRequest | None = None
     _requested: CloseReason | None = None
     _close_reason = CloseReason.CALLER
     _last_active_at: Instant = 0.0
     _must_linger = False
     _linger_until: Instant | None = None
-    _is_receiving = False
     _is_writing = False
     _closes_when_flushed = False
 
@@ -53,11 +48,6 @@
         """Number of this connection, unique in its process."""
         return self._number
 
-    @property
-    def is_parked(self) -> bool:
-        """Whether a further request waits to be parsed."""
-        return self.request is not None and bool(self.request.is_parked)
-
     @property
     def is_lingering(self) -> bool:
         """Whether it has been refused, and what still comes is dropped."""
@@ -117,18 +107,6 @@
         """
         self._requested = reason
 
-    def parser_class(self, adjustments: Any) -> ArrivingRequest:
-        """Return the parser of the next request."""
-        server = self.server
-        intake = Intake(
-            server.buffers,
-            server.arrival_limits,
-            self._is_backlogged,
-            self._screen,
-            self._notice_refusal,
-        )
-        return ArrivingRequest(adjustments, intake)
-
     def linger(self) -> None:
         """Drop what still comes after the answer, instead of closing at once.
 
@@ -136,12 +114,6 @@
         """
         self._must_linger = True
 
-    def refuse_arriving(self, fault: RequestFault) -> None:
-        """Refuse the request that is arriving; called in the server's loop."""
-        if self.request is not None:
-            self.request.refuse(fault)
-            self._end_refused()
-
     def readable(self) -> bool:
         """Return whether the loop reads from the connection in this pass."""
         # Asked for each connection in each pass, most of which are idle.
@@ -158,18 +130,6 @@
         elif not self._is_costly() or self.server.turns.take(self._number):
             super().handle_read()
 
-    def received(self, data: bytes) -> bool:
-        """Parse what has arrived."""
-        if self.requests and self.requests[-1].error:
-            return False
-        self._is_receiving = True
-        is_received = bool(super().received(data))
-        if self.request is not None and not self.requests:
-            self.request.screen()
-        self._is_receiving = False
-        self._end_refused()
-        return is_received
-
     def writable(self) -> bool:
         """Return whether the loop has something to send or to close."""
         return self._requested is not None or super().writable()
@@ -227,54 +187,6 @@
         self._close_reason = CloseReason.IDLE
         shut_down(self.socket)
 
-    def _may_read_on(self) -> bool:
-        """Return whether more is read while a request is arriving."""
-        if self._is_costly():
-            self.server.turns.begin_pass()
-        if self.is_parked:
-            self._resume_parked()
-        return not self.is_parked
-
-    def _is_costly(self) -> bool:
-        return self.request is not None and self.request.is_costly
-
-    def _is_backlogged(self) -> bool:
-        return bool(len(self.requests) > self.adj.channel_request_lookahead)
-
-    def _screen(self, request: ArrivingRequest) -> HttpRefusal | None:
-        environ = self.task_class(self, request).get_environment()
-        refusal: HttpRefusal | None = self.server.screen(environ)
-        return refusal
-
-    def _notice_refusal(self) -> None:
-        if not self._is_receiving:
-            self._end_refused()
-
-    def _end_refused(self) -> None:
-        """Answer the arriving request if it has been refused meanwhile."""
-        with self.requests_lock:
-            request = self.request
-            if request is None or not request.error:
-                return
-            self.request = None
-            if self.will_close or self.close_when_flushed:
-                return
-            self.requests.append(request)
-            if len(self.requests) > 1:
-                return
-        if self.total_outbufs_len:
-            # Its caller doesn't read; the loop must not wait for that.
-            self.will_close = True
-        else:
-            self.service()
-
-    def _resume_parked(self) -> None:
-        """Parse a further request if the earlier ones are answered."""
-        if not self._is_backlogged() and not self.will_close:
-            request, self.request = self.request, None
-            data = request.take_parked() if request else b""
-            self.received(data)
-
     def _close_answered(self) -> None:
         """Close the connection after its last answer, or begin to linger."""
         self.close_when_flushed = False
