Refuse numbers that aren't finite in what other programs publish

A configuration with a timeout of NaN or 1e999 was put in force, and a rank's report with such a pace was used to plan the map of its group.

Cause: Python's JSON reader takes NaN and Infinity, and reads 1e999 as infinite, without an exception; so does float for a text of digits.

Change: what others write is read by load_json and read_finite, which refuse such numbers as DECODING_ERRORS, that all these decoders expect. The present configuration stays in force, the report counts as missing.

Evidence: test_odd_numbers.py puts 19 odd numbers, from 1e999 to 5,000 digits and a superscript, in each number of a configuration, an announcement, a report, counts, experts, values and items of the store and a probe, and varies the heads of requests.

--- a/mintsaddle/engines/_probe.py
+++ b/mintsaddle/engines/_probe.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from mintsaddle.engines._responses import BoundedConnection
-from mintsaddle.values import DECODING_ERRORS
+from mintsaddle.values import DECODING_ERRORS, load_json
 
 PROBE_TIMEOUT_SECONDS = 0.4
 """Bounds the age of a probe result below the time of the fastest restart."""
@@ -56,7 +56,7 @@
     try:
         connection.request("POST", f"/group/{action}", json.dumps(order))
         response = connection.getresponse()
-        answer = json.loads(response.read(_MAX_RESPONSE_BYTES))
+        answer = load_json(response.read(_MAX_RESPONSE_BYTES))
     except (OSError, http.client.HTTPException, *DECODING_ERRORS) as error:
         return Failure(type(error).__name__)
     finally:
@@ -68,7 +68,7 @@
 
 def _parse_status(body: bytes) -> EngineStatus:
     try:
-        answer = json.loads(body)
+        answer = load_json(body)
         limit = answer.get("limit")
         return EngineStatus(int(answer["boot"]), int(limit) if limit else None)
     except DECODING_ERRORS:
--- a/mintsaddle/platform/_client.py
+++ b/mintsaddle/platform/_client.py
@@ -7,13 +7,12 @@
 """
 
 import http.client
-import json
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from mintsaddle.engines import BoundedConnection
-from mintsaddle.values import DECODING_ERRORS
+from mintsaddle.values import DECODING_ERRORS, load_json
 
 MAX_RESPONSE_BYTES = 4 * 1_048_576
 """Largest response body; fits a value of 1 MB after JSON escaping."""
@@ -67,7 +66,7 @@
     if len(body) > MAX_RESPONSE_BYTES:
         return Failure(f"'{name}' is over {MAX_RESPONSE_BYTES} bytes")
     try:
-        content = json.loads(body)
+        content = load_json(body)
         value = PlatformValue(int(content["revision"]), str(content["value"]))
     except DECODING_ERRORS as error:
         return Failure(f"'{name}' is unreadable: {type(error).__name__}")
--- a/mintsaddle/platform/_configuration.py
+++ b/mintsaddle/platform/_configuration.py
@@ -1,6 +1,5 @@
 """Decoding of the operator's configuration into a routing table."""
 
-import json
 from collections import defaultdict
 from collections.abc import Mapping
 from typing import Any
@@ -18,7 +17,7 @@
     RoutingTable,
     StepModel,
 )
-from mintsaddle.values import DECODING_ERRORS, MILLISECONDS
+from mintsaddle.values import DECODING_ERRORS, MILLISECONDS, load_json, read_finite
 
 _STREAMING = "streaming"
 _IDEMPOTENT = "idempotent"
@@ -32,7 +31,7 @@
     An invalid configuration is a failure; the caller keeps the current table.
     """
     try:
-        return Success(_decode_configuration(json.loads(value)))
+        return Success(_decode_configuration(load_json(value)))
     except DECODING_ERRORS as error:
         return Failure(f"{type(error).__name__}: {error}")
 
@@ -62,9 +61,9 @@
     weighted = values.get("weighted_backends")
     if weighted:
         destinations = tuple(
-            Destination(str(entry["service"]), float(entry["weight"]))
+            Destination(str(entry["service"]), read_finite(entry["weight"]))
             for entry in weighted
-            if float(entry["weight"]) > 0
+            if read_finite(entry["weight"]) > 0
         )
     else:
         destinations = (Destination(str(values["service"]), 1.0),)
@@ -75,9 +74,9 @@
         prefix=str(values["prefix"]),
         repeat=_decode_repeat(kind, bool(values.get("stream_resume"))),
         is_stream=kind == _STREAMING,
-        timeout=float(values["timeout_ms"]) / MILLISECONDS,
-        objective=float(values.get("target_latency_ms") or 0) / MILLISECONDS,
-        longest_pause=float(values.get("gap_aim_ms") or 0) / MILLISECONDS,
+        timeout=read_finite(values["timeout_ms"]) / MILLISECONDS,
+        objective=read_finite(values.get("target_latency_ms") or 0) / MILLISECONDS,
+        longest_pause=read_finite(values.get("gap_aim_ms") or 0) / MILLISECONDS,
         priority=int(values.get("priority") or 0),
         destinations=destinations,
         max_attempts=max(1, int(values.get("max_attempts") or 1)),
@@ -99,9 +98,9 @@
         name=str(values["name"]),
         health_path=str(values.get("health_path") or "/health"),
         max_connections=int(values.get("max_connections") or 0),
-        cold_rate=float(values.get("cold_per_s") or 0),
+        cold_rate=read_finite(values.get("cold_per_s") or 0),
         is_engine=isinstance(values.get("engine"), dict),
-        cold_seconds=float(values.get("cold_start_s") or 0),
+        cold_seconds=read_finite(values.get("cold_start_s") or 0),
         experts=_decode_experts(values.get("engine") or {}),
         steps=_decode_steps(values.get("engine") or {}),
     )
@@ -112,12 +111,13 @@
         return None
     usual = engine.get("usual") or {}
     # On average, half of the response has been generated.
-    context = float(usual.get("prompt") or 0) + float(usual.get("answer") or 0) / 2
-    per_context = float(engine.get("context_per_k") or 0) * context / _KILO
-    per_request = float(engine.get("per_seq_ms") or 0) + per_context
+    answer = read_finite(usual.get("answer") or 0) / 2
+    context = read_finite(usual.get("prompt") or 0) + answer
+    per_context = read_finite(engine.get("context_per_k") or 0) * context / _KILO
+    per_request = read_finite(engine.get("per_seq_ms") or 0) + per_context
     return StepModel(
-        token_seconds=float(engine["step_ms"]) / MILLISECONDS,
-        request_seconds=per_request / MILLISECONDS,
+        token_seconds=read_finite(engine["step_ms"]) / MILLISECONDS,
+        request_seconds=read_finite(per_request / MILLISECONDS),
         tokens=max(1, int(engine.get("stride") or 1)),
     )
 
@@ -125,8 +125,8 @@
 def _decode_experts(engine: Mapping[str, Any]) -> ExpertLayout | None:
     if not engine.get("experts"):
         return None
-    megabits = float(engine.get("expert_mb") or 0) * _BITS_PER_BYTE
-    link = float(engine.get("link_mbps") or 0)
+    megabits = read_finite(engine.get("expert_mb") or 0) * _BITS_PER_BYTE
+    link = read_finite(engine.get("link_mbps") or 0)
     return ExpertLayout(
         # The platform calls a layer a set.
         layers=int(engine["sets"]),
@@ -134,16 +134,18 @@
         max_experts=int(engine["places"]),
         # The platform's "spare" limits the experts that one map may add.
         max_new_experts=int(engine["spare"]),
-        load_seconds=megabits / link if link > 0 else 0.0,
+        load_seconds=read_finite(megabits / link) if link > 0 else 0.0,
     )
 
 
 def _decode_limits(values: Mapping[str, Any]) -> CallerLimits:
+    header_ms = read_finite(values.get("header_timeout_ms") or 3000)
+    idle_ms = read_finite(values.get("idle_timeout_ms") or 15_000)
     return CallerLimits(
         header_bytes=int(values.get("max_header_bytes") or 16_384),
         body_bytes=int(values.get("max_body_bytes") or 4_194_304),
-        header_seconds=float(values.get("header_timeout_ms") or 3000) / MILLISECONDS,
-        idle_seconds=float(values.get("idle_timeout_ms") or 15_000) / MILLISECONDS,
+        header_seconds=header_ms / MILLISECONDS,
+        idle_seconds=idle_ms / MILLISECONDS,
     )
 
 
--- a/mintsaddle/platform/_items.py
+++ b/mintsaddle/platform/_items.py
@@ -1,7 +1,6 @@
 """Decoding of the store's items into updates of the directory."""
 
 import ipaddress
-import json
 import re
 from collections.abc import Iterable
 from typing import Any
@@ -21,7 +20,7 @@
 )
 from mintsaddle.observe import fields, make_logger
 from mintsaddle.platform._configuration import decode_table
-from mintsaddle.values import MILLISECONDS, Instant
+from mintsaddle.values import MILLISECONDS, Instant, load_json
 
 PUBLISHED_PREFIX = ""
 """Prefix of the keys that entries watch. It covers both the operator's items
@@ -118,7 +117,7 @@
     if item.value is None:
         return _remove_endpoint(item)
     name = item.key.removeprefix(_ENDPOINT_PREFIX)
-    return EndpointPublished(_read_endpoint(name, json.loads(item.value), now))
+    return EndpointPublished(_read_endpoint(name, load_json(item.value), now))
 
 
 def _read_endpoint(name: str, values: dict[str, Any], now: Instant) -> Incarnation:
--- a/mintsaddle/platform/_ranks.py
+++ b/mintsaddle/platform/_ranks.py
@@ -14,7 +14,7 @@
 )
 from mintsaddle.engines import BoundedConnection
 from mintsaddle.rank_agent import NO_RESPONSE, RankCall, RankResponse
-from mintsaddle.values import DECODING_ERRORS
+from mintsaddle.values import DECODING_ERRORS, load_json, read_finite
 
 CALL_TIMEOUT_SECONDS = 0.4
 """Timeout for an engine's response. Such a call occupies no slot of the
@@ -137,7 +137,7 @@
 
 def _decode_report(body: str, rank: int) -> Result[RankReport, str]:
     try:
-        values = json.loads(body)
+        values = load_json(body)
         group = values["group"]
         armed = values.get("armed")
         # Either the version alone, or an object that also contains the step.
@@ -156,7 +156,7 @@
                 armed=_decode_optional(armed),
                 held=_decode_optional(values.get("held")),
                 # The platform's "pace" is higher for a slower engine.
-                slowness=float(values.get("pace") or 1.0),
+                slowness=read_finite(values.get("pace") or 1.0),
                 queued=int(values.get("queue_depth") or 0),
             )
         )
@@ -167,7 +167,7 @@
 def _decode_experts(body: str) -> Result[tuple[tuple[int, ...], ...], str]:
     try:
         # The platform calls a layer a set.
-        experts = json.loads(body)["map"]["experts"]
+        experts = load_json(body)["map"]["experts"]
         return Success(tuple(tuple(map(int, layer)) for layer in experts))
     except DECODING_ERRORS as error:
         return Failure(repr(error))
@@ -177,7 +177,7 @@
     body: str, layers: int, experts: int
 ) -> Result[tuple[tuple[int, ...], ...], str]:
     try:
-        counts = json.loads(body)["counts"]
+        counts = load_json(body)["counts"]
         if counts and isinstance(counts[0], int):
             counts = [
                 counts[layer * experts : (layer + 1) * experts]
--- a/mintsaddle/platform/_store.py
+++ b/mintsaddle/platform/_store.py
@@ -4,7 +4,6 @@
 import enum
 import http.client
 import itertools
-import json
 import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -14,7 +13,7 @@
 
 from mintsaddle.decisions.direct import PublishedItem, StoreResponse
 from mintsaddle.engines import BoundedConnection
-from mintsaddle.values import DECODING_ERRORS, MILLISECONDS, read_digits
+from mintsaddle.values import DECODING_ERRORS, MILLISECONDS, load_json, read_digits
 
 READ_TIMEOUT_SECONDS = 1.0
 """Timeout for one response: 250 times the usual 4 ms, so that a slow store has
@@ -168,7 +167,7 @@
             self.close()
             return Failure(StoreProblem.REFUSED)
         try:
-            decoded = json.loads(body)
+            decoded = load_json(body)
         except DECODING_ERRORS:
             decoded = None
         if not isinstance(decoded, dict):
--- a/mintsaddle/rank_agent/_messages.py
+++ b/mintsaddle/rank_agent/_messages.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from mintsaddle.values import DECODING_ERRORS
+from mintsaddle.values import DECODING_ERRORS, load_json
 
 MAX_MESSAGE_BYTES = 1_048_576
 """Maximum size of a decompressed message. Guards against a datagram that would
@@ -113,7 +113,7 @@
 def _decode(data: bytes) -> tuple[int, list[Any]]:
     try:
         decompressor = zlib.decompressobj()
-        sequence_number, rows = json.loads(
+        sequence_number, rows = load_json(
             decompressor.decompress(data, MAX_MESSAGE_BYTES)
         )
     except (zlib.error, *DECODING_ERRORS) as error:
--- a/mintsaddle/values/__init__.py
+++ b/mintsaddle/values/__init__.py
@@ -4,6 +4,7 @@
 from mintsaddle.values._digits import read_digits
 from mintsaddle.values._findings import Finding, Findings, render_findings
 from mintsaddle.values._hashing import hash_score, rank_by_score, stable_hash
+from mintsaddle.values._json import load_json, read_finite
 from mintsaddle.values._keys import (
     BOOT_BITS,
     HOME_BITS,
@@ -39,9 +40,11 @@
     "hash_score",
     "home_tag",
     "issue_key",
+    "load_json",
     "parse_key",
     "rank_by_score",
     "read_digits",
+    "read_finite",
     "relay_parent",
     "render_findings",
     "stable_hash",
