Raise exceptions in the threads of entries in the soak

Each exception in the callers' loop may cost one connection; nothing else may be lost, cut, run twice or answered with a 500, which is asked of all soaks now.

--- a/mintsaddle/platform/tests/failing_entry.py
+++ b/mintsaddle/platform/tests/failing_entry.py
@@ -29,6 +29,12 @@
     return Path(settings).with_suffix(".raise")
 
 
+def raise_in(settings: Path, thread: str, error: str = "RuntimeError") -> None:
+    """Raise an exception in a thread of the entry with these settings."""
+    with orders_path(str(settings)).open("a") as file:
+        file.write(f"{thread} {error}\n")
+
+
 def _raise_in(name: str, error: type[BaseException]) -> int:
     threads = [thread for thread in threading.enumerate() if thread.name == name]
     for thread in threads:
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -555,6 +555,11 @@
             stderr=subprocess.STDOUT,
         )
 
+    @property
+    def settings(self) -> Path:
+        """Path of its settings file."""
+        return self._settings
+
     def stop(self) -> None:
         """Kill the process if it still runs."""
         if self.process.poll() is None:
--- a/mintsaddle/platform/tests/test_kept_connections.py
+++ b/mintsaddle/platform/tests/test_kept_connections.py
@@ -15,3 +15,9 @@
         assert report.faults == []
         assert report.answered > 100
         assert report.stops > 0
+
+    def test_failures_cost_a_connection_each(self, tmp_path: Path) -> None:
+        """Guards against requests lost as threads are started again."""
+        report = run_soak(Plan(3, seconds=15.0, has_failures=True), tmp_path)
+        assert report.faults == []
+        assert report.answered > 100
