Keep the settings if reading the file again raises an exception

An entry ended, with all that it served, if its settings file nested deeply when it was read again (each 5 s, and by SIGHUP).

Cause: the main thread reads it, and only errors that its reader expects keep the present settings; RecursionError isn't among them.

Change: what the reload raises is recorded under "settings", and the present settings stay in force until the file can be read.

Evidence: test_failing_threads.py, a file of 50,000 brackets and SIGHUP: before, the process ended (connection reset); now all calls are served, and a sound file is taken up afterwards.

--- a/mintsaddle/direct/_run.py
+++ b/mintsaddle/direct/_run.py
@@ -118,7 +118,8 @@
         is_due = gateway.now() - read_at >= RELOAD_INTERVAL_SECONDS
         if is_due or signal.SIGHUP in received:
             read_at = gateway.now()
-            _reload(gateway, reload)
+            with supervisor.failures.contain("settings"):
+                _reload(gateway, reload)
         received = signals.wait(_SIGNAL_POLL_SECONDS)
         supervisor.check()
 
--- a/mintsaddle/platform/tests/test_failing_threads.py
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -3,6 +3,7 @@
 import itertools
 import re
 import resource
+import signal
 import socket
 import time
 from collections.abc import Iterator
@@ -193,6 +194,19 @@
         assert site.entry.process.wait(STALLED_SECONDS) == EXIT_FAILURE
 
 
+class TestSettings:
+    def test_a_file_that_raises_on_reload_is_refused(self, site: FailingSite) -> None:
+        """Guards against an entry that an unreadable file ends."""
+        text = site.entry.settings.read_text()
+        site.entry.settings.write_text("note = " + "[" * 50_000 + "\n" + text)
+        site.entry.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: site.failures().get("settings", 0) > 0, "refused file")
+        check_service(site)
+        site.entry.settings.write_text(text.replace("grace_s = 8", "grace_s = 7"))
+        site.entry.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "Reloaded" in site.entry.log(), "log line")
+
+
 class TestDescriptors:
     def test_callers_are_accepted_once_there_are_some(self, site: FailingSite) -> None:
         """Guards against a listener that gives up while it can accept none."""
