Repeat limits that failed, and end waits for threads beyond help

Found on reading the change again; nobody has met it. Limits that raised an exception as they were applied counted as applied. The wait for a supervised thread that is beyond help would have started it again without a pause. A thread for requests that stops as asked no longer starts another one for requests that the stop cancels.

--- a/mintsaddle/callers/_threads.py
+++ b/mintsaddle/callers/_threads.py
@@ -63,10 +63,12 @@
 
         Another one takes over if an exception ends it.
         """
+        has_failed = False
         try:
             while (task := self._take_task()) is not None:
                 self._serve(task)
         except BaseException:
+            has_failed = True
             self._failures.record(_LOOP)
         finally:
             with self.lock:
@@ -75,7 +77,8 @@
                 self.thread_exit_cv.notify()
                 # It may have been woken up for a request that still waits.
                 self.queue_cv.notify()
-        self._grow()
+        if has_failed:
+            self._grow()
 
     def _take_task(self) -> Any:
         """Wait for a request; return None if the thread is to stop."""
--- a/mintsaddle/direct/_upkeep.py
+++ b/mintsaddle/direct/_upkeep.py
@@ -25,7 +25,7 @@
 
 
 class _Upkeep:
-    """Steps that don't depend on each other."""
+    """Steps that don't depend on each other; one that fails is repeated."""
 
     def __init__(
         self, gateway: Gateway, server: CallerServer, failures: FailureLog
@@ -55,8 +55,8 @@
             return
         limits = (table.limits, self._gateway.settings.requests)
         if limits != self._applied:
-            self._applied = limits
             self._server.set_limits(*limits)
+            self._applied = limits
             _log.info("Limits %s.", render_limits(self._server, *limits))
 
     def _close_idle(self) -> None:
--- a/mintsaddle/process/_supervisor.py
+++ b/mintsaddle/process/_supervisor.py
@@ -71,8 +71,8 @@
         self._thread.start()
 
     def join(self) -> None:
-        """Wait until the function has returned."""
-        while not self._has_returned:
+        """Wait until the function has returned, or is beyond help."""
+        while not self._has_returned and not self.must_end_process:
             self._thread.join()
             self.revive()
 
