--- a/mintsaddle/decisions/supervision/_stalls.py
+++ b/mintsaddle/decisions/supervision/_stalls.py
@@ -43,14 +43,12 @@
     """
     if is_alive(passed_at, now):
         return Stall(now)
-    was_stopped = now - stall.checked_at > MAX_CHECK_GAP_SECONDS
-    return Stall(now, now + STALL_SECONDS if was_stopped else _end(stall, now))
+    ends_at = now + STALL_SECONDS
+    if now - stall.checked_at <= MAX_CHECK_GAP_SECONDS:
+        ends_at = min(ends_at, stall.ends_at)
+    return Stall(now, ends_at)
 
 
 def is_stalled_for_good(stall: Stall) -> bool:
     """Return whether the process must end at the last check."""
     return stall.checked_at >= stall.ends_at
-
-
-def _end(stall: Stall, now: Instant) -> Instant:
-    return min(stall.ends_at, now + STALL_SECONDS)
