End a process whose event loop stands still for good

Callers' threads wait for permits without a timeout, and in entry daemons for all decisions: with an event loop that is blocked, they would wait for good, while the server for callers makes its passes and the entry says that it is ready.

Cause: only the loops of servers were watched.

Change: an event loop records a pass each 0.5 s, and the supervisor that started it ends the process if there is none for 10 s, as for the others.

Not played in a real process.

--- a/mintsaddle/transport/_loop.py
+++ b/mintsaddle/transport/_loop.py
@@ -1,11 +1,16 @@
 """The thread that runs the event loop of grpclib and all decisions."""
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
 from mintsaddle.process import FailureLog, SupervisedThread, Supervisor
+from mintsaddle.values import Instant
+
+PASS_SECONDS = 0.5
+"""Seconds between two passes of an idle loop, which show that it goes on."""
 
 _Value = TypeVar("_Value")
 
@@ -23,6 +28,8 @@
         self._loop = asyncio.new_event_loop()
         self._loop.set_exception_handler(self._record_failure)
         self._thread: SupervisedThread | None = None
+        self._passed_at: Instant = time.monotonic()
+        self._beat: asyncio.TimerHandle | None = None
 
     @property
     def failures(self) -> FailureLog:
@@ -36,9 +43,8 @@
 
     def start(self) -> None:
         """Start the thread."""
-        self._thread = self._supervisor.start(
-            self._name, self._loop.run_forever, is_vital=True
-        )
+        self._thread = self._supervisor.start(self._name, self._run, is_vital=True)
+        self._supervisor.watch(self._name, lambda: self._passed_at)
 
     def submit(self, coroutine: Coroutine[Any, Any, _Value]) -> "Future[_Value]":
         """Schedule a coroutine in the loop from another thread."""
@@ -54,6 +60,18 @@
         if self._thread is not None:
             self._thread.join()
 
+    def _run(self) -> None:
+        """Run the loop until it is stopped."""
+        # An exception may have cost the pass in which the last one was due.
+        if self._beat is not None:
+            self._beat.cancel()
+        self._record_pass()
+        self._loop.run_forever()
+
+    def _record_pass(self) -> None:
+        self._passed_at = time.monotonic()
+        self._beat = self._loop.call_later(PASS_SECONDS, self._record_pass)
+
     def _record_failure(
         self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
