Exit processes after their work in one place

What callers saw: nothing; found on reading the change again.

Cause: the entry's program and that of the daemons each caught what ends their work, stopped the log and exited, with the same lines.

Change: process.exit_after does it for both, and EXIT_FAILURE stands beside it. Behaviour and exit codes are the same.

Evidence: linter, types; test_failing_threads.py, the tests of process and fakes/tests/test_processes.py, 45 passed.

--- a/mintsaddle/direct/__init__.py
+++ b/mintsaddle/direct/__init__.py
@@ -1,10 +1,6 @@
 """The direct entry: accepts HTTP requests and calls endpoints directly."""
 
-from mintsaddle.direct._program import (
-    EXIT_BAD_SETTINGS,
-    EXIT_FAILURE,
-    run_settings_file,
-)
+from mintsaddle.direct._program import EXIT_BAD_SETTINGS, run_settings_file
 from mintsaddle.direct._run import run_direct
 
-__all__ = ["EXIT_BAD_SETTINGS", "EXIT_FAILURE", "run_direct", "run_settings_file"]
+__all__ = ["EXIT_BAD_SETTINGS", "run_direct", "run_settings_file"]
--- a/mintsaddle/platform/tests/test_failing_threads.py
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -17,10 +17,10 @@
     REPORTS_PER_PERIOD,
     STALL_SECONDS,
 )
-from mintsaddle.direct import EXIT_FAILURE
 from mintsaddle.platform.tests import standins
 from mintsaddle.platform.tests.failing_entry import raise_in
 from mintsaddle.platform.tests.standins import Site, wait_for
+from mintsaddle.process import EXIT_FAILURE
 
 FAILING_MODULE = "mintsaddle.platform.tests.failing_entry"
 THREADS = [
--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -1,5 +1,6 @@
 """What all long-running processes share."""
 
+from mintsaddle.process._exit import EXIT_FAILURE, exit_after
 from mintsaddle.process._failures import FailureLog
 from mintsaddle.process._jobs import run_job
 from mintsaddle.process._signals import SignalReceiver, clear_wakeup, open_wakeup
@@ -10,12 +11,14 @@
 )
 
 __all__ = [
+    "EXIT_FAILURE",
     "BeyondHelpError",
     "FailureLog",
     "SignalReceiver",
     "SupervisedThread",
     "Supervisor",
     "clear_wakeup",
+    "exit_after",
     "open_wakeup",
     "run_job",
 ]
--- a/mintsaddle/program/_main.py
+++ b/mintsaddle/program/_main.py
@@ -11,24 +11,24 @@
   --help           Show this page.
 """
 
-import os
 import sys
+from functools import partial
 from pathlib import Path
 from typing import NoReturn
 
 from docopt import docopt
 from returns.result import Failure, Result, Success
 
-from mintsaddle.direct import EXIT_BAD_SETTINGS, EXIT_FAILURE, run_settings_file
+from mintsaddle.direct import EXIT_BAD_SETTINGS, run_settings_file
 from mintsaddle.endpoint import run_endpoint
 from mintsaddle.entry import run_entry
-from mintsaddle.observe import make_logger, start_logging, stop_logging
+from mintsaddle.observe import start_logging
 from mintsaddle.platform import load_direct_settings
+from mintsaddle.process import exit_after
 from mintsaddle.settings import Role, Settings, read_settings
 from mintsaddle.values import Finding, Findings, render_findings
 
 _PLATFORM_SUFFIX = ".toml"
-_log = make_logger("daemon")
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -71,12 +71,4 @@
 def _run(settings: Settings) -> NoReturn:
     start_logging(settings.log_level)
     run = run_entry if settings.role is Role.ENTRY else run_endpoint
-    try:
-        code = run(settings)
-    except BaseException:
-        _log.exception("Ending after an exception.")
-        code = EXIT_FAILURE
-    stop_logging()
-    # All work is done. Skip Python's wait for helper threads: one may be
-    # blocked for up to 25 s in a watch request to the platform.
-    os._exit(code)
+    exit_after(partial(run, settings))
