Use the terms of the code around in the text on failing loops

What callers saw: nothing. Cause: a few comments and pages added by this change used words that aren't the field's, and the loop had a number where values.MILLISECONDS stands. Change: wording and that name only.

Evidence: linter, types, and the tests of supervision, transport and callers.

--- a/mintsaddle/callers/_loop.py
+++ b/mintsaddle/callers/_loop.py
@@ -12,7 +12,7 @@
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.callers._cuts import CloseReason
 from mintsaddle.process import FailureLog
-from mintsaddle.values import Instant
+from mintsaddle.values import MILLISECONDS, Instant
 
 MAX_WAIT_SECONDS = 1.0
 """Longest wait of a pass in which nothing happens."""
@@ -77,7 +77,7 @@
         wait = MAX_WAIT_SECONDS
         if self._paused:
             wait = min(wait, max(0.0, min(self._paused.values()) - now))
-        for descriptor, events in poll.poll(wait * 1000):
+        for descriptor, events in poll.poll(wait * MILLISECONDS):
             dispatcher = self._dispatchers.get(descriptor)
             if dispatcher is None:
                 continue
--- a/mintsaddle/decisions/supervision/_reports.py
+++ b/mintsaddle/decisions/supervision/_reports.py
@@ -2,7 +2,7 @@
 
 Load pattern: most failures come once, for one connection or request. One whose
 cause stays comes again in each pass of a loop, thousands of times a second,
-and always tells the same.
+and is the same each time.
 """
 
 from typing import NamedTuple
--- a/mintsaddle/decisions/supervision/_stalls.py
+++ b/mintsaddle/decisions/supervision/_stalls.py
@@ -1,8 +1,8 @@
 """When a loop counts as stalled, and when the process must end for it.
 
 Load pattern: a loop under full load makes many passes a second, an idle one at
-least one. A process that is stopped for seconds makes none, and goes on as if
-nothing had been; its loops must not count as stalled for that.
+least one. A process that is stopped for seconds makes none, and then
+continues; its loops must not count as stalled for that.
 """
 
 from typing import NamedTuple
@@ -25,7 +25,7 @@
 
     checked_at: Instant = float("-inf")
     ends_at: Instant = float("inf")
-    """When the process must end unless the loop goes on before."""
+    """When the process must end unless the loop makes a pass before."""
 
 
 def is_alive(passed_at: Instant, now: Instant) -> bool:
--- a/mintsaddle/decisions/supervision/tests/test_reports.py
+++ b/mintsaddle/decisions/supervision/tests/test_reports.py
@@ -25,8 +25,8 @@
                 reports.append(report)
         periods = PLAYED_SECONDS / REPORT_PERIOD_SECONDS
         assert len(reports) <= REPORTS_PER_PERIOD * periods
-        told = len(reports) + sum(report.omitted for report in reports)
-        assert told + limit.omitted == count
+        reported = len(reports) + sum(report.omitted for report in reports)
+        assert reported + limit.omitted == count
 
     def test_rare_ones_are_all_told(self) -> None:
         limit = ReportLimit()
--- a/mintsaddle/platform/tests/test_failing_threads.py
+++ b/mintsaddle/platform/tests/test_failing_threads.py
@@ -218,7 +218,7 @@
 
 class TestDescriptors:
     def test_callers_are_accepted_once_there_are_some(self, site: FailingSite) -> None:
-        """Guards against a listener that gives up while it can accept none."""
+        """Guards against a listener that closes while it can accept none."""
         pid = site.entry.process.pid
         limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
         kept = site.entry.open("GET", "/lookup/1")
--- a/mintsaddle/transport/_loop.py
+++ b/mintsaddle/transport/_loop.py
@@ -10,7 +10,7 @@
 from mintsaddle.values import Instant
 
 PASS_SECONDS = 0.5
-"""Seconds between two passes of an idle loop, which show that it goes on."""
+"""Seconds between two passes of an idle loop, which show that it runs."""
 
 _Value = TypeVar("_Value")
 
--- a/mintsaddle/transport/tests/test_loop.py
+++ b/mintsaddle/transport/tests/test_loop.py
@@ -28,7 +28,7 @@
         loop_thread.stop()
 
     def test_one_that_is_blocked_for_good_ends_the_process(self) -> None:
-        """Guards against callers that wait for a loop that stands still."""
+        """Guards against callers that wait for a loop that is blocked."""
         times = iter(
             number * CHECK_SECONDS + time.monotonic() for number in range(1_000)
         )
