--- a/mintsaddle/callers/tests/test_failing_callbacks.py
+++ b/mintsaddle/callers/tests/test_failing_callbacks.py
@@ -189,7 +189,7 @@
 
 class TestRecordedCuts:
     def test_a_record_that_fails_costs_no_caller(self) -> None:
-        """Guards against a log line that decides whether the loop continues."""
+        """Guards against a log line that decides whether a loop runs on."""
 
         def fail(_: CutConnection) -> None:
             raise ValueError("Exceeds the limit for integer string conversion")
