Refuse a port of too many digits in the tool

What callers saw: `mintsaddle status IP:PORT` ended with a traceback for a port of 5,000 digits.

Cause: the same as for event ids: isdecimal lets it pass, and int refuses more than 4,300 digits.

Change: the port is read by read_digits, as other digits from outside. Digits of other scripts are refused now, too.

Of the two other readers past read_digits, token usage is read by float, which takes any digits, and load counts have 9 at most.

--- a/mintsaddle/cli/_remote.py
+++ b/mintsaddle/cli/_remote.py
@@ -13,6 +13,7 @@
 from mintsaddle.observe import HistogramKey, HistogramSummary, Measure, merge_encoded
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.transport.proto.peer_grpc import PeerStub
+from mintsaddle.values import read_digits
 
 _TIMEOUT_SECONDS = 5.0
 _BYTES_PER_MB = 1_000_000
@@ -44,12 +45,13 @@
 def _query(
     address: str, rpc: Callable[[PeerStub], Awaitable[_Reply]]
 ) -> Result[_Reply, str]:
-    host, _, port = address.rpartition(":")
-    if not port.isdecimal():
+    host, _, text = address.rpartition(":")
+    port = read_digits(text)
+    if port is None:
         return Failure(f"'{address}' is not IP:PORT, as in 10.0.0.1:7000")
 
     async def run() -> _Reply:
-        channel = Channel(host.strip("[]"), int(port))
+        channel = Channel(host.strip("[]"), port)
         try:
             return await asyncio.wait_for(rpc(PeerStub(channel)), _TIMEOUT_SECONDS)
         finally:
--- a/mintsaddle/cli/tests/test_tool.py
+++ b/mintsaddle/cli/tests/test_tool.py
@@ -74,7 +74,9 @@
 
 
 class TestStatus:
-    @pytest.mark.parametrize("address", ["127.0.0.1:1", "nowhere"])
+    @pytest.mark.parametrize(
+        "address", ["127.0.0.1:1", "nowhere", "a:" + "9" * 5_000, "127.0.0.1:\u0661"]
+    )
     def test_unreachable_daemon_fails(
         self, address: str, capsys: pytest.CaptureFixture[str]
     ) -> None:
