Start threads without waiting for their first steps

Cause: threading.Thread.start() waits until the new thread has made its first steps, for good if an exception ends the thread in them. The callers' loop starts threads for requests, with the lock of their pool; the main thread revives others and reads the signals. A lack of memory at that moment does the same.

Change: threads are started by process.start_thread, which waits for nothing. The pool's idle threads are a set instead of a count that an exception between two steps leaves wrong.

The rule on the sources allows no threading.Thread at all.

--- a/mintsaddle/callers/_server.py
+++ b/mintsaddle/callers/_server.py
@@ -274,11 +274,12 @@
         self._is_listening = False
 
     def _maintain(self, _: float) -> None:
-        """Close idle connections; called in the server's loop."""
+        """Close idle connections, replace threads; called in the loop."""
         for step in (
             self._upkeep.close_expired,
             self._upkeep.refuse_excess,
             self._upkeep.close_excess,
+            self._dispatcher.replace_ended,
         ):
             with self._failures.contain(self._name):
                 step()
--- a/mintsaddle/callers/_threads.py
+++ b/mintsaddle/callers/_threads.py
@@ -1,17 +1,20 @@
 """A thread pool for callers that grows on demand."""
 
 import threading
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from waitress.task import ThreadedTaskDispatcher
 
 from mintsaddle.observe import fields, make_logger
-from mintsaddle.process import FailureLog
+from mintsaddle.process import FailureLog, never_alive, start_thread
 
 INITIAL_THREADS = 4
 """Threads that are started before the first request."""
 
 _LOOP = "requests"
+_ENDED = RuntimeError("A thread has ended unnoticed.")
 _log = make_logger("callers")
 
 
@@ -32,6 +35,16 @@
         self._failures = failures
         self._max_threads = max_threads
         self._growth = threading.Lock()
+        self._is_alive: dict[int, Callable[[], bool]] = {}
+        """Whether each thread is alive, by its number."""
+
+        self._idle: set[int] = set()
+        """Threads that wait for a request, or will as soon as they run."""
+
+    @property
+    def idle_count(self) -> int:
+        """Number of threads that have no request."""
+        return len(self._idle)
 
     def set_thread_count(self, count: int) -> None:
         """Set the number of threads, up to the limit."""
@@ -44,13 +57,23 @@
         would close its caller's connection.
         """
         try:
-            super().start_new_thread(target, thread_no)
-        except RuntimeError:
-            # The caller counts it as active from now on.
-            self.active_count -= 1
-            self.threads.discard(thread_no)
+            self._is_alive[thread_no] = start_thread(
+                f"{_LOOP}-{thread_no}", partial(target, thread_no)
+            )
+            self._idle.add(thread_no)
+        except (RuntimeError, MemoryError):
+            self._remove(thread_no)
             _log.warning("No thread started %s.", fields(threads=len(self.threads)))
 
+    def replace_ended(self) -> None:
+        """Replace threads that have ended without a chance to say so."""
+        with self.lock:
+            for thread_no in tuple(self.threads):
+                if not self._is_alive.get(thread_no, never_alive)():
+                    self._failures.record(_LOOP, _ENDED)
+                    self._remove(thread_no)
+        self._grow()
+
     def add_task(self, task: Any) -> None:
         """Queue a request for the next idle thread."""
         with self.lock:
@@ -65,33 +88,30 @@
         """
         has_failed = False
         try:
-            while (task := self._take_task()) is not None:
+            while (task := self._take_task(thread_no)) is not None:
                 self._serve(task)
         except BaseException:
             has_failed = True
             self._failures.record(_LOOP)
         finally:
             with self.lock:
-                self.active_count -= 1
-                self.threads.discard(thread_no)
+                self._remove(thread_no)
                 self.thread_exit_cv.notify()
                 # It may have been woken up for a request that still waits.
                 self.queue_cv.notify()
         if has_failed:
             self._grow()
 
-    def _take_task(self) -> Any:
+    def _take_task(self, thread_no: int) -> Any:
         """Wait for a request; return None if the thread is to stop."""
         with self.lock:
+            self._idle.add(thread_no)
             while not self.queue and self.stop_count == 0:
-                self.active_count -= 1
-                try:
-                    self.queue_cv.wait()
-                finally:
-                    self.active_count += 1
+                self.queue_cv.wait()
             if self.stop_count > 0:
                 self.stop_count -= 1
                 return None
+            self._idle.discard(thread_no)
             return self.queue.popleft()
 
     def _serve(self, task: Any) -> None:
@@ -105,7 +125,13 @@
         # Without it, a number that is out of date would stop a thread.
         with self._growth:
             with self.lock:
-                needed = self.active_count + len(self.queue)
-                is_short = self.queue and needed > len(self.threads)
-            if is_short:
-                self.set_thread_count(needed)
+                missing = len(self.queue) - len(self._idle)
+                count = len(self.threads) + missing
+            if missing > 0:
+                self.set_thread_count(count)
+
+    def _remove(self, thread_no: int) -> None:
+        """Remove a thread; called with the lock held."""
+        self.threads.discard(thread_no)
+        self._idle.discard(thread_no)
+        self._is_alive.pop(thread_no, None)
--- a/mintsaddle/callers/tests/test_threads.py
+++ b/mintsaddle/callers/tests/test_threads.py
@@ -1,5 +1,6 @@
 """The growing thread pool."""
 
+import _thread
 import threading
 from typing import Any
 
@@ -8,6 +9,7 @@
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.platform.tests.standins import wait_for
 from mintsaddle.process import FailureLog
+from mintsaddle.process.tests.failing_starts import fail_starts, returns_within
 
 WAIT_SECONDS = 10.0
 
@@ -67,7 +69,7 @@
             raise RuntimeError("can't start new thread")
 
         with monkeypatch.context() as patch:
-            patch.setattr(threading.Thread, "start", refuse_thread)
+            patch.setattr(_thread, "start_new_thread", refuse_thread)
             tasks = add_tasks(dispatcher, INITIAL_THREADS + 2, release)
             assert all(one.began.wait(WAIT_SECONDS) for one in tasks[:-2])
         assert len(dispatcher.threads) == INITIAL_THREADS
@@ -111,12 +113,32 @@
 
         monkeypatch.setattr(dispatcher.queue_cv, "wait", fail_once_woken)
         dispatcher.set_thread_count(INITIAL_THREADS)
-        wait_for(lambda: dispatcher.active_count == 0, "idle threads")
+        wait_for(lambda: dispatcher.idle_count == INITIAL_THREADS, "idle threads")
         release.set()
         for _ in range(3 * INITIAL_THREADS):
             (task,) = add_tasks(dispatcher, 1, release)
             assert task.began.wait(WAIT_SECONDS)
         assert failures.counts["requests"] >= INITIAL_THREADS
-        wait_for(lambda: dispatcher.active_count == 0, "idle threads")
+        wait_for(
+            lambda: dispatcher.idle_count == len(dispatcher.threads), "idle threads"
+        )
         assert len(dispatcher.threads) <= 8
         dispatcher.shutdown()
+
+    @pytest.mark.parametrize("failing", [1, 3])
+    def test_threads_that_fail_as_they_start_are_replaced(
+        self, monkeypatch: pytest.MonkeyPatch, failing: int
+    ) -> None:
+        """Guards against a loop that waits for a thread that is gone."""
+        dispatcher, release = GrowingDispatcher(8, FailureLog()), threading.Event()
+        dispatcher.set_thread_count(INITIAL_THREADS)
+        tasks: list[BlockedTask] = []
+        count_failed = fail_starts(monkeypatch, failing)
+        assert returns_within(
+            WAIT_SECONDS, lambda: tasks.extend(add_tasks(dispatcher, 8, release))
+        )
+        wait_for(lambda: count_failed() == failing, "failing threads")
+        dispatcher.replace_ended()
+        assert all(one.began.wait(WAIT_SECONDS) for one in tasks)
+        release.set()
+        dispatcher.shutdown()
--- a/mintsaddle/platform/tests/failing_entry.py
+++ b/mintsaddle/platform/tests/failing_entry.py
@@ -39,11 +39,12 @@
 
 
 def _raise_in(name: str, error: type[BaseException]) -> int:
-    # One that is being started has no number yet.
+    # Some that have ended are still listed.
+    running = sys._current_frames()
     threads = [
         thread
         for thread in threading.enumerate()
-        if thread.name == name and thread.ident is not None
+        if thread.name == name and thread.ident in running
     ]
     for thread in threads:
         assert thread.ident is not None
--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -9,6 +9,7 @@
     SupervisedThread,
     Supervisor,
 )
+from mintsaddle.process._threads import never_alive, start_thread
 
 __all__ = [
     "EXIT_FAILURE",
@@ -19,6 +20,8 @@
     "Supervisor",
     "clear_wakeup",
     "exit_after",
+    "never_alive",
     "open_wakeup",
     "run_job",
+    "start_thread",
 ]
--- a/mintsaddle/process/_supervisor.py
+++ b/mintsaddle/process/_supervisor.py
@@ -1,6 +1,5 @@
 """Long-lived threads, which are started again when they end."""
 
-import threading
 import time
 from collections.abc import Callable
 
@@ -13,8 +12,11 @@
     record_failure,
 )
 from mintsaddle.process._failures import FailureLog
+from mintsaddle.process._threads import never_alive, start_thread
 from mintsaddle.values import Clock, Instant
 
+_JOIN_POLL_SECONDS = 0.01
+
 
 class BeyondHelpError(Exception):
     """What the process can't do without fails again and again, or stalls."""
@@ -50,7 +52,7 @@
         self._restarts = Restarts()
         self._has_returned = False
         self._started_at: Instant = now()
-        self._thread = self._make_thread()
+        self._is_alive = never_alive
 
     @property
     def name(self) -> str:
@@ -67,14 +69,15 @@
 
         Raises:
             RuntimeError: The host has no thread left.
+            MemoryError: There is no memory for it.
         """
-        self._thread.start()
+        self._is_alive = start_thread(self._name, self._run_again)
 
     def join(self) -> None:
         """Wait until the function has returned, or is beyond help."""
         while not self._has_returned and not self.must_end_process:
-            self._thread.join()
             self.revive()
+            time.sleep(_JOIN_POLL_SECONDS)
 
     def revive(self) -> None:
         """Start the thread again if an exception has ended it.
@@ -84,15 +87,12 @@
 
         Raises:
             RuntimeError: The host has no thread left.
+            MemoryError: There is no memory for it.
         """
-        if self._has_returned or self._thread.is_alive():
+        if self._has_returned or self._is_alive():
             return
         self._restarts = record_failure(self._restarts, self._started_at, self._now())
-        self._thread = self._make_thread()
-        self._thread.start()
-
-    def _make_thread(self) -> threading.Thread:
-        return threading.Thread(target=self._run_again, name=self._name, daemon=True)
+        self.start()
 
     def _run_again(self) -> None:
         while not self._has_returned and not self.must_end_process:
@@ -145,6 +145,7 @@
 
         Raises:
             RuntimeError: The host has no thread left.
+            MemoryError: There is no memory for it.
         """
         thread = SupervisedThread(
             name, run, self._failures, self._now, is_vital=is_vital
--- a/mintsaddle/process/tests/test_rules.py
+++ b/mintsaddle/process/tests/test_rules.py
@@ -8,7 +8,9 @@
 
 ROOT = Path(mintsaddle.__file__).parent
 STARTS = {
-    "Thread": ("process/_supervisor.py",),
+    "Thread": (),
+    "start_new_thread": ("process/_threads.py",),
+    "start_thread": ("process/_supervisor.py", "callers/_threads.py"),
     "ensure_future": ("daemon/_node.py", "direct/_peer_start.py", "entry/_calls.py"),
     "create_task": (),
     "run_forever": ("transport/_loop.py",),
@@ -37,5 +39,5 @@
             for name in find_calls(path)
             if name in STARTS
         ]
-        assert {name for name, _ in found} >= {"Thread", "ensure_future"}
+        assert {name for name, _ in found} >= {"start_new_thread", "ensure_future"}
         assert [(name, path) for name, path in found if path not in STARTS[name]] == []
--- /dev/null
+++ b/mintsaddle/process/tests/test_supervisor.py
@@ -0,0 +1,49 @@
+"""Threads that fail as they start."""
+
+import threading
+import time
+
+import pytest
+
+from mintsaddle.process import BeyondHelpError, Supervisor
+from mintsaddle.process.tests.failing_starts import fail_starts, returns_within
+
+WAIT_SECONDS = 5.0
+CHECK_SECONDS = 0.05
+FAILURES = 3
+
+
+class TestFailingStarts:
+    def test_one_is_started_again(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a main thread that waits for a dead thread."""
+        supervisor, ran = Supervisor(), threading.Event()
+        count_failed = fail_starts(monkeypatch, FAILURES)
+
+        def check_until_it_runs() -> None:
+            supervisor.start("loop", ran.set)
+            end = time.monotonic() + WAIT_SECONDS
+            while not ran.is_set() and time.monotonic() < end:
+                supervisor.check()
+                time.sleep(CHECK_SECONDS)
+
+        assert returns_within(2 * WAIT_SECONDS, check_until_it_runs)
+        assert ran.is_set()
+        assert count_failed() == FAILURES
+
+    def test_one_that_callers_need_ends_the_process(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an entry that stays without the loop it needs."""
+        supervisor, ended = Supervisor(), threading.Event()
+        fail_starts(monkeypatch, 1_000)
+
+        def check_until_the_end() -> None:
+            supervisor.start("loop", threading.Event().wait, is_vital=True)
+            try:
+                while True:
+                    supervisor.check()
+            except BeyondHelpError:
+                ended.set()
+
+        assert returns_within(WAIT_SECONDS, check_until_the_end)
+        assert ended.is_set()
