End each blocking call whose thread ends

An exception in an idle thread of the standard library's pool costs the call that the thread takes next: its future is never done, and the pool counts the thread as idle for good, so the next call may wait as well. A thread that fails in its first steps blocks submit() with a lock that all pools share.

What would be seen: nothing. The threads for maps, groups and paths wait for such calls without a limit and would stand for good, while the entry is ready; a request at an endpoint daemon would keep its place and its entry would wait. In daemons the jobs that probe and watch would wait.

Change: process.WorkerPool, an Executor over start_thread. A call ends with its thread, by an exception if it has no result; the thread is replaced. The endpoint daemon ends a call by its future, so also one whose worker raised what is no Exception. The pool of the group checks outlives their loop, which made a new one each time it ran again. The rule on the sources allows no ThreadPoolExecutor in the package.

--- a/mintsaddle/daemon/_node.py
+++ b/mintsaddle/daemon/_node.py
@@ -4,7 +4,6 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
-from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from google.protobuf.message import Message
@@ -23,7 +22,7 @@
 )
 from mintsaddle.fleet import read_fleet
 from mintsaddle.observe import HistogramRegistry, make_logger
-from mintsaddle.process import run_job
+from mintsaddle.process import WorkerPool, run_job
 from mintsaddle.settings import Settings
 from mintsaddle.transport import (
     ChannelPool,
@@ -66,7 +65,7 @@
         self._boot_at = self._clock()
         self._configuration = ConfigurationState()
         self._channels = ChannelPool()
-        self._executor = ThreadPoolExecutor(_HELPER_THREADS, "helper")
+        self._executor = WorkerPool(_HELPER_THREADS, "helper")
         self._histograms = HistogramRegistry()
         self._gate = ReadinessGate(
             frozenset(), give_up_at=self._boot_at + _GATE_TIMEOUT_SECONDS
@@ -115,7 +114,7 @@
         return self._channels
 
     @property
-    def executor(self) -> ThreadPoolExecutor:
+    def executor(self) -> WorkerPool:
         """Thread pool for blocking calls."""
         return self._executor
 
--- a/mintsaddle/direct/_groups.py
+++ b/mintsaddle/direct/_groups.py
@@ -18,12 +18,12 @@
 
 def start_group_checks(gateway: Gateway, supervisor: Supervisor) -> None:
     """Start a thread that checks groups until the process ends."""
-    supervisor.start(_THREAD, partial(_run, gateway, supervisor.failures))
+    calls = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
+    supervisor.start(_THREAD, partial(_run, gateway, calls, supervisor.failures))
 
 
-def _run(gateway: Gateway, failures: FailureLog) -> NoReturn:
+def _run(gateway: Gateway, calls: RankCalls, failures: FailureLog) -> NoReturn:
     pause = threading.Event()
-    calls = RankCalls(gateway.settings, gateway.now, gateway.metrics.count)
     while True:
         with gateway.groups_changed:
             while not gateway.groups.down_groups():
--- a/mintsaddle/direct/_paths.py
+++ b/mintsaddle/direct/_paths.py
@@ -2,14 +2,14 @@
 
 import threading
 from collections.abc import Iterable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor
 from functools import partial
 from typing import NoReturn
 
 from mintsaddle.decisions.direct import ENDPOINTS_PER_CHECK
 from mintsaddle.direct._engine_checks import EngineState, check_engine
 from mintsaddle.direct._gateway import Gateway
-from mintsaddle.process import FailureLog, Supervisor
+from mintsaddle.process import FailureLog, Supervisor, WorkerPool
 
 CHECK_SECONDS = 0.15
 """Timeout of a test connection, and interval between checks. Round trips take
@@ -26,7 +26,7 @@
 
 def _check_forever(gateway: Gateway, failures: FailureLog) -> NoReturn:
     pause = threading.Event()
-    with ThreadPoolExecutor(ENDPOINTS_PER_CHECK + 1, "paths") as pool:
+    with WorkerPool(ENDPOINTS_PER_CHECK + 1, "paths") as pool:
         while True:
             for data_centre in gateway.reach.wait_for_checks():
                 with failures.contain(_THREAD):
@@ -34,9 +34,7 @@
             pause.wait(CHECK_SECONDS)
 
 
-def _check_data_centre(
-    gateway: Gateway, pool: ThreadPoolExecutor, data_centre: str
-) -> None:
+def _check_data_centre(gateway: Gateway, pool: Executor, data_centre: str) -> None:
     """Try to connect to endpoints of a data centre and to the platform."""
     addresses = gateway.sample_addresses(data_centre, ENDPOINTS_PER_CHECK)
     platform_check = pool.submit(_is_reachable, gateway.settings.store)
@@ -46,7 +44,7 @@
     )
 
 
-def _any_reachable(pool: ThreadPoolExecutor, addresses: Iterable[str]) -> bool:
+def _any_reachable(pool: Executor, addresses: Iterable[str]) -> bool:
     results = list(pool.map(_is_reachable, addresses))
     # A data centre without endpoints has nothing that callers could miss.
     return any(results) or not results
--- a/mintsaddle/direct/_rank_calls.py
+++ b/mintsaddle/direct/_rank_calls.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -32,6 +31,7 @@
     order_call,
     report_call,
 )
+from mintsaddle.process import WorkerPool
 from mintsaddle.rank_agent import RankCall, RankResponse
 from mintsaddle.settings import DirectSettings
 from mintsaddle.values import Instant
@@ -104,7 +104,7 @@
         self._client = AgentClient(settings.host) if settings.agent_port else None
         self._now = now
         self._count = count
-        self._pool = ThreadPoolExecutor(_MAX_NETWORK_CALLS, "ranks")
+        self._pool = WorkerPool(_MAX_NETWORK_CALLS, "ranks")
         self._silent_agents = SilentAgents(now)
 
     def reachable_ranks(self, group: RankGroup) -> frozenset[int]:
--- a/mintsaddle/direct/tests/test_contained_failures.py
+++ b/mintsaddle/direct/tests/test_contained_failures.py
@@ -91,12 +91,13 @@
         self, monkeypatch: pytest.MonkeyPatch, gateway: Gateway
     ) -> None:
         failures, items = FailureLog(), CheckedItems()
+        calls: Any = None
         monkeypatch.setattr(gateway.groups, "down_groups", lambda: ("bad", "good"))
         monkeypatch.setattr(
             _groups, "_check_group", lambda _gateway, _calls, name: items.check(name)
         )
         with pytest.raises(StopLoop):
-            _groups._run(gateway, failures)
+            _groups._run(gateway, calls, failures)
         assert failures.counts == {"groups": 3}
 
 
--- a/mintsaddle/endpoint/_host.py
+++ b/mintsaddle/endpoint/_host.py
@@ -1,7 +1,8 @@
 """Executes the actions that the arrival decisions return."""
 
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future
+from functools import partial
 
 from mintsaddle.daemon import DaemonNode
 from mintsaddle.decisions.admission import EngineFeedback
@@ -35,6 +36,7 @@
 from mintsaddle.engines import EngineCall, EngineHead, EngineRequest
 from mintsaddle.fleet import ServiceKind
 from mintsaddle.observe import make_logger
+from mintsaddle.process import WorkerPool
 from mintsaddle.transport.proto import peer_pb2 as pb
 from mintsaddle.values import Claim, Load, Reason, Refusal
 
@@ -61,7 +63,7 @@
     def __init__(self, node: DaemonNode, state: EndpointState) -> None:
         self._node = node
         self._state = state
-        self._workers = ThreadPoolExecutor(MAX_ENGINE_THREADS, "engine")
+        self._workers = WorkerPool(MAX_ENGINE_THREADS, "engine")
         self._mailboxes: dict[str, Mailbox] = {}
         self._calls: dict[str, EngineCall] = {}
         self._detached_messages: dict[str, pb.CallRequest] = {}
@@ -165,25 +167,33 @@
         worker: Worker = run_order if arrival.key else run_call
         # If the entry of an order has disconnected, nobody reads the mailbox.
         parameters = self._make_call_parameters(arrival, mailbox or Mailbox(message))
-        self._workers.submit(self._run_worker, worker, call, parameters)
+        self._run_worker(worker, call, parameters)
 
     def _run_worker(
         self, worker: Worker, call: EngineCall, parameters: CallParameters
     ) -> None:
-        """Run a worker; end its call if it raises an exception.
+        """Run a worker in a thread; end its call if it raises an exception.
 
         The request would hold its place for good, and its entry would wait.
         """
-        try:
-            worker(self, call, parameters)
-        except Exception:
-            self._node.loop_thread.failures.record("engine")
-            result = EngineResult(EngineFeedback.FAILED, reached=True)
-            # The entry of an order is answered from the ledger.
-            event = None if worker is run_order else Broken(Reason.ENGINE_FAILED)
-            self._node.loop_thread.post(
-                self.handle_call_end, parameters.request_id, result, event
-            )
+        future = self._workers.submit(worker, self, call, parameters)
+        is_order = worker is run_order
+        future.add_done_callback(
+            partial(self._handle_worker_end, parameters.request_id, is_order)
+        )
+
+    def _handle_worker_end(
+        self, request_id: str, is_order: bool, future: "Future[None]"
+    ) -> None:
+        error = future.exception()
+        if error is None:
+            return
+        loop_thread = self._node.loop_thread
+        loop_thread.failures.record("engine", error)
+        result = EngineResult(EngineFeedback.FAILED, reached=True)
+        # The entry of an order is answered from the ledger.
+        event = None if is_order else Broken(Reason.ENGINE_FAILED)
+        loop_thread.post(self.handle_call_end, request_id, result, event)
 
     def _make_request(self, arrival: Arrival, message: pb.CallRequest) -> EngineRequest:
         headers = {
--- a/mintsaddle/process/__init__.py
+++ b/mintsaddle/process/__init__.py
@@ -10,14 +10,17 @@
     Supervisor,
 )
 from mintsaddle.process._threads import never_alive, start_thread
+from mintsaddle.process._workers import NoThreadError, WorkerPool
 
 __all__ = [
     "EXIT_FAILURE",
     "BeyondHelpError",
     "FailureLog",
+    "NoThreadError",
     "SignalReceiver",
     "SupervisedThread",
     "Supervisor",
+    "WorkerPool",
     "clear_wakeup",
     "exit_after",
     "never_alive",
--- a/mintsaddle/process/_threads.py
+++ b/mintsaddle/process/_threads.py
@@ -11,7 +11,9 @@
     """Referred to by a thread from its start to its end."""
 
 
-def start_thread(name: str, run: Callable[[], object]) -> Callable[[], bool]:
+def start_thread(
+    name: str, run: Callable[[], object], on_end: Callable[[], object] | None = None
+) -> Callable[[], bool]:
     """Start a daemon thread.
 
     threading.Thread.start() waits for the thread's first steps: for good, if
@@ -20,6 +22,8 @@
     Args:
         name: Name of the thread.
         run: The function that it runs.
+        on_end: Called in the thread as it ends, in whatever way, as long as
+            the returned function is referred to.
 
     Returns:
         A function that returns whether the thread is alive. One that has been
@@ -30,8 +34,13 @@
         MemoryError: There is no memory for it.
     """
     life = _Life()
-    is_alive = partial(_exists, weakref.ref(life))
-    _thread.start_new_thread(_run_named, (name, run, life))
+    is_alive = partial(_exists, weakref.ref(life, on_end and (lambda _: on_end())))
+    try:
+        _thread.start_new_thread(_run_named, (name, run, life))
+    except BaseException:
+        # Nothing ends, so nothing may be called when `life` does.
+        del is_alive
+        raise
     return is_alive
 
 
--- a/mintsaddle/process/tests/test_rules.py
+++ b/mintsaddle/process/tests/test_rules.py
@@ -9,8 +9,13 @@
 ROOT = Path(mintsaddle.__file__).parent
 STARTS = {
     "Thread": (),
+    "ThreadPoolExecutor": (),
     "start_new_thread": ("process/_threads.py",),
-    "start_thread": ("process/_supervisor.py", "callers/_threads.py"),
+    "start_thread": (
+        "process/_supervisor.py",
+        "process/_workers.py",
+        "callers/_threads.py",
+    ),
     "ensure_future": ("daemon/_node.py", "direct/_peer_start.py", "entry/_calls.py"),
     "create_task": (),
     "run_forever": ("transport/_loop.py",),
