Let tests end threads at their first step for certain

test_one_is_started_again failed once in a run of 57 tests on 4 workers: one thread had failed at its start, three were asked.

The functions that raise exceptions in other threads are one, in process/tests/failing_threads.py. Checks and bounds are as they were.

--- a/mintsaddle/callers/tests/test_threads.py
+++ b/mintsaddle/callers/tests/test_threads.py
@@ -9,7 +9,7 @@
 from mintsaddle.callers._threads import INITIAL_THREADS, GrowingDispatcher
 from mintsaddle.platform.tests.standins import wait_for
 from mintsaddle.process import FailureLog
-from mintsaddle.process.tests.failing_starts import fail_starts, returns_within
+from mintsaddle.process.tests.failing_threads import fail_starts, returns_within
 
 WAIT_SECONDS = 10.0
 
--- a/mintsaddle/platform/tests/failing_entry.py
+++ b/mintsaddle/platform/tests/failing_entry.py
@@ -6,7 +6,6 @@
 """
 
 import builtins
-import ctypes
 import re
 import socket
 import sys
@@ -17,6 +16,7 @@
 from mintsaddle.callers._connections import CallerChannel
 from mintsaddle.direct import run_settings_file
 from mintsaddle.platform import settings_path
+from mintsaddle.process.tests import failing_threads
 
 _POLL_SECONDS = 0.02
 _RESTART_SECONDS = 3.0
@@ -48,9 +48,7 @@
     ]
     for thread in threads:
         assert thread.ident is not None
-        ctypes.pythonapi.PyThreadState_SetAsyncExc(
-            ctypes.c_ulong(thread.ident), ctypes.py_object(error)
-        )
+        failing_threads.raise_in(thread.ident, error)
     return len(threads)
 
 
--- a/mintsaddle/process/tests/test_supervisor.py
+++ b/mintsaddle/process/tests/test_supervisor.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mintsaddle.process import BeyondHelpError, Supervisor
-from mintsaddle.process.tests.failing_starts import fail_starts, returns_within
+from mintsaddle.process.tests.failing_threads import fail_starts, returns_within
 
 WAIT_SECONDS = 5.0
 CHECK_SECONDS = 0.05
--- a/mintsaddle/process/tests/test_workers.py
+++ b/mintsaddle/process/tests/test_workers.py
@@ -1,7 +1,6 @@
 """Exceptions in the threads of a pool for blocking calls."""
 
 import _thread
-import ctypes
 import sys
 import threading
 import time
@@ -11,7 +10,11 @@
 import pytest
 
 from mintsaddle.process import NoThreadError, WorkerPool
-from mintsaddle.process.tests.failing_starts import fail_starts, returns_within
+from mintsaddle.process.tests.failing_threads import (
+    fail_starts,
+    raise_in,
+    returns_within,
+)
 
 WAIT_SECONDS = 5.0
 THREADS = 4
@@ -27,13 +30,6 @@
     pool.shutdown(wait=False)
 
 
-def raise_in(thread: int, error: type[BaseException] = RuntimeError) -> None:
-    """Raise an exception in a thread at its next step."""
-    ctypes.pythonapi.PyThreadState_SetAsyncExc(
-        ctypes.c_ulong(thread), ctypes.py_object(error)
-    )
-
-
 def ends(future: "Future[object]") -> bool:
     """Return whether a call ends in time, with a result or an exception."""
     try:
@@ -102,7 +98,7 @@
 
         future = pool.submit(work)
         assert began.wait(WAIT_SECONDS)
-        raise_in(threads[0])
+        raise_in(threads[0], RuntimeError)
         assert isinstance(future.exception(WAIT_SECONDS), RuntimeError)
         assert pool.submit(abs, -1).result(WAIT_SECONDS) == 1
 
