Keep writing the log after an exception while its writer waits

What operators would see: no line of the log from some moment on, while the process runs. Callers are not concerned.

Cause: the writer survives what a line raises, but not what comes while it waits for one. The thread ends, the queue fills up, and all further lines are dropped.

Change: it waits again, whatever is raised while it waits.

Test: exceptions of three kinds by the C API, each before a line. 3 of 3 cases failed before: the first of five lines was the last.

--- a/mintsaddle/observe/_logs.py
+++ b/mintsaddle/observe/_logs.py
@@ -78,6 +78,20 @@
         with contextlib.suppress(Exception):
             self._write(record)
 
+    def dequeue(self, block: bool) -> logging.LogRecord:
+        """Return the next record, whatever is raised while waiting for it.
+
+        Raises:
+            Empty: There is none, and the caller doesn't wait.
+        """
+        while True:
+            try:
+                return super().dequeue(block)
+            except queue.Empty:
+                raise
+            except BaseException:
+                continue
+
     def enqueue_sentinel(self) -> None:
         """Ask the thread to stop; the queue may be full."""
         with contextlib.suppress(queue.Full):
--- a/mintsaddle/observe/tests/test_logs.py
+++ b/mintsaddle/observe/tests/test_logs.py
@@ -1,6 +1,7 @@
 """Logging never blocks the thread that serves a caller."""
 
 import logging
+import sys
 import threading
 import time
 
@@ -13,6 +14,7 @@
     _BoundedHandler,
     _Writer,
 )
+from mintsaddle.process.tests.failing_threads import raise_in
 
 
 class TestLogs:
@@ -84,6 +86,24 @@
             f"line {number}" for number in range(1, 5)
         ]
 
+    @pytest.mark.parametrize("error", [RuntimeError, SystemExit, MemoryError])
+    def test_an_exception_while_it_waits_costs_no_line(
+        self, monkeypatch: pytest.MonkeyPatch, error: type[BaseException]
+    ) -> None:
+        """Guards against a process without a log from some moment on."""
+        others = set(sys._current_frames())
+        stream = OddStream([])
+        logger = write_lines(monkeypatch, stream, 1)
+        (thread,) = set(sys._current_frames()) - others
+        for number in range(1, 5):
+            # By then it waits.
+            time.sleep(0.1)
+            raise_in(thread, error)
+            logger.info("line %d", number)
+        stop_logging()
+        written = [line.strip()[-6:] for line in stream.lines]
+        assert written == [f"line {number}" for number in range(5)]
+
     def test_a_blocked_reader_does_not_keep_the_process(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
