Wait in tests until a process has stopped

Traced by the entry's log: the request was chosen for an endpoint before the entry froze for four seconds, and was given up as too late after it. On a busy machine the threads of a process run on for a moment after SIGSTOP was sent, and the test sent the rest of its request then.

Change: Entry.freeze waits until the kernel shows all threads as stopped, here and in the test of requests that are sent in a pause. The checks are the same.

--- a/mintsaddle/callers/tests/test_late_requests.py
+++ b/mintsaddle/callers/tests/test_late_requests.py
@@ -37,7 +37,7 @@
             connection.settimeout(standins.WAIT_SECONDS)
             connection.sendall(head[:40])
             time.sleep(0.2)
-            site.entry.process.send_signal(signal.SIGSTOP)
+            site.entry.freeze()
             connection.sendall(head[40:])
             time.sleep(STOPPED_SECONDS)
             site.entry.process.send_signal(signal.SIGCONT)
--- a/mintsaddle/platform/tests/standins.py
+++ b/mintsaddle/platform/tests/standins.py
@@ -567,6 +567,12 @@
             self.process.wait()
         self._log.close()
 
+    def freeze(self) -> None:
+        """Stop all threads of the process, until it gets SIGCONT."""
+        self.process.send_signal(signal.SIGSTOP)
+        # They run on until each of them has noticed.
+        wait_for(lambda: _is_stopped(self.process.pid), "stopped process")
+
     def terminate(self) -> None:
         """Send SIGTERM to the process."""
         self.process.send_signal(signal.SIGTERM)
@@ -620,6 +626,12 @@
         return response.status, dict(response.headers), response.read()
 
 
+def _is_stopped(pid: int) -> bool:
+    stats = Path(f"/proc/{pid}/task").glob("*/stat")
+    # The state follows the name, which is in brackets.
+    return all(stat.read_text().rpartition(")")[2].split()[0] == "T" for stat in stats)
+
+
 _SETTINGS = """
 node_name = "{name}"
 zone = "a"
--- a/mintsaddle/platform/tests/test_drain.py
+++ b/mintsaddle/platform/tests/test_drain.py
@@ -172,7 +172,7 @@
             connections.append(connection)
         site.entry.terminate()
         time.sleep(ACCEPT_SECONDS - 0.5)
-        site.entry.process.send_signal(signal.SIGSTOP)
+        site.entry.freeze()
         for connection in connections:
             send_lookup(connection, "attempt-2")
         time.sleep(1.0)
