Don't hold the lock of a pool while one of its threads starts

A thread that fails in its first steps may have ended before the call that started it returns. Threads that always fail were started without end.

Change: a thread is reserved with the lock held and started without it. After 20 threads in a row that ended without a call, the calls that wait end with an exception, if no thread is left.

--- a/mintsaddle/process/_workers.py
+++ b/mintsaddle/process/_workers.py
@@ -14,7 +14,10 @@
 from functools import partial
 from typing import Any, NamedTuple, ParamSpec, TypeVar
 
-from mintsaddle.process._threads import start_thread
+from mintsaddle.process._threads import never_alive, start_thread
+
+MAX_FAILED_STARTS = 20
+"""Threads in a row that end without a call before the calls that wait end."""
 
 _POLL_SECONDS = 0.01
 
@@ -60,6 +63,9 @@
         self._running: dict[int, _Call] = {}
         """Calls by the number of their thread."""
 
+        self._failed_starts = 0
+        """Threads that have ended without a call since the last call."""
+
         self._is_shut_down = False
 
     @property
@@ -85,8 +91,7 @@
                 raise RuntimeError("The pool is shut down.")
             self._queue.append(_Call(future, partial(fn, *args, **kwargs)))
             self._has_changed.notify()
-            lost = self._start_missing()
-        _fail(lost)
+        self._start_missing()
         return future
 
     def shutdown(self, wait: bool = True, *, cancel_futures: bool = False) -> None:
@@ -107,30 +112,47 @@
         while wait and self._threads:
             time.sleep(_POLL_SECONDS)
 
-    def _start_missing(self) -> tuple[_Call, ...]:
+    def _start_missing(self) -> None:
         """Start threads if more calls wait than threads are idle.
 
-        Called with the lock held. Returns the calls that no thread will take.
+        The lock isn't held meanwhile, as a thread that fails as it starts may
+        have its end handled in this one.
         """
-        while (
-            len(self._queue) > len(self._idle)
-            and len(self._threads) < self._max_threads
-        ):
-            number = next(self._numbers)
+        while (number := self._reserve()) is not None:
             try:
-                self._threads[number] = start_thread(
+                is_alive = start_thread(
                     f"{self._name}-{number}",
                     partial(self._work, number),
                     partial(self._handle_end, number),
                 )
             except (RuntimeError, MemoryError):
-                if self._threads:
-                    return ()
-                lost = tuple(self._queue)
-                self._queue.clear()
-                return lost
+                _fail(self._withdraw(number))
+                return
+            with self._lock:
+                if number in self._threads:
+                    self._threads[number] = is_alive
+
+    def _reserve(self) -> int | None:
+        """Return the number of a thread to start, or None."""
+        with self._lock:
+            is_short = len(self._queue) > len(self._idle)
+            if not is_short or len(self._threads) >= self._max_threads:
+                return None
+            number = next(self._numbers)
+            self._threads[number] = never_alive
             self._idle.add(number)
-        return ()
+            return number
+
+    def _withdraw(self, number: int) -> tuple[_Call, ...]:
+        """Remove a thread that isn't there; return calls that none takes."""
+        with self._lock:
+            self._threads.pop(number, None)
+            self._idle.discard(number)
+            if self._threads:
+                return ()
+            lost = tuple(self._queue)
+            self._queue.clear()
+            return lost
 
     def _work(self, number: int) -> None:
         while (call := self._take(number)) is not None:
@@ -148,6 +170,7 @@
             # In this order, an exception between two steps loses no call.
             self._running[number] = self._queue[0]
             self._idle.discard(number)
+            self._failed_starts = 0
             return self._queue.popleft()
 
     def _handle_end(self, number: int) -> None:
@@ -156,12 +179,17 @@
             self._threads.pop(number, None)
             self._idle.discard(number)
             call = self._running.pop(number, None)
-            lost = self._start_missing()
-            if call is not None and call not in self._queue:
-                lost += (call,)
+            self._failed_starts += call is None
+            must_stop = self._failed_starts >= MAX_FAILED_STARTS
+            lost = [call] if call is not None and call not in self._queue else []
+            if must_stop and not self._threads:
+                lost += self._queue
+                self._queue.clear()
             # It may have been woken up for a call that still waits.
             self._has_changed.notify()
         _fail(lost)
+        if not must_stop:
+            self._start_missing()
 
 
 def _run(call: _Call) -> None:
--- a/mintsaddle/process/tests/failing_threads.py
+++ b/mintsaddle/process/tests/failing_threads.py
@@ -5,10 +5,13 @@
 import itertools
 import sys
 import threading
+import time
 from collections.abc import Callable
 
 import pytest
 
+_WAIT_SECONDS = 5.0
+_POLL_SECONDS = 0.01
 _start_plainly = _thread.start_new_thread
 
 
@@ -19,8 +22,16 @@
     )
 
 
-def fail_starts(monkeypatch: pytest.MonkeyPatch, count: int) -> Callable[[], int]:
-    """End the next threads at their first step; return how many have ended."""
+def fail_starts(
+    monkeypatch: pytest.MonkeyPatch, count: int, *, must_wait: bool = False
+) -> Callable[[], int]:
+    """End the next threads at their first step; return how many have ended.
+
+    Args:
+        monkeypatch: Replaces the interpreter's start of threads.
+        count: How many threads fail.
+        must_wait: Whether their start returns only once they have ended.
+    """
     numbers = itertools.count(1)
     failed: list[int] = []
 
@@ -29,8 +40,14 @@
         raise MemoryError
 
     def start(run: Callable[..., object], arguments: tuple[object, ...]) -> int:
-        must_fail = next(numbers) <= count
-        return _start_plainly(fail if must_fail else run, arguments)
+        number = next(numbers)
+        if number > count:
+            return _start_plainly(run, arguments)
+        identifier = _start_plainly(fail, arguments)
+        end = time.monotonic() + _WAIT_SECONDS
+        while must_wait and len(failed) < number and time.monotonic() < end:
+            time.sleep(_POLL_SECONDS)
+        return identifier
 
     # threading.Thread has a name of its own for it.
     for module, name in ((_thread, "start_new"), (threading, "_start_new")):
--- a/mintsaddle/process/tests/test_workers.py
+++ b/mintsaddle/process/tests/test_workers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from mintsaddle.process import NoThreadError, WorkerPool
+from mintsaddle.process._workers import MAX_FAILED_STARTS
 from mintsaddle.process.tests.failing_threads import (
     fail_starts,
     raise_in,
@@ -121,6 +122,29 @@
         assert results == list(range(THREADS))
         assert count_failed() == failing
 
+    def test_a_call_ends_if_all_threads_fail_as_they_start(
+        self, pool: WorkerPool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against threads that are started without end."""
+        with monkeypatch.context() as patch:
+            count_failed = fail_starts(patch, 1_000)
+            future = pool.submit(abs, -1)
+            assert isinstance(future.exception(WAIT_SECONDS), NoThreadError)
+            assert count_failed() == MAX_FAILED_STARTS
+        assert pool.submit(abs, -1).result(WAIT_SECONDS) == 1
+
+    def test_a_thread_that_has_ended_before_its_start_returns_is_replaced(
+        self, pool: WorkerPool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a pool that waits for its own lock."""
+        count_failed = fail_starts(monkeypatch, 3, must_wait=True)
+        futures: list[Future[int]] = []
+        assert returns_within(
+            WAIT_SECONDS, lambda: futures.append(pool.submit(abs, -1))
+        )
+        assert futures[0].result(WAIT_SECONDS) == 1
+        assert count_failed() == 3
+
     def test_a_call_ends_if_no_thread_can_be_started(
         self, pool: WorkerPool, monkeypatch: pytest.MonkeyPatch
     ) -> None:
