Record exceptions in the pause before a thread runs again

Traced with a copy of the test that keeps the log: of 18 exceptions raised, 4 were counted. The others came while the thread paused before its next run, which was outside the guard: they ended it, and the main thread revived it without a count or a line. The pauses grow to a second, so a thread that fails often did so in silence. Beside 10 busy processes 2 of 12 runs failed.

Change: the pause is inside the guard, and a thread that has ended for another reason is recorded as it is revived.

Tests: failures in the pause and at the start are counted; both cases failed before.

--- a/mintsaddle/process/_supervisor.py
+++ b/mintsaddle/process/_supervisor.py
@@ -16,6 +16,7 @@
 from mintsaddle.values import Clock, Instant
 
 _JOIN_POLL_SECONDS = 0.01
+_ENDED = RuntimeError("The thread has ended.")
 
 
 class BeyondHelpError(Exception):
@@ -91,14 +92,15 @@
         """
         if self._has_returned or self._is_alive():
             return
+        self._failures.record(self._name, _ENDED)
         self._restarts = record_failure(self._restarts, self._started_at, self._now())
         self.start()
 
     def _run_again(self) -> None:
         while not self._has_returned and not self.must_end_process:
-            time.sleep(max(0.0, self._restarts.restart_at - self._now()))
-            self._started_at = self._now()
             try:
+                time.sleep(max(0.0, self._restarts.restart_at - self._now()))
+                self._started_at = self._now()
                 self._run()
                 self._has_returned = True
             # Whatever it is, the other threads go on without this one.
--- a/mintsaddle/process/tests/test_supervisor.py
+++ b/mintsaddle/process/tests/test_supervisor.py
@@ -2,10 +2,11 @@
 
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
-from mintsaddle.process import BeyondHelpError, Supervisor
+from mintsaddle.process import BeyondHelpError, Supervisor, _supervisor
 from mintsaddle.process.tests.failing_threads import fail_starts, returns_within
 
 WAIT_SECONDS = 5.0
@@ -30,6 +31,17 @@
         assert ran.is_set()
         assert count_failed() == FAILURES
 
+    def test_one_is_counted(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a thread that fails again and again in silence."""
+        supervisor, ran = Supervisor(), threading.Event()
+        fail_starts(monkeypatch, FAILURES)
+        supervisor.start("loop", ran.set)
+        end = time.monotonic() + WAIT_SECONDS
+        while not ran.is_set() and time.monotonic() < end:
+            supervisor.check()
+            time.sleep(CHECK_SECONDS)
+        assert supervisor.failures.counts == {"loop": FAILURES}
+
     def test_one_that_callers_need_ends_the_process(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
@@ -47,3 +59,22 @@
 
         assert returns_within(WAIT_SECONDS, check_until_the_end)
         assert ended.is_set()
+
+
+class TestPauses:
+    def test_an_exception_in_one_is_counted(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a thread that ends as it waits to run again."""
+        pauses, ran = iter([MemoryError, SystemExit, RuntimeError]), threading.Event()
+
+        def sleep(_: float) -> None:
+            if error := next(pauses, None):
+                raise error
+
+        fake = SimpleNamespace(sleep=sleep, monotonic=time.monotonic)
+        monkeypatch.setattr(_supervisor, "time", fake)
+        supervisor = Supervisor()
+        supervisor.start("loop", ran.set)
+        assert ran.wait(WAIT_SECONDS)
+        assert supervisor.failures.counts == {"loop": 3}
