Say in which thread the end of a thread is handled

The text of start_thread said that on_end is called in the thread that ends.

Change: the doc comment only.

--- a/mintsaddle/process/_threads.py
+++ b/mintsaddle/process/_threads.py
@@ -22,8 +22,9 @@
     Args:
         name: Name of the thread.
         run: The function that it runs.
-        on_end: Called in the thread as it ends, in whatever way, as long as
-            the returned function is referred to.
+        on_end: Called as it ends, in whatever way, as long as the returned
+            function is referred to; in that thread or, if it ends before this
+            function returns, in the present one.
 
     Returns:
         A function that returns whether the thread is alive. One that has been
